--- /dev/null
+++ b/berylconfig/config.go
@@ -0,0 +1,235 @@
+// Package berylconfig has the configuration that operators publish: classes
+// with targets, client accounts with guarantees, and failure domains.
+//
+// Package berylmerge builds a [Config] from log records, one key at a time with
+// [Config.Set]. A Config in use is never changed; [Config.Clone] makes the next.
+package berylconfig
+
+import (
+	"bytes"
+	"encoding/json"
+	"maps"
+	"strings"
+	"time"
+
+	"berylglade/beryladjacency"
+	"berylglade/berylduration"
+	"berylglade/berylerror"
+	"berylglade/berylshape"
+	"berylglade/berylsize"
+)
+
+// Config is one version of the configuration.
+type Config struct {
+	// Offset is the log offset of the last applied record; it only grows.
+	// Zero means that nothing has been read yet, as offsets start at one.
+	Offset int64 `json:"offset" cbor:"o"`
+	// Classes by name.
+	Classes map[string]Class `json:"classes" cbor:"c"`
+	// Accounts are the client accounts by name.
+	Accounts map[string]ClientAccount `json:"accounts" cbor:"a"`
+	// Domains are the failure domains by name.
+	Domains map[string]FailureDomain `json:"domains" cbor:"d"`
+}
+
+// Class is a class of work with its target.
+type Class struct {
+	// Target is what operators ask for.
+	Target Target `json:"target" cbor:"t"`
+	// Idempotent work may run more than once.
+	Idempotent bool `json:"idempotent,omitempty" cbor:"i,omitempty"`
+	// Checkpoint means that tasks can be stopped and resumed within Stop.
+	Checkpoint bool `json:"checkpoint,omitempty" cbor:"k,omitempty"`
+	// Stop is the longest time that a checkpoint and stop takes.
+	Stop berylduration.Duration `json:"stop,omitempty" cbor:"s,omitempty"`
+	// Timeout is the longest run time of a call; zero means 30 s.
+	Timeout berylduration.Duration `json:"timeout,omitempty" cbor:"x,omitempty"`
+	// Body is the largest body of a call; zero means 1 MB.
+	Body berylsize.Size `json:"body,omitempty" cbor:"b,omitempty"`
+}
+
+// Target is the outcome asked for. At most one of its fields is set; none means
+// best effort.
+type Target struct {
+	// Within is the longest time from acceptance to completion.
+	Within berylduration.Duration `json:"within,omitempty" cbor:"w,omitempty"`
+	// Start is the longest time from acceptance to the start of all tasks.
+	Start berylduration.Duration `json:"start,omitempty" cbor:"s,omitempty"`
+	// By is a time of day such as "05:30" in Zone, before which work is done.
+	By string `json:"by,omitempty" cbor:"b,omitempty"`
+	// Zone is the IANA time zone of By; empty means UTC.
+	Zone string `json:"zone,omitempty" cbor:"z,omitempty"`
+}
+
+// ClientAccount is a tenant.
+type ClientAccount struct {
+	// Hash is the SHA-256 of the bearer token in hexadecimal. Empty means
+	// that the account can't authenticate.
+	Hash string `json:"hash,omitempty" cbor:"h,omitempty"`
+	// Quota is the most that the account may hold; zero amounts mean no limit.
+	Quota berylshape.Shape `json:"quota,omitzero" cbor:"q,omitempty"`
+	// Guarantees are shapes that the account can always reclaim.
+	Guarantees []Guarantee `json:"guarantees,omitempty" cbor:"g,omitempty"`
+	// Rate is the sustained number of calls a second; zero means no limit.
+	Rate float64 `json:"rate,omitempty" cbor:"r,omitempty"`
+	// Burst is the number of calls that may arrive at once above Rate.
+	Burst int `json:"burst,omitempty" cbor:"b,omitempty"`
+}
+
+// Guarantee is capacity that an account can always reclaim.
+type Guarantee struct {
+	// Shape is the size of one unit, which always fits on one worker.
+	Shape berylshape.Shape `json:"shape" cbor:"s"`
+	// Count is the number of units, at least one.
+	Count int `json:"count" cbor:"n"`
+	// Adjacent says how close together the Count units must be.
+	Adjacent beryladjacency.Adjacency `json:"adjacent,omitempty" cbor:"a,omitempty"`
+	// Spare asks that the guarantee holds with any one failure domain out.
+	Spare bool `json:"spare,omitempty" cbor:"p,omitempty"`
+}
+
+// FailureDomain is the operators' view of one failure domain.
+type FailureDomain struct {
+	// Out means that nothing may start there.
+	Out bool `json:"out,omitempty" cbor:"o,omitempty"`
+	// Grace is the time that operators give running work to move away.
+	Grace berylduration.Duration `json:"grace,omitempty" cbor:"g,omitempty"`
+}
+
+// Prefixes of configuration keys.
+const (
+	_classPrefix   = "classes/"
+	_accountPrefix = "accounts/"
+	_domainPrefix  = "domains/"
+)
+
+// Clone returns a copy that shares no map with c.
+func (c *Config) Clone() *Config {
+	return &Config{
+		Offset:   c.Offset,
+		Classes:  cloneMap(c.Classes),
+		Accounts: cloneMap(c.Accounts),
+		Domains:  cloneMap(c.Domains),
+	}
+}
+
+func cloneMap[V any](m map[string]V) map[string]V {
+	if m == nil {
+		return map[string]V{}
+	}
+	return maps.Clone(m)
+}
+
+// Set changes one key, such as "domains/ware-east", to a JSON value. A null
+// value removes the key. On an error c is unchanged.
+func (c *Config) Set(key string, value json.RawMessage) error {
+	kind, name, ok := strings.Cut(key, "/")
+	if !ok || name == "" || strings.Contains(name, "/") {
+		return berylerror.Invalid.Errorf("configuration key %q is not classes/, accounts/ or domains/ and a name", key)
+	}
+	switch kind + "/" {
+	case _classPrefix:
+		return set(c.Classes, key, name, value, Class.check)
+	case _accountPrefix:
+		return set(c.Accounts, key, name, value, ClientAccount.check)
+	case _domainPrefix:
+		return set(c.Domains, key, name, value, FailureDomain.check)
+	default:
+		return berylerror.Invalid.Errorf("configuration key %q is not classes/, accounts/ or domains/ and a name", key)
+	}
+}
+
+func set[V any](m map[string]V, key, name string, value json.RawMessage, check func(V) error) error {
+	if string(bytes.TrimSpace(value)) == "null" {
+		delete(m, name)
+		return nil
+	}
+	dec := json.NewDecoder(bytes.NewReader(value))
+	dec.DisallowUnknownFields()
+	var v V
+	if err := dec.Decode(&v); err != nil {
+		return berylerror.Invalid.Wrap(err, "configuration key "+key)
+	}
+	if err := check(v); err != nil {
+		return berylerror.Invalid.Wrap(err, "configuration key "+key)
+	}
+	m[name] = v
+	return nil
+}
+
+func (c Class) check() error { return c.Target.check() }
+
+func (t Target) check() error {
+	n := 0
+	if t.Within > 0 {
+		n++
+	}
+	if t.Start > 0 {
+		n++
+	}
+	if t.By != "" {
+		n++
+	}
+	if n > 1 {
+		return berylerror.Invalid.Errorf("target sets more than one of within, start and by")
+	}
+	if t.By != "" {
+		if _, err := time.Parse("15:04", t.By); err != nil {
+			return berylerror.Invalid.Errorf("target time %q is not HH:MM", t.By)
+		}
+	}
+	if _, err := time.LoadLocation(t.Zone); err != nil {
+		return berylerror.Invalid.Errorf("time zone %q is not known", t.Zone)
+	}
+	return nil
+}
+
+// Deadline returns the time at which work accepted at the given time has to be
+// done, and false for best effort. Start targets return the latest start.
+func (t Target) Deadline(accepted time.Time) (time.Time, bool) {
+	switch {
+	case t.Within > 0:
+		return accepted.Add(t.Within.Std()), true
+	case t.Start > 0:
+		return accepted.Add(t.Start.Std()), true
+	case t.By != "":
+		return t.nextTimeOfDay(accepted), true
+	default:
+		return time.Time{}, false
+	}
+}
+
+// nextTimeOfDay returns the first By after accepted.
+func (t Target) nextTimeOfDay(accepted time.Time) time.Time {
+	loc, err := time.LoadLocation(t.Zone)
+	if err != nil {
+		loc = time.UTC
+	}
+	clock, err := time.Parse("15:04", t.By)
+	if err != nil {
+		return accepted
+	}
+	local := accepted.In(loc)
+	by := time.Date(local.Year(), local.Month(), local.Day(), clock.Hour(), clock.Minute(), 0, 0, loc)
+	if !by.After(accepted) {
+		by = time.Date(local.Year(), local.Month(), local.Day()+1, clock.Hour(), clock.Minute(), 0, 0, loc)
+	}
+	return by
+}
+
+func (a ClientAccount) check() error {
+	if a.Rate < 0 || a.Burst < 0 {
+		return berylerror.Invalid.Errorf("rate and burst must not be below zero")
+	}
+	for _, g := range a.Guarantees {
+		if g.Count < 1 {
+			return berylerror.Invalid.Errorf("guarantee count %d is below one", g.Count)
+		}
+		if err := g.Shape.Check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (FailureDomain) check() error { return nil }
--- /dev/null
+++ b/berylerror/kind.go
@@ -0,0 +1,130 @@
+// Package berylerror has the closed list of error kinds and the table from a
+// kind to the answer that callers and operators see.
+//
+// An error gets its kind from [Kind.Errorf] or [Kind.Wrap]. [Of] finds the kind
+// of any error; an error without one is [Internal]. Adapters translate a kind
+// with [Kind.Status], [Kind.Exit] and [Kind.String] and never look at the text.
+package berylerror
+
+import (
+	"github.com/go-faster/errors"
+)
+
+// Kind says what a failure means for the caller.
+type Kind uint8
+
+const (
+	// Internal is a fault of the system itself.
+	Internal Kind = iota + 1
+	// Invalid means that the request is malformed.
+	Invalid
+	// Denied means that the credentials are missing or wrong.
+	Denied
+	// Missing means that the named object is not known.
+	Missing
+	// Conflict means that another request or change was accepted first.
+	Conflict
+	// Oversize means that the request passes a size limit.
+	Oversize
+	// Impossible means that the request can never run.
+	Impossible
+	// NotRun means that the request did not run and may be sent again.
+	NotRun
+	// Unknown means that it is not known whether the request ran.
+	Unknown
+	// Expired means that the answer was evicted from memory.
+	Expired
+	// Failed means that the request ran and failed.
+	Failed
+	// Unavailable means that a read or an operator function cannot be served now.
+	Unavailable
+)
+
+// answer is the public form of one kind.
+type answer struct {
+	name   string
+	status int
+	exit   int
+}
+
+// answers returns the table from kind to answer. It is a function because
+// package-level variables could be changed.
+func answers() [Unavailable + 1]answer {
+	return [...]answer{
+		Internal:    {name: "internal", status: 500, exit: 1},
+		Invalid:     {name: "invalid", status: 400, exit: 2},
+		Denied:      {name: "denied", status: 401, exit: 3},
+		Missing:     {name: "missing", status: 404, exit: 4},
+		Conflict:    {name: "conflict", status: 409, exit: 5},
+		Oversize:    {name: "oversize", status: 413, exit: 6},
+		Impossible:  {name: "impossible", status: 422, exit: 7},
+		NotRun:      {name: "notrun", status: 503, exit: 8},
+		Unknown:     {name: "unknown", status: 504, exit: 9},
+		Expired:     {name: "expired", status: 410, exit: 10},
+		Failed:      {name: "failed", status: 502, exit: 11},
+		Unavailable: {name: "unavailable", status: 503, exit: 12},
+	}
+}
+
+// Kinds returns every kind in order.
+func Kinds() []Kind {
+	kinds := make([]Kind, 0, Unavailable)
+	for k := Internal; k <= Unavailable; k++ {
+		kinds = append(kinds, k)
+	}
+	return kinds
+}
+
+// Parse returns the kind with the given name, or Internal.
+func Parse(name string) Kind {
+	for k, a := range answers() {
+		if a.name == name && a.name != "" {
+			return Kind(k)
+		}
+	}
+	return Internal
+}
+
+// String returns the name of the kind in answers and metrics.
+func (k Kind) String() string { return k.answer().name }
+
+// Status returns the HTTP status of the kind.
+func (k Kind) Status() int { return k.answer().status }
+
+// Exit returns the exit code of the kind on the command line.
+func (k Kind) Exit() int { return k.answer().exit }
+
+func (k Kind) answer() answer {
+	if k < Internal || k > Unavailable {
+		k = Internal
+	}
+	return answers()[k]
+}
+
+// Errorf returns a new error of this kind.
+func (k Kind) Errorf(format string, args ...any) error {
+	return &kindError{kind: k, err: errors.Errorf(format, args...)}
+}
+
+// Wrap returns err with a text before it and with this kind.
+func (k Kind) Wrap(err error, text string) error {
+	return &kindError{kind: k, err: errors.Wrap(err, text)}
+}
+
+// Of returns the kind of err: that of the outermost error that has one.
+func Of(err error) Kind {
+	var ke *kindError
+	if errors.As(err, &ke) {
+		return ke.kind
+	}
+	return Internal
+}
+
+type kindError struct {
+	kind Kind
+	err  error
+}
+
+func (e *kindError) Error() string { return e.err.Error() }
+
+func (e *kindError) Unwrap() error { return e.err }
--- /dev/null
+++ b/berylrecord/record.go
@@ -0,0 +1,214 @@
+// Package berylrecord has the records that the system keeps in the platform's
+// log, and their JSON form.
+//
+// A [Record] is an envelope with a unique id around one [Body]. The body types
+// are the closed set below; readers switch over them. Records with an id that
+// was already read are dropped by the reader, since a writer that lost a reply
+// may have appended twice.
+package berylrecord
+
+import (
+	"encoding/json"
+
+	"github.com/oklog/ulid/v2"
+
+	"berylglade/berylconfig"
+	"berylglade/berylerror"
+	"berylglade/beryljob"
+)
+
+// Streams of the platform's log.
+const (
+	// StreamConfig has Change and Snapshot records.
+	StreamConfig = "config"
+	// StreamControl has Claim, Renewal, Handover, JobState and Cancel records.
+	StreamControl = "control"
+	// StreamCalls has Intent records.
+	StreamCalls = "calls"
+)
+
+// Record is one record of a stream.
+type Record struct {
+	// ID is unique; a second record with the same ID has no effect.
+	ID string
+	// Base is the offset up to which the writer had read the stream.
+	Base int64
+	// Body says what happened.
+	Body Body
+}
+
+// New returns a record with a new id.
+func New(base int64, body Body) Record {
+	return Record{ID: ulid.Make().String(), Base: base, Body: body}
+}
+
+// Body is one of Claim, Renewal, Handover, JobState, Cancel, Intent, Change and
+// Snapshot.
+type Body interface {
+	isBody()
+}
+
+// Claim asks for the leadership of a term.
+type Claim struct {
+	// Term is one more than the term that the writer had read.
+	Term int64 `json:"term"`
+	// By is the unique name of the process that claims.
+	By string `json:"by"`
+	// Addr is its address between our processes.
+	Addr string `json:"addr"`
+}
+
+// Renewal shows that the leader of a term is alive.
+type Renewal struct {
+	Term int64 `json:"term"`
+}
+
+// Handover ends a term before its lease.
+type Handover struct {
+	Term int64 `json:"term"`
+}
+
+// JobState is the whole state of a job. With Term zero it submits a new job and
+// is valid only if the job id is not known; otherwise it is valid only if Term
+// is the current term at its offset.
+type JobState struct {
+	Term  int64          `json:"term,omitempty"`
+	State beryljob.State `json:"state"`
+}
+
+// Cancel asks the leader to end a job.
+type Cancel struct {
+	Job string `json:"job"`
+	By  string `json:"by"`
+}
+
+// Intent binds the idempotency key of a call to one call id. It is valid only
+// if Prev is the call id of the key's current valid intent, or empty if there
+// is none.
+type Intent struct {
+	Key     string `json:"key"`
+	Account string `json:"account"`
+	Sum     string `json:"sum"`
+	Call    string `json:"call"`
+	Prev    string `json:"prev,omitempty"`
+}
+
+// Change is an operator's publication. It is accepted only if none of its keys
+// was changed after the record's Base.
+type Change struct {
+	By  string                     `json:"by"`
+	Set map[string]json.RawMessage `json:"set"`
+}
+
+// Snapshot is the whole configuration up to an offset.
+type Snapshot struct {
+	Upto   int64              `json:"upto"`
+	Config berylconfig.Config `json:"config"`
+	// Changed has for each key the offset of its last accepted change.
+	Changed map[string]int64 `json:"changed"`
+}
+
+func (Claim) isBody()    {}
+func (Renewal) isBody()  {}
+func (Handover) isBody() {}
+func (JobState) isBody() {}
+func (Cancel) isBody()   {}
+func (Intent) isBody()   {}
+func (Change) isBody()   {}
+func (Snapshot) isBody() {}
+
+// envelope is the JSON form of a record.
+type envelope struct {
+	ID   string          `json:"id"`
+	Base int64           `json:"base"`
+	Kind string          `json:"kind"`
+	Body json.RawMessage `json:"body"`
+}
+
+// Encode returns the JSON form of r.
+func Encode(r Record) ([]byte, error) {
+	kind, err := kindOf(r.Body)
+	if err != nil {
+		return nil, err
+	}
+	body, err := json.Marshal(r.Body)
+	if err != nil {
+		return nil, berylerror.Internal.Wrap(err, "encode record")
+	}
+	data, err := json.Marshal(envelope{ID: r.ID, Base: r.Base, Kind: kind, Body: body})
+	if err != nil {
+		return nil, berylerror.Internal.Wrap(err, "encode record")
+	}
+	return data, nil
+}
+
+func kindOf(b Body) (string, error) {
+	switch b.(type) {
+	case Claim:
+		return "claim", nil
+	case Renewal:
+		return "renewal", nil
+	case Handover:
+		return "handover", nil
+	case JobState:
+		return "job", nil
+	case Cancel:
+		return "cancel", nil
+	case Intent:
+		return "intent", nil
+	case Change:
+		return "change", nil
+	case Snapshot:
+		return "snapshot", nil
+	default:
+		return "", berylerror.Internal.Errorf("record body %T has no kind", b)
+	}
+}
+
+// Decode reads the JSON form of a record. Operators may write to the log with
+// programs of their own, so any bytes can arrive here.
+func Decode(data []byte) (Record, error) {
+	var e envelope
+	if err := json.Unmarshal(data, &e); err != nil {
+		return Record{}, berylerror.Invalid.Wrap(err, "decode record")
+	}
+	if e.ID == "" {
+		return Record{}, berylerror.Invalid.Errorf("record has no id")
+	}
+	body, err := decodeBody(e.Kind, e.Body)
+	if err != nil {
+		return Record{}, err
+	}
+	return Record{ID: e.ID, Base: e.Base, Body: body}, nil
+}
+
+func decodeBody(kind string, data json.RawMessage) (Body, error) {
+	switch kind {
+	case "claim":
+		return decode[Claim](data)
+	case "renewal":
+		return decode[Renewal](data)
+	case "handover":
+		return decode[Handover](data)
+	case "job":
+		return decode[JobState](data)
+	case "cancel":
+		return decode[Cancel](data)
+	case "intent":
+		return decode[Intent](data)
+	case "change":
+		return decode[Change](data)
+	case "snapshot":
+		return decode[Snapshot](data)
+	default:
+		return nil, berylerror.Invalid.Errorf("record kind %q is not known", kind)
+	}
+}
+
+func decode[B Body](data json.RawMessage) (Body, error) {
+	var b B
+	if err := json.Unmarshal(data, &b); err != nil {
+		return nil, berylerror.Invalid.Wrap(err, "decode record body")
+	}
+	return b, nil
+}
--- /dev/null
+++ b/berylshape/shape.go
@@ -0,0 +1,93 @@
+// Package berylshape has the amounts of each resource that a task needs or a
+// host offers.
+package berylshape
+
+import (
+	"fmt"
+
+	"berylglade/berylerror"
+	"berylglade/berylsize"
+)
+
+// Shape is an amount of every resource. The zero value is no resources.
+type Shape struct {
+	// Accelerators is a number of whole accelerators, never below zero.
+	Accelerators int `json:"accelerators,omitempty" cbor:"a,omitempty"`
+	// Cores is a number of whole processor cores, never below zero.
+	Cores int `json:"cores,omitempty" cbor:"c,omitempty"`
+	// Memory is in bytes, never below zero.
+	Memory berylsize.Size `json:"memory,omitempty" cbor:"m,omitempty"`
+}
+
+// Add returns the sum of s and o.
+func (s Shape) Add(o Shape) Shape {
+	return Shape{
+		Accelerators: s.Accelerators + o.Accelerators,
+		Cores:        s.Cores + o.Cores,
+		Memory:       s.Memory + o.Memory,
+	}
+}
+
+// Sub returns s less o; an amount may fall below zero.
+func (s Shape) Sub(o Shape) Shape {
+	return Shape{
+		Accelerators: s.Accelerators - o.Accelerators,
+		Cores:        s.Cores - o.Cores,
+		Memory:       s.Memory - o.Memory,
+	}
+}
+
+// Times returns n times s.
+func (s Shape) Times(n int) Shape {
+	return Shape{
+		Accelerators: s.Accelerators * n,
+		Cores:        s.Cores * n,
+		Memory:       s.Memory * berylsize.Size(n),
+	}
+}
+
+// Fits reports whether s fits into o.
+func (s Shape) Fits(o Shape) bool {
+	return s.Accelerators <= o.Accelerators && s.Cores <= o.Cores && s.Memory <= o.Memory
+}
+
+// Count returns how many times s fits into o; zero if s is empty.
+func (s Shape) Count(o Shape) int {
+	n := -1
+	n = least(n, s.Accelerators, o.Accelerators)
+	n = least(n, s.Cores, o.Cores)
+	n = least(n, int(s.Memory), int(o.Memory))
+	return max(n, 0)
+}
+
+// least returns the smaller of n and have/need; n below zero means no limit yet.
+func least(n, need, have int) int {
+	if need <= 0 {
+		return n
+	}
+	c := max(have, 0) / need
+	if n < 0 || c < n {
+		return c
+	}
+	return n
+}
+
+// Empty reports whether no resource is asked for.
+func (s Shape) Empty() bool { return s == Shape{} }
+
+// Check returns an error if an amount is below zero or all are zero.
+func (s Shape) Check() error {
+	if s.Accelerators < 0 || s.Cores < 0 || s.Memory < 0 {
+		return berylerror.Invalid.Errorf("shape %v has an amount below zero", s)
+	}
+	if s.Empty() {
+		return berylerror.Invalid.Errorf("shape asks for no resource")
+	}
+	return nil
+}
+
+// String returns the shape for messages to people.
+func (s Shape) String() string {
+	text, _ := s.Memory.MarshalText()
+	return fmt.Sprintf("%d accelerators, %d cores, %s", s.Accelerators, s.Cores, text)
+}
