berylleader: reserve, decide and start gangs

The leader is a pure state machine owned by the entry's control actor. Each attempt ends in the log before another one is placed, and the next one waits until every member of the last has ended or is fenced. Tests cover refused reservations, an unknown decision, takeover by a successor, lost members and cancellation in each stage.

--- a/beryljob/job.go
+++ b/beryljob/job.go
@@ -111,6 +111,8 @@
 	Reason string `json:"reason,omitempty" cbor:"rs,omitempty"`
 	// Blamed are workers on which earlier attempts failed.
 	Blamed []string `json:"blamed,omitempty" cbor:"bl,omitempty"`
+	// Late means that the target cannot be met any more.
+	Late bool `json:"late,omitempty" cbor:"lt,omitempty"`
 }
 
 // Member is one agent's part of a gang.
--- /dev/null
+++ b/berylleader/gang.go
@@ -0,0 +1,361 @@
+package berylleader
+
+import (
+	"time"
+
+	"berylglade/berylerror"
+	"berylglade/beryljob"
+	"berylglade/berylmessage"
+	"berylglade/berylrecord"
+	"berylglade/berylscheduler"
+)
+
+// stage is how far the leader has come with a job.
+type stage uint8
+
+const (
+	// queued means that the policy has the job.
+	queued stage = iota + 1
+	// reserving means that reservations are on their way.
+	reserving
+	// deciding means that the decision is on its way to the log.
+	deciding
+	// starting means that the decision was read back and members are started.
+	starting
+	// running means that the anchor reported the whole gang running.
+	running
+	// stopping means that members are stopped, because the attempt has ended.
+	stopping
+)
+
+// gang is a job that has not ended, or whose members still hold resources.
+type gang struct {
+	// state is the newest valid state in the log.
+	state beryljob.State
+	stage stage
+	// since is the time at which the stage began.
+	since time.Time
+	// attempt numbers reservations and decisions; it never repeats in a term.
+	attempt int
+	// placed is the policy's number of the attempt.
+	placed  int
+	members []beryljob.Member
+	// granted and armed have one element for each member.
+	granted []bool
+	armed   []bool
+	// sent is the time of the last start or stop messages.
+	sent time.Time
+	// appending is set while a record of the job is on its way to the log.
+	appending bool
+	// failed is the time of the last failed append. The next one waits, so
+	// that an outage of the log does not end in a burst of appends.
+	failed time.Time
+	// unconfirmed is set when it is not known whether the decision is in the
+	// log.
+	unconfirmed bool
+	// cancel is set when the job has to be cancelled as soon as possible.
+	cancel bool
+	// ok and blamed describe the end of the attempt for the policy.
+	ok     bool
+	blamed string
+}
+
+func (g *gang) enter(now time.Time, s stage) {
+	g.stage = s
+	g.since = now
+}
+
+// mayAppend reports whether a record may be written now.
+func (g *gang) mayAppend(now time.Time) bool {
+	return !g.appending && now.Sub(g.failed) >= _appendInterval
+}
+
+func (l *Leader) queue(now time.Time, s beryljob.State) {
+	g := l.gangs[s.ID]
+	if g == nil {
+		g = &gang{attempt: s.Attempt}
+		l.gangs[s.ID] = g
+	}
+	g.state = s
+	g.members = nil
+	g.enter(now, queued)
+	l.policy.Handle(now, berylscheduler.JobQueued{State: s})
+}
+
+func (l *Leader) place(now time.Time, a berylscheduler.Place) {
+	g := l.gangs[a.Job]
+	if g == nil || g.stage != queued || !g.mayAppend(now) || g.cancel {
+		l.policy.Handle(now, berylscheduler.PlacementRefused{Job: a.Job, Attempt: a.Attempt})
+		return
+	}
+	l.Counts.Placed++
+	g.attempt = max(g.attempt, g.state.Attempt) + 1
+	g.placed = a.Attempt
+	g.members = append([]beryljob.Member(nil), a.Members...)
+	g.granted = make([]bool, len(g.members))
+	g.armed = make([]bool, len(g.members))
+	g.enter(now, reserving)
+	for i, m := range g.members {
+		l.emit(SendReserve{Addr: m.Addr, Index: i, Reserve: berylmessage.Reserve{
+			Term:    l.Term,
+			Job:     g.state.ID,
+			Attempt: g.attempt,
+			Tasks:   m.Tasks,
+			Shape:   g.state.Shape,
+			Hold:    _holdTime,
+		}})
+	}
+}
+
+func (l *Leader) onReserved(now time.Time, ev Reserved) {
+	g := l.gangs[ev.Job]
+	if g == nil || g.stage != reserving || g.attempt != ev.Attempt {
+		return
+	}
+	m := &g.members[ev.Index]
+	if ev.Err != nil || (m.Incarnation != "" && m.Incarnation != ev.Incarnation) {
+		l.refuse(now, g, m.Agent)
+		return
+	}
+	m.Incarnation = ev.Incarnation
+	g.granted[ev.Index] = true
+	if all(g.granted) {
+		l.decide(now, g)
+	}
+}
+
+// refuse gives up an attempt that was not decided and returns the job to the
+// policy.
+func (l *Leader) refuse(now time.Time, g *gang, worker string) {
+	l.Counts.Refused++
+	l.sendStops(now, g, false, "placement refused")
+	g.members = nil
+	g.enter(now, queued)
+	l.policy.Handle(now, berylscheduler.PlacementRefused{
+		Job: g.state.ID, Attempt: g.placed, Worker: worker,
+	})
+	if g.cancel {
+		l.appendEnd(now, g, beryljob.Cancelled, "")
+	}
+}
+
+func (l *Leader) decide(now time.Time, g *gang) {
+	if g.cancel {
+		l.refuse(now, g, "")
+		return
+	}
+	g.enter(now, deciding)
+	g.unconfirmed = false
+	s := g.state
+	s.Phase = beryljob.Decided
+	s.Attempt = g.attempt
+	s.Members = g.members
+	s.Reason = ""
+	l.append(g, s)
+}
+
+// append writes a state of the job. At most one is on its way at a time.
+func (l *Leader) append(g *gang, s beryljob.State) {
+	g.appending = true
+	l.emit(Append{Record: berylrecord.JobState{Term: l.Term, State: s}})
+}
+
+// appendEnd writes a final phase.
+func (l *Leader) appendEnd(now time.Time, g *gang, phase beryljob.Phase, reason string) {
+	if !g.mayAppend(now) {
+		return
+	}
+	s := g.state
+	s.Phase = phase
+	s.Members = nil
+	s.Reason = reason
+	l.append(g, s)
+}
+
+// appendQueued ends the attempt in the log; the job will run again.
+func (l *Leader) appendQueued(now time.Time, g *gang, reason, blamed string) {
+	if !g.mayAppend(now) {
+		return
+	}
+	s := g.state
+	s.Phase = beryljob.Queued
+	s.Attempt = g.attempt
+	s.Members = nil
+	s.Reason = reason
+	if blamed != "" {
+		s.Blamed = append(append([]string(nil), s.Blamed...), blamed)
+	}
+	l.append(g, s)
+}
+
+func (l *Leader) onAppended(now time.Time, ev Appended) {
+	g := l.gangs[ev.State.ID]
+	if g == nil {
+		return
+	}
+	g.appending = false
+	if ev.Err == nil {
+		return
+	}
+	g.failed = now
+	switch {
+	case g.stage == deciding && berylerror.Of(ev.Err) == berylerror.NotRun:
+		l.refuse(now, g, "")
+	case g.stage == deciding:
+		// The decision may be in the log. checkTimeouts writes a record that
+		// ends the attempt, which makes the outcome certain.
+		g.unconfirmed = true
+	}
+	// The other records are written again by checkTimeouts or on the next
+	// heartbeat that calls for them.
+}
+
+func (l *Leader) onJobChanged(now time.Time, s beryljob.State) {
+	g := l.gangs[s.ID]
+	if g == nil {
+		if !s.Phase.Ended() {
+			l.queue(now, s)
+		}
+		return
+	}
+	before := g.state
+	g.state = s
+	switch {
+	case s.Phase.Ended():
+		l.onEnded(now, g, s)
+	case s.Phase == beryljob.Decided:
+		l.onDecided(now, g)
+	case before.Phase == beryljob.Decided || g.stage == deciding:
+		// The attempt has been ended in the log.
+		l.stopMembers(now, g)
+	}
+}
+
+func (l *Leader) onDecided(now time.Time, g *gang) {
+	if g.stage != deciding || g.state.Attempt != g.attempt {
+		return
+	}
+	l.Counts.Decided++
+	g.enter(now, starting)
+	l.sendStarts(now, g)
+}
+
+func (l *Leader) onEnded(now time.Time, g *gang, s beryljob.State) {
+	if s.Phase == beryljob.Done {
+		l.Counts.Done++
+		g.ok = true
+	} else {
+		l.Counts.Failed++
+	}
+	l.stopMembers(now, g)
+}
+
+// stopMembers ends the attempt on every member. The gang leaves this stage in
+// finish, when no member can hold resources any more.
+func (l *Leader) stopMembers(now time.Time, g *gang) {
+	if g.stage == stopping {
+		return
+	}
+	held := len(g.members) > 0
+	g.enter(now, stopping)
+	if !held {
+		l.finish(now, g)
+		return
+	}
+	if g.ok {
+		// The anchor reported that every member has ended.
+		l.finish(now, g)
+		return
+	}
+	l.sendStops(now, g, l.checkpoints(g), g.state.Reason)
+}
+
+// finish tells the policy that nothing of the attempt holds resources and
+// queues or forgets the job.
+func (l *Leader) finish(now time.Time, g *gang) {
+	id := g.state.ID
+	if len(g.members) > 0 {
+		l.policy.Handle(now, berylscheduler.GangEnded{
+			Job: id, Attempt: g.placed, OK: g.ok, Blamed: g.blamed,
+		})
+	}
+	g.blamed = ""
+	g.ok = false
+	if g.state.Phase.Ended() {
+		delete(l.gangs, id)
+		l.policy.Handle(now, berylscheduler.JobEnded{Job: id, Phase: g.state.Phase})
+		return
+	}
+	l.queue(now, g.state)
+	if g.cancel {
+		l.appendEnd(now, g, beryljob.Cancelled, "")
+	}
+}
+
+func (l *Leader) onJobCancelled(now time.Time, id string) {
+	g := l.gangs[id]
+	if g == nil {
+		return
+	}
+	g.cancel = true
+	if g.stage == reserving {
+		l.refuse(now, g, "")
+		return
+	}
+	l.appendEnd(now, g, beryljob.Cancelled, "")
+}
+
+func (l *Leader) preempt(now time.Time, a berylscheduler.Preempt) {
+	g := l.gangs[a.Job]
+	if g == nil || g.placed != a.Attempt {
+		return
+	}
+	switch g.stage {
+	case reserving:
+		l.refuse(now, g, "")
+	case starting, running:
+		if g.mayAppend(now) {
+			l.Counts.Preempted++
+			l.appendQueued(now, g, a.Reason, "")
+		}
+	case queued, deciding, stopping:
+		// The policy asks again if it still wants the resources.
+	}
+}
+
+func (l *Leader) reject(now time.Time, a berylscheduler.Reject) {
+	if g := l.gangs[a.Job]; g != nil && g.stage == queued {
+		l.appendEnd(now, g, beryljob.Failed, a.Reason)
+	}
+}
+
+func (l *Leader) late(now time.Time, a berylscheduler.Late) {
+	l.Counts.Late++
+	g := l.gangs[a.Job]
+	if g == nil || !g.mayAppend(now) || g.stage != queued {
+		return
+	}
+	s := g.state
+	s.Late = true
+	l.append(g, s)
+}
+
+// rerun reports whether the job may run again after an attempt that may have
+// started. The next attempt waits until every member of the last one has ended.
+func (l *Leader) rerun(g *gang) bool {
+	class := l.class(g)
+	return class.Idempotent || class.Checkpoint
+}
+
+func (l *Leader) checkpoints(g *gang) bool {
+	return l.class(g).Checkpoint && !g.state.Phase.Ended()
+}
+
+func all(flags []bool) bool {
+	for _, f := range flags {
+		if !f {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/berylleader/leader.go
@@ -0,0 +1,208 @@
+package berylleader
+
+import (
+	"sort"
+	"time"
+
+	"berylglade/berylconfig"
+	"berylglade/beryljob"
+	"berylglade/berylmessage"
+	"berylglade/berylscheduler"
+)
+
+// Bounds on the steps of an attempt.
+const (
+	// _settleTime is the wait of a new leader for heartbeats before it places
+	// jobs: two heartbeat periods.
+	_settleTime = 2 * time.Second
+	// _reserveTimeout ends an attempt whose reservations are not complete.
+	_reserveTimeout = 3 * time.Second
+	// _holdTime is how long agents keep a reservation. It covers the
+	// reservation, the append of the decision and the start.
+	_holdTime = 10 * time.Second
+	// _armTime is how long an anchor waits for all members.
+	_armTime = 5 * time.Second
+	// _startTimeout ends an attempt that has not started: the hold time, in
+	// which a start can still succeed, and the arm time after it.
+	_startTimeout = _holdTime + _armTime
+	// _resendInterval is the time between two sends of a start or stop that
+	// has not been confirmed.
+	_resendInterval = time.Second
+	// _lostTimeout is the silence after which nothing of a gang can still run
+	// beside a dead agent: the gang's own bound of 5 s, the task lease of 10 s
+	// and a margin of 5 s.
+	_lostTimeout = 20 * time.Second
+	// _isolationTimeout is the time after which an agent that hears no entry
+	// stops its gangs. It is longer than the minutes for which regions lose
+	// each other.
+	_isolationTimeout = 10 * time.Minute
+	// _appendInterval is the wait after a failed append.
+	_appendInterval = time.Second
+)
+
+// Policy decides which gang runs where. berylscheduler.Scheduler is one.
+type Policy interface {
+	Handle(now time.Time, ev berylscheduler.Event)
+	Decide(now time.Time) []berylscheduler.Action
+}
+
+// Leader is the control leader of one term. It is owned by the control actor.
+// Before Elected and after Deposed it ignores every event but those.
+type Leader struct {
+	// Term is the term that this process leads; zero if it does not lead.
+	Term int64
+	// Counts has the number of each outcome since the process started.
+	Counts Counts
+
+	policy    Policy
+	newPolicy func() Policy
+	cfg       *berylconfig.Config
+	elected   time.Time
+	gangs     map[string]*gang
+	agents    map[string]*agent
+	effects   []Effect
+}
+
+// Counts are the outcomes of attempts.
+type Counts struct {
+	Placed    int `json:"placed"`
+	Refused   int `json:"refused"`
+	Decided   int `json:"decided"`
+	Started   int `json:"started"`
+	Aborted   int `json:"aborted"`
+	Preempted int `json:"preempted"`
+	Done      int `json:"done"`
+	Failed    int `json:"failed"`
+	Late      int `json:"late"`
+	Strays    int `json:"strays"`
+}
+
+// agent is the last heartbeat of an agent.
+type agent struct {
+	beat berylmessage.Beat
+	seen time.Time
+	lost bool
+}
+
+// New returns a leader that does not lead yet. Each term gets a new policy.
+func New(newPolicy func() Policy) *Leader {
+	return &Leader{newPolicy: newPolicy}
+}
+
+// Handle applies an event and returns what has to be done.
+func (l *Leader) Handle(now time.Time, ev Event) []Effect {
+	l.effects = nil
+	switch ev := ev.(type) {
+	case Elected:
+		l.onElected(now, ev)
+	case Deposed:
+		l.onDeposed()
+	default:
+		if l.Term != 0 {
+			l.handle(now, ev)
+		}
+	}
+	return l.effects
+}
+
+func (l *Leader) handle(now time.Time, ev Event) {
+	switch ev := ev.(type) {
+	case JobChanged:
+		l.onJobChanged(now, ev.State)
+	case JobCancelled:
+		l.onJobCancelled(now, ev.Job)
+	case ConfigChanged:
+		l.cfg = ev.Config
+		l.policy.Handle(now, berylscheduler.ConfigChanged{Config: ev.Config})
+	case BeatSeen:
+		l.onBeat(now, ev.Beat)
+	case AgentLost:
+		l.onAgentLost(now, ev)
+	case Reserved:
+		l.onReserved(now, ev)
+	case Appended:
+		l.onAppended(now, ev)
+	case Started:
+		l.onStarted(now, ev)
+	case Tick:
+		l.onTick(now)
+	}
+}
+
+func (l *Leader) onElected(now time.Time, ev Elected) {
+	l.Term = ev.Term
+	l.cfg = ev.Config
+	l.elected = now
+	l.policy = l.newPolicy()
+	l.gangs = map[string]*gang{}
+	l.agents = map[string]*agent{}
+	if ev.Config != nil {
+		l.policy.Handle(now, berylscheduler.ConfigChanged{Config: ev.Config})
+	}
+	sort.Slice(ev.Jobs, func(i, j int) bool { return ev.Jobs[i].ID < ev.Jobs[j].ID })
+	for i := range ev.Jobs {
+		l.restore(now, ev.Jobs[i])
+	}
+}
+
+// restore takes over a job from the log. The members of a decided job are
+// started again under the new term; a member that runs already accepts that.
+func (l *Leader) restore(now time.Time, s beryljob.State) {
+	switch {
+	case s.Phase.Ended():
+	case s.Phase == beryljob.Decided:
+		g := &gang{state: s, attempt: s.Attempt, stage: starting, since: now, placed: s.Attempt}
+		l.gangs[s.ID] = g
+		l.policy.Handle(now, berylscheduler.JobRestored{State: s})
+		l.sendStarts(now, g)
+	default:
+		l.queue(now, s)
+	}
+}
+
+func (l *Leader) onDeposed() {
+	l.Term = 0
+	l.policy = nil
+	l.gangs = nil
+	l.agents = nil
+}
+
+func (l *Leader) onTick(now time.Time) {
+	for _, id := range l.sortedJobs() {
+		l.checkTimeouts(now, l.gangs[id])
+	}
+	if now.Sub(l.elected) < _settleTime {
+		return
+	}
+	for _, action := range l.policy.Decide(now) {
+		l.act(now, action)
+	}
+}
+
+// sortedJobs returns the ids of all gangs in order, so that runs with the same
+// events have the same effects.
+func (l *Leader) sortedJobs() []string {
+	ids := make([]string, 0, len(l.gangs))
+	for id := range l.gangs {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+func (l *Leader) act(now time.Time, action berylscheduler.Action) {
+	switch a := action.(type) {
+	case berylscheduler.Place:
+		l.place(now, a)
+	case berylscheduler.Preempt:
+		l.preempt(now, a)
+	case berylscheduler.Reject:
+		l.reject(now, a)
+	case berylscheduler.Late:
+		l.late(now, a)
+	case berylscheduler.Probe:
+		// The policy itself places the next small gang on the worker.
+	}
+}
+
+func (l *Leader) emit(e Effect) { l.effects = append(l.effects, e) }
--- /dev/null
+++ b/berylleader/leader_test.go
@@ -0,0 +1,360 @@
+package berylleader
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"berylglade/berylconfig"
+	"berylglade/berylerror"
+	"berylglade/beryljob"
+	"berylglade/berylmessage"
+	"berylglade/berylscheduler"
+	"berylglade/berylshape"
+)
+
+// fakePolicy places every queued job on two fixed agents.
+type fakePolicy struct {
+	queued []string
+	events []berylscheduler.Event
+}
+
+func (p *fakePolicy) Handle(_ time.Time, ev berylscheduler.Event) {
+	p.events = append(p.events, ev)
+	switch ev := ev.(type) {
+	case berylscheduler.JobQueued:
+		p.queued = append(p.queued, ev.State.ID)
+	case berylscheduler.PlacementRefused:
+		p.queued = append(p.queued, ev.Job)
+	case berylscheduler.JobEnded:
+		p.queued = slices.DeleteFunc(p.queued, func(id string) bool { return id == ev.Job })
+	}
+}
+
+func (p *fakePolicy) Decide(time.Time) []berylscheduler.Action {
+	var actions []berylscheduler.Action
+	for _, id := range p.queued {
+		actions = append(actions, berylscheduler.Place{Job: id, Attempt: 1, Members: []beryljob.Member{
+			{Agent: "a1", Addr: "addr1", Tasks: 1}, {Agent: "a2", Addr: "addr2", Tasks: 1},
+		}})
+	}
+	p.queued = nil
+	return actions
+}
+
+// harness drives a leader with two agents and a log.
+type harness struct {
+	t      *testing.T
+	l      *Leader
+	policy *fakePolicy
+	now    time.Time
+	// effects since the last call of take.
+	effects []Effect
+	// report is what both agents say about job j.
+	report berylmessage.GangPhase
+	class  berylconfig.Class
+}
+
+func newHarness(t *testing.T, class berylconfig.Class, jobs ...beryljob.State) *harness {
+	t.Helper()
+	h := &harness{t: t, policy: &fakePolicy{}, now: time.Unix(1000, 0), class: class}
+	h.l = New(func() Policy { return h.policy })
+	cfg := &berylconfig.Config{Classes: map[string]berylconfig.Class{"c": class}}
+	h.handle(Elected{Term: 5, Jobs: jobs, Config: cfg})
+	return h
+}
+
+func (h *harness) handle(ev Event) {
+	h.effects = append(h.effects, h.l.Handle(h.now, ev)...)
+}
+
+// pass lets time go by with heartbeats of the given agents.
+func (h *harness) pass(d time.Duration, agents ...string) {
+	for end := h.now.Add(d); h.now.Before(end); {
+		h.now = h.now.Add(500 * time.Millisecond)
+		for _, name := range agents {
+			h.handle(BeatSeen{Beat: h.beat(name)})
+		}
+		h.handle(Tick{})
+	}
+}
+
+func (h *harness) beat(name string) berylmessage.Beat {
+	b := berylmessage.Beat{
+		Agent: name, Incarnation: "i-" + name, Addr: "addr" + name[1:],
+		Total: berylshape.Shape{Accelerators: 8},
+	}
+	if h.report != 0 {
+		b.Gangs = []berylmessage.GangReport{{
+			Job: "j", Attempt: 1, Phase: h.report, Anchor: name == "a1", Whole: name == "a1",
+		}}
+	}
+	return b
+}
+
+func (h *harness) take() []Effect {
+	effects := h.effects
+	h.effects = nil
+	return effects
+}
+
+// reserve grants every reservation that the leader asked for.
+func (h *harness) reserve() {
+	for _, e := range h.take() {
+		if r, ok := e.(SendReserve); ok {
+			h.handle(Reserved{Job: r.Reserve.Job, Attempt: r.Reserve.Attempt, Index: r.Index, Incarnation: fmt.Sprint("i-a", r.Index+1)})
+		}
+	}
+}
+
+// commit confirms and reads back every record that the leader wrote.
+func (h *harness) commit() []beryljob.Phase {
+	var phases []beryljob.Phase
+	for _, e := range h.take() {
+		if a, ok := e.(Append); ok {
+			phases = append(phases, a.Record.State.Phase)
+			h.handle(Appended{State: a.Record.State})
+			h.handle(JobChanged{State: a.Record.State})
+		}
+	}
+	return phases
+}
+
+func count[E Effect](effects []Effect) int {
+	n := 0
+	for _, e := range effects {
+		if _, ok := e.(E); ok {
+			n++
+		}
+	}
+	return n
+}
+
+func job() beryljob.State {
+	return beryljob.State{
+		Job:   beryljob.Job{ID: "j", Account: "a", Class: "c", Tasks: 2, Shape: berylshape.Shape{Accelerators: 1}},
+		Phase: beryljob.Queued,
+	}
+}
+
+// started brings job j to the running stage.
+func started(t *testing.T, class berylconfig.Class) *harness {
+	t.Helper()
+	h := newHarness(t, class, job())
+	h.pass(3*time.Second, "a1", "a2")
+	h.reserve()
+	is.New(t).Equal(h.commit(), []beryljob.Phase{beryljob.Decided})
+	h.report = berylmessage.GangRunning
+	h.pass(time.Second, "a1", "a2")
+	h.take()
+	return h
+}
+
+// Guards against starts without a decision in the log, and against losing the
+// end of a gang.
+func TestJobRunsToItsEnd(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, berylconfig.Class{}, job())
+	h.pass(time.Second, "a1", "a2")
+	is.Equal(len(h.take()), 0) // no placement within the settle time
+
+	h.pass(2*time.Second, "a1", "a2")
+	is.Equal(count[SendReserve](h.effects), 2)
+	h.reserve()
+	is.Equal(count[SendStart](h.effects), 0) // not before the decision is read back
+	is.Equal(h.commit(), []beryljob.Phase{beryljob.Decided})
+	is.Equal(count[SendStart](h.take()), 2)
+
+	h.report = berylmessage.GangRunning
+	h.pass(time.Second, "a1", "a2")
+	h.report = berylmessage.GangDone
+	h.pass(time.Second, "a1", "a2")
+	is.Equal(h.commit(), []beryljob.Phase{beryljob.Done})
+	is.Equal(h.l.Counts, Counts{Placed: 1, Decided: 1, Started: 1, Done: 1})
+	is.Equal(len(h.l.gangs), 0)
+}
+
+// Guards against a partial gang when one member refuses: the others are
+// released and the policy may place the job again.
+func TestRefusedReservationReleasesAll(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, berylconfig.Class{}, job())
+	h.pass(3*time.Second, "a1", "a2")
+	h.take()
+	h.handle(Reserved{Job: "j", Attempt: 1, Index: 0, Incarnation: "i-a1"})
+	h.handle(Reserved{Job: "j", Attempt: 1, Index: 1, Err: berylerror.NotRun.Errorf("full")})
+	is.Equal(count[SendStop](h.effects), 2)
+	is.Equal(count[Append](h.take()), 0)
+	h.pass(time.Second, "a1", "a2")
+	is.Equal(count[SendReserve](h.take()), 2) // another attempt
+}
+
+// Guards against starting or repeating a gang while it is not known whether its
+// decision is in the log.
+func TestUnknownDecisionIsEnded(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, berylconfig.Class{}, job())
+	h.pass(3*time.Second, "a1", "a2")
+	h.reserve()
+	effects := h.take()
+	is.Equal(count[Append](effects), 1)
+	decided := effects[len(effects)-1].(Append).Record.State
+	h.handle(Appended{State: decided, Err: berylerror.Unknown.Errorf("reply lost")})
+	h.pass(2*time.Second, "a1", "a2")
+	effects = h.take()
+	is.Equal(count[SendStart](effects)+count[SendReserve](effects), 0)
+	is.Equal(count[Append](effects), 1)
+	h.handle(JobChanged{State: decided}) // it was there after all
+	is.Equal(count[SendStart](h.effects), 2)
+	for _, e := range effects {
+		if a, ok := e.(Append); ok {
+			is.Equal(a.Record.State.Phase, beryljob.Queued)
+			h.handle(Appended{State: a.Record.State})
+			h.handle(JobChanged{State: a.Record.State})
+		}
+	}
+	is.True(count[SendStop](h.take()) >= 2) // the attempt is stopped as a whole
+}
+
+// Guards against a deposed leader that goes on, for example after a pause.
+func TestDeposedLeaderDoesNothing(t *testing.T) {
+	is := is.New(t)
+	h := started(t, berylconfig.Class{})
+	h.handle(Deposed{})
+	h.handle(JobCancelled{Job: "j"})
+	h.pass(time.Minute, "a1")
+	is.Equal(len(h.take()), 0)
+}
+
+// Guards against a successor that forgets decided jobs or runs them twice.
+func TestSuccessorTakesOverDecidedJob(t *testing.T) {
+	is := is.New(t)
+	s := job()
+	s.Phase = beryljob.Decided
+	s.Attempt = 1
+	s.Members = []beryljob.Member{{Agent: "a1", Addr: "addr1", Tasks: 1}, {Agent: "a2", Addr: "addr2", Tasks: 1}}
+	h := newHarness(t, berylconfig.Class{}, s)
+	is.Equal(count[SendStart](h.take()), 2)
+	h.report = berylmessage.GangRunning
+	h.pass(30*time.Second, "a1", "a2")
+	is.Equal(count[SendReserve](h.effects), 0)
+	is.Equal(count[SendStop](h.effects), 0)
+	is.Equal(h.l.Counts.Started, 1)
+}
+
+// Guards against a second run of a job that must not run twice, and against
+// losing one that may, when an agent is lost.
+func TestLostMember(t *testing.T) {
+	tests := []struct {
+		name string
+		give berylconfig.Class
+		want beryljob.Phase
+	}{
+		{name: "idempotent", give: berylconfig.Class{Idempotent: true}, want: beryljob.Queued},
+		{name: "checkpoint", give: berylconfig.Class{Checkpoint: true}, want: beryljob.Queued},
+		{name: "once", want: beryljob.Failed},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			h := started(t, tt.give)
+			h.pass(15*time.Second, "a1")
+			is.Equal(count[Append](h.take()), 0)
+			h.pass(10*time.Second, "a1")
+			is.Equal(h.commit(), []beryljob.Phase{tt.want})
+			is.True(count[SendStop](h.take()) >= 2)
+		})
+	}
+}
+
+// Guards against a second attempt while a cut-off agent may still run the
+// first one.
+func TestNextAttemptWaitsForTheLast(t *testing.T) {
+	is := is.New(t)
+	h := started(t, berylconfig.Class{Checkpoint: true})
+	h.pass(25*time.Second, "a1")
+	is.Equal(h.commit(), []beryljob.Phase{beryljob.Queued})
+	h.report = berylmessage.GangFailed
+	h.pass(time.Minute, "a1")
+	is.Equal(count[SendReserve](h.take()), 0) // a2 may be cut off and running
+	h.pass(3*time.Second, "a1", "a2")
+	is.Equal(count[SendReserve](h.take()), 2)
+}
+
+// Guards against work left behind by a cancellation in any stage.
+func TestCancel(t *testing.T) {
+	tests := []struct {
+		name string
+		give func(h *harness)
+	}{
+		{name: "queued", give: func(*harness) {}},
+		{name: "reserving", give: func(h *harness) { h.pass(3*time.Second, "a1", "a2") }},
+		{name: "deciding", give: func(h *harness) {
+			h.pass(3*time.Second, "a1", "a2")
+			h.reserve()
+		}},
+		{name: "starting", give: func(h *harness) {
+			h.pass(3*time.Second, "a1", "a2")
+			h.reserve()
+			h.commit()
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(t, berylconfig.Class{Idempotent: true}, job())
+			tt.give(h)
+			h.handle(JobCancelled{Job: "j"})
+			var phases []beryljob.Phase
+			for range 5 {
+				phases = append(phases, h.commit()...)
+				h.pass(2*time.Second, "a1", "a2")
+			}
+			is.Equal(phases[len(phases)-1], beryljob.Cancelled)
+			is.Equal(len(h.l.gangs), 0)
+			is.Equal(len(h.policy.queued), 0)
+		})
+	}
+}
+
+// Guards against an append in every tick while the log is down.
+func TestFailedAppendsAreSpaced(t *testing.T) {
+	is := is.New(t)
+	h := started(t, berylconfig.Class{Idempotent: true})
+	h.handle(JobCancelled{Job: "j"})
+	for range 20 {
+		for _, e := range h.take() {
+			if a, ok := e.(Append); ok {
+				h.handle(Appended{State: a.Record.State, Err: berylerror.NotRun.Errorf("log is down")})
+			}
+		}
+		h.pass(500*time.Millisecond, "a1", "a2")
+	}
+	is.True(h.l.gangs["j"] != nil)
+	appends := 0
+	for range 20 {
+		effects := h.take()
+		appends += count[Append](effects)
+		for _, e := range effects {
+			if a, ok := e.(Append); ok {
+				h.handle(Appended{State: a.Record.State, Err: berylerror.NotRun.Errorf("log is down")})
+			}
+		}
+		h.pass(500*time.Millisecond, "a1", "a2")
+	}
+	is.True(appends <= 11) // one a second over 10 s
+}
+
+// Guards against parts of an old attempt that keep resources.
+func TestStrayIsStopped(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, berylconfig.Class{})
+	h.report = berylmessage.GangRunning
+	h.pass(time.Second, "a1")
+	is.Equal(count[SendStop](h.take()), 0) // a new leader waits for the log
+	h.pass(2*time.Second, "a1")
+	is.True(count[SendStop](h.take()) > 0)
+}
--- /dev/null
+++ b/berylleader/member.go
@@ -0,0 +1,285 @@
+package berylleader
+
+import (
+	"time"
+
+	"berylglade/berylconfig"
+	"berylglade/beryljob"
+	"berylglade/berylmessage"
+	"berylglade/berylscheduler"
+)
+
+// class returns the class of the job, or one that allows nothing if it was
+// removed from the configuration.
+func (l *Leader) class(g *gang) berylconfig.Class {
+	if l.cfg == nil {
+		return berylconfig.Class{}
+	}
+	return l.cfg.Classes[g.state.Class]
+}
+
+func (l *Leader) sendStarts(now time.Time, g *gang) {
+	if len(g.members) == 0 {
+		g.members = append([]beryljob.Member(nil), g.state.Members...)
+		g.granted = make([]bool, len(g.members))
+		g.armed = make([]bool, len(g.members))
+	}
+	g.sent = now
+	for i, m := range g.members {
+		if g.armed[i] {
+			continue
+		}
+		l.emit(SendStart{Addr: m.Addr, Start: berylmessage.Start{
+			Term:    l.Term,
+			Job:     g.state.Job,
+			Attempt: g.attempt,
+			Members: g.members,
+			Index:   i,
+			Lead:    _armTime,
+		}})
+	}
+}
+
+func (l *Leader) sendStops(now time.Time, g *gang, checkpoint bool, reason string) {
+	g.sent = now
+	for _, m := range g.members {
+		l.emit(SendStop{Addr: m.Addr, Stop: berylmessage.Stop{
+			Term:       l.Term,
+			Job:        g.state.ID,
+			Attempt:    g.attempt,
+			Checkpoint: checkpoint,
+			Reason:     reason,
+		}})
+	}
+}
+
+func (l *Leader) onStarted(_ time.Time, ev Started) {
+	g := l.gangs[ev.Job]
+	if g == nil || g.attempt != ev.Attempt || g.stage != starting {
+		return
+	}
+	if ev.Err == nil {
+		g.armed[ev.Index] = true
+	}
+}
+
+// checkTimeouts moves a gang on whose stage has lasted too long.
+func (l *Leader) checkTimeouts(now time.Time, g *gang) {
+	elapsed := now.Sub(g.since)
+	switch g.stage {
+	case queued:
+		if g.cancel {
+			l.appendEnd(now, g, beryljob.Cancelled, "")
+		}
+	case reserving:
+		if elapsed > _reserveTimeout {
+			l.refuse(now, g, "")
+		}
+	case deciding:
+		if g.unconfirmed || elapsed > _holdTime {
+			l.appendQueued(now, g, "decision not confirmed", "")
+		}
+	case starting:
+		l.checkStarting(now, g)
+	case running:
+		l.checkRunning(now, g)
+	case stopping:
+		l.checkStopping(now, g)
+	}
+}
+
+func (l *Leader) checkStarting(now time.Time, g *gang) {
+	switch {
+	case g.cancel:
+		l.appendEnd(now, g, beryljob.Cancelled, "")
+	case now.Sub(g.since) > _startTimeout:
+		l.Counts.Aborted++
+		l.endAttempt(now, g, "gang did not start", "")
+	case now.Sub(g.sent) >= _resendInterval && !all(g.armed):
+		l.sendStarts(now, g)
+	}
+}
+
+func (l *Leader) checkRunning(now time.Time, g *gang) {
+	if g.cancel {
+		l.appendEnd(now, g, beryljob.Cancelled, "")
+		return
+	}
+	for _, m := range g.members {
+		if l.silent(now, m) > _lostTimeout {
+			l.Counts.Aborted++
+			l.endAttempt(now, g, "agent "+m.Agent+" was lost", "")
+			return
+		}
+	}
+}
+
+// endAttempt writes the end of an attempt that may have started: the job is
+// queued again if its class allows that, otherwise it has failed.
+func (l *Leader) endAttempt(now time.Time, g *gang, reason, blamed string) {
+	if g.cancel {
+		l.appendEnd(now, g, beryljob.Cancelled, reason)
+		return
+	}
+	g.blamed = blamed
+	if l.rerun(g) {
+		l.appendQueued(now, g, reason, blamed)
+		return
+	}
+	l.appendEnd(now, g, beryljob.Failed, reason+"; the class does not allow another run")
+}
+
+func (l *Leader) checkStopping(now time.Time, g *gang) {
+	for _, m := range g.members {
+		if !l.ended(now, g, m) {
+			if now.Sub(g.sent) >= _resendInterval {
+				l.sendStops(now, g, l.checkpoints(g), g.state.Reason)
+			}
+			return
+		}
+	}
+	l.finish(now, g)
+}
+
+// ended reports whether a member holds nothing of the attempt any more: its
+// agent left, or was heard after the stage began and does not report the
+// attempt as live, or has been silent for so long that it has stopped.
+func (l *Leader) ended(now time.Time, g *gang, m beryljob.Member) bool {
+	a := l.agents[m.Agent]
+	if a == nil || a.lost {
+		left := a != nil && a.beat.Leaving
+		return left || l.silent(now, m) > l.fenceTime(g)
+	}
+	if !a.seen.After(g.since.Add(_resendInterval)) {
+		return false
+	}
+	for _, r := range a.beat.Gangs {
+		if r.Job == g.state.ID && r.Attempt == g.attempt && live(r.Phase) {
+			return false
+		}
+	}
+	return true
+}
+
+// silent returns the time since a member's agent was last heard.
+func (l *Leader) silent(now time.Time, m beryljob.Member) time.Duration {
+	if a := l.agents[m.Agent]; a != nil {
+		return now.Sub(a.seen)
+	}
+	return now.Sub(l.elected)
+}
+
+// fenceTime returns the silence after which another attempt may run. A whole
+// gang that is cut off from every entry runs on, so a job that must not run
+// twice waits until the cut-off agents have stopped it.
+func (l *Leader) fenceTime(g *gang) time.Duration {
+	if l.class(g).Idempotent {
+		return _lostTimeout
+	}
+	return _isolationTimeout + _lostTimeout
+}
+
+func live(p berylmessage.GangPhase) bool {
+	switch p {
+	case berylmessage.GangReserved, berylmessage.GangArmed, berylmessage.GangRunning:
+		return true
+	case berylmessage.GangDone, berylmessage.GangFailed:
+		return false
+	default:
+		return false
+	}
+}
+
+func (l *Leader) onBeat(now time.Time, b berylmessage.Beat) {
+	before := l.agents[b.Agent]
+	if b.Leaving {
+		l.onAgentLost(now, AgentLost{Agent: b.Agent, Incarnation: b.Incarnation})
+		if before != nil {
+			before.beat.Leaving = true
+		}
+		return
+	}
+	l.agents[b.Agent] = &agent{beat: b, seen: now}
+	if before == nil || before.lost || workerChanged(&before.beat, &b) {
+		l.reportWorker(now, &b)
+	}
+	for i := range b.Gangs {
+		l.onReport(now, &b, &b.Gangs[i])
+	}
+}
+
+func workerChanged(a, b *berylmessage.Beat) bool {
+	return a.Incarnation != b.Incarnation || a.Addr != b.Addr || a.Domain != b.Domain ||
+		a.Rack != b.Rack || a.Total != b.Total || a.Draining != b.Draining
+}
+
+func (l *Leader) reportWorker(now time.Time, b *berylmessage.Beat) {
+	if b.Total.Empty() {
+		return
+	}
+	l.policy.Handle(now, berylscheduler.WorkerSeen{Worker: berylscheduler.Worker{
+		Name:        b.Agent,
+		Incarnation: b.Incarnation,
+		Addr:        b.Addr,
+		Domain:      b.Domain,
+		Rack:        b.Rack,
+		Total:       b.Total,
+		Draining:    b.Draining,
+		Gangs:       b.Gangs,
+	}})
+}
+
+func (l *Leader) onAgentLost(now time.Time, ev AgentLost) {
+	a := l.agents[ev.Agent]
+	if a == nil || a.lost || a.beat.Incarnation != ev.Incarnation {
+		return
+	}
+	a.lost = true
+	l.policy.Handle(now, berylscheduler.WorkerLost{Worker: ev.Agent})
+}
+
+// onReport handles one gang in a heartbeat.
+func (l *Leader) onReport(now time.Time, b *berylmessage.Beat, r *berylmessage.GangReport) {
+	g := l.gangs[r.Job]
+	if g == nil || r.Attempt != g.attempt || len(g.members) == 0 {
+		l.onStray(now, b, r)
+		return
+	}
+	if !r.Anchor || !r.Whole || (g.stage != starting && g.stage != running) {
+		return
+	}
+	switch r.Phase {
+	case berylmessage.GangRunning:
+		l.onRunning(now, g)
+	case berylmessage.GangDone:
+		l.onRunning(now, g)
+		l.appendEnd(now, g, beryljob.Done, "")
+	case berylmessage.GangFailed:
+		l.endAttempt(now, g, r.Reason, r.Blamed)
+	case berylmessage.GangReserved, berylmessage.GangArmed:
+	}
+}
+
+func (l *Leader) onRunning(now time.Time, g *gang) {
+	if g.stage != starting {
+		return
+	}
+	l.Counts.Started++
+	g.enter(now, running)
+	l.policy.Handle(now, berylscheduler.GangStarted{Job: g.state.ID, Attempt: g.placed})
+}
+
+// onStray stops a part of a gang that is not the job's current attempt. A new
+// leader first waits for the log and for the other members' heartbeats.
+func (l *Leader) onStray(now time.Time, b *berylmessage.Beat, r *berylmessage.GangReport) {
+	if !live(r.Phase) || now.Sub(l.elected) < _settleTime {
+		return
+	}
+	l.Counts.Strays++
+	l.emit(SendStop{Addr: b.Addr, Stop: berylmessage.Stop{
+		Term:    l.Term,
+		Job:     r.Job,
+		Attempt: r.Attempt,
+		Reason:  "not the current attempt",
+	}})
+}
