berylmeasure, berylworkload, berylsuite: measure scheduling policies in virtual time

The measure knows the truth about run times and faults, checks the invariants on its own and reports completion time, fragmentation and the work done over a departure. Not run against a policy yet.

--- /dev/null
+++ b/berylsuite/report.go
@@ -0,0 +1,151 @@
+package berylsuite
+
+import (
+	"encoding/csv"
+	"encoding/json"
+	"io"
+	"sort"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/go-faster/errors"
+
+	"berylglade/berylmeasure"
+)
+
+// Row is the mean over all seeds of one workload, policy and class.
+type Row struct {
+	Workload      string  `json:"workload"`
+	Policy        string  `json:"policy"`
+	Class         string  `json:"class"`
+	Runs          int     `json:"runs"`
+	Jobs          int     `json:"jobs"`
+	Done          int     `json:"done"`
+	Failed        int     `json:"failed"`
+	Missed        int     `json:"missed"`
+	Avoidable     int     `json:"avoidable"`
+	Mean          float64 `json:"mean"`
+	P95           float64 `json:"p95"`
+	StartP99      float64 `json:"startp99"`
+	Fragmentation float64 `json:"fragmentation"`
+	Share         float64 `json:"share"`
+	// Least is the lowest share of one seed.
+	Least       float64 `json:"least"`
+	Preemptions int     `json:"preemptions"`
+	Violations  int     `json:"violations"`
+	Guarantee   int     `json:"guarantee"`
+	DecideP99   float64 `json:"decidep99"`
+}
+
+// Summarize returns a row for each workload, policy and class.
+func Summarize(results []berylmeasure.Result) []Row {
+	rows := map[[3]string]*Row{}
+	for i := range results {
+		res := &results[i]
+		for _, c := range res.Classes {
+			key := [3]string{res.Workload, res.Policy, c.Class}
+			if rows[key] == nil {
+				rows[key] = &Row{Workload: key[0], Policy: key[1], Class: key[2], Least: 1}
+			}
+			rows[key].add(res, c)
+		}
+	}
+	list := make([]Row, 0, len(rows))
+	for _, row := range rows {
+		row.Mean /= float64(row.Runs)
+		row.P95 /= float64(row.Runs)
+		row.Fragmentation /= float64(row.Runs)
+		row.Share /= float64(row.Runs)
+		list = append(list, *row)
+	}
+	sort.Slice(list, func(i, j int) bool {
+		a, b := list[i], list[j]
+		if a.Workload != b.Workload {
+			return a.Workload < b.Workload
+		}
+		if a.Class != b.Class {
+			return a.Class < b.Class
+		}
+		return a.Policy < b.Policy
+	})
+	return list
+}
+
+func (row *Row) add(res *berylmeasure.Result, c berylmeasure.ClassResult) {
+	row.Runs++
+	row.Jobs += c.Jobs
+	row.Done += c.Done
+	row.Failed += c.Failed
+	row.Missed += c.Missed
+	row.Avoidable += c.Avoidable
+	row.Mean += c.Mean
+	row.P95 += c.P95
+	row.StartP99 = max(row.StartP99, c.StartP99)
+	row.Fragmentation += res.Fragmentation
+	row.Share += res.Departure.Share
+	row.Least = min(row.Least, res.Departure.Share)
+	row.Preemptions += res.Preemptions
+	row.Violations += res.Violations.Sum()
+	row.Guarantee += res.Violations.Guarantee
+	row.DecideP99 = max(row.DecideP99, res.Decisions.P99)
+}
+
+func header() []string {
+	return []string{
+		"workload", "class", "policy", "runs", "jobs", "done", "failed", "missed", "avoidable",
+		"mean s", "p95 s", "start p99 s", "fragmentation", "share", "least", "preemptions",
+		"violations", "guarantee", "decide p99 us",
+	}
+}
+
+func (row *Row) cells() []string {
+	return []string{
+		row.Workload, row.Class, row.Policy, strconv.Itoa(row.Runs), strconv.Itoa(row.Jobs),
+		strconv.Itoa(row.Done), strconv.Itoa(row.Failed), strconv.Itoa(row.Missed),
+		strconv.Itoa(row.Avoidable), decimal(row.Mean, 1), decimal(row.P95, 1), decimal(row.StartP99, 2),
+		decimal(row.Fragmentation, 3), decimal(row.Share, 3), decimal(row.Least, 3),
+		strconv.Itoa(row.Preemptions), strconv.Itoa(row.Violations), strconv.Itoa(row.Guarantee),
+		decimal(row.DecideP99, 0),
+	}
+}
+
+func decimal(v float64, digits int) string { return strconv.FormatFloat(v, 'f', digits, 64) }
+
+// WriteTable writes the rows as aligned text.
+func WriteTable(w io.Writer, rows []Row) error {
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	lines := make([][]string, 0, 1+len(rows))
+	lines = append(lines, header())
+	for i := range rows {
+		lines = append(lines, rows[i].cells())
+	}
+	for _, cells := range lines {
+		if _, err := io.WriteString(tw, strings.Join(cells, "\t")+"\n"); err != nil {
+			return errors.Wrap(err, "write table")
+		}
+	}
+	return errors.Wrap(tw.Flush(), "write table")
+}
+
+// WriteCSV writes the rows as CSV.
+func WriteCSV(w io.Writer, rows []Row) error {
+	cw := csv.NewWriter(w)
+	if err := cw.Write(header()); err != nil {
+		return errors.Wrap(err, "write CSV")
+	}
+	for i := range rows {
+		if err := cw.Write(rows[i].cells()); err != nil {
+			return errors.Wrap(err, "write CSV")
+		}
+	}
+	cw.Flush()
+	return errors.Wrap(cw.Error(), "write CSV")
+}
+
+// WriteJSON writes the full results.
+func WriteJSON(w io.Writer, results []berylmeasure.Result) error {
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	return errors.Wrap(enc.Encode(results), "write JSON")
+}
