berylplacement: place gangs with the least harm to guaranteed shapes

Cause: small jobs fragment capacity until large ones starve. Change: index by failure domain and rack with sums that rule groups out; candidates are compared by cost, by the guaranteed units that they destroy, and by what stays free.

--- /dev/null
+++ b/berylplacement/find.go
@@ -0,0 +1,324 @@
+package berylplacement
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"berylglade/beryladjacency"
+	"berylglade/berylshape"
+)
+
+// finder is one search.
+type finder struct {
+	*Placement
+	Request
+
+	// harms caches the harm by available amount, because many workers are
+	// in the same state.
+	harms map[harmKey]float64
+	units map[rackKey]int
+	pool  []candidate
+}
+
+type rackKey struct {
+	rack      *group
+	protected int
+}
+
+type harmKey struct {
+	have berylshape.Shape
+	n    int
+}
+
+// candidate is a worker that holds at least one task.
+type candidate struct {
+	worker int
+	// tasks is at most the number of tasks asked for.
+	tasks int
+	// cost, harm and rest are for a gang that uses all of tasks. rest is what
+	// stays free beyond that.
+	cost float64
+	harm float64
+	rest float64
+}
+
+// better orders candidates by what a task costs there.
+func better(a, b candidate) int {
+	return cmp.Or(
+		cmp.Compare(a.cost*float64(b.tasks), b.cost*float64(a.tasks)),
+		cmp.Compare(a.harm*float64(b.tasks), b.harm*float64(a.tasks)),
+		cmp.Compare(a.rest, b.rest),
+		cmp.Compare(a.worker, b.worker),
+	)
+}
+
+// capacity returns what the request may use of a worker.
+func (f *finder) capacity(i int) berylshape.Shape {
+	have := f.Available(i, f.Mode)
+	if f.Bonus == nil || !f.workers[i].Usable {
+		return have
+	}
+	w := &f.workers[i]
+	room := positive(w.Total.Sub(w.Committed).Add(f.Bonus(i)))
+	if f.Mode == Firm {
+		return least(w.free(), room)
+	}
+	return room
+}
+
+// candidate looks at one worker for up to n tasks.
+func (f *finder) candidate(i, n int) (candidate, bool) {
+	have := f.capacity(i)
+	k := min(f.Shape.Count(have), n)
+	if k == 0 || f.Avoid != nil && f.Avoid(i) {
+		return candidate{}, false
+	}
+	c := candidate{worker: i, tasks: k}
+	if f.FirstFit {
+		return c, true
+	}
+	if f.Cost != nil {
+		c.cost = f.Cost(i)
+	}
+	c.harm = f.harm(i, have, k)
+	c.rest = fraction(have.Sub(f.Shape.Times(k)), f.workers[i].Total)
+	return c, true
+}
+
+// fraction is the sum of the shares of each resource.
+func fraction(s, of berylshape.Shape) float64 {
+	share := func(a, b int64) float64 {
+		if b == 0 {
+			return 0
+		}
+		return float64(a) / float64(b)
+	}
+	return share(int64(s.Accelerators), int64(of.Accelerators)) +
+		share(int64(s.Cores), int64(of.Cores)) +
+		share(int64(s.Memory), int64(of.Memory))
+}
+
+// harm is the number of protected units that n tasks on a worker destroy. A set
+// that has to stay on one worker or in one rack counts as a whole when it breaks.
+func (f *finder) harm(i int, have berylshape.Shape, n int) float64 {
+	k := harmKey{have: have, n: n}
+	h, ok := f.harms[k]
+	if !ok {
+		h = f.unitHarm(have, n)
+		f.harms[k] = h
+	}
+	for j, p := range f.Protect {
+		if p.Adjacent != beryladjacency.Rack || p.Count < 2 {
+			continue
+		}
+		lost := p.Shape.Count(have) - p.Shape.Count(have.Sub(f.Shape.Times(n)))
+		if lost > 0 {
+			in := f.rackUnits(f.workers[i].rack, j)
+			h += float64((in/p.Count - (in-lost)/p.Count) * p.Count)
+		}
+	}
+	return h
+}
+
+func (f *finder) unitHarm(have berylshape.Shape, n int) float64 {
+	h := 0.0
+	left := have.Sub(f.Shape.Times(n))
+	for _, p := range f.Protect {
+		before, after := p.Shape.Count(have), p.Shape.Count(left)
+		h += float64(before - after)
+		if p.Adjacent == beryladjacency.Worker {
+			h += float64((before/p.Count - after/p.Count) * p.Count)
+		}
+	}
+	return h
+}
+
+// rackUnits returns how many units of a protected shape a rack can hold.
+func (f *finder) rackUnits(r *group, protected int) int {
+	k := rackKey{rack: r, protected: protected}
+	n, ok := f.units[k]
+	if ok {
+		return n
+	}
+	for _, i := range r.members {
+		n += f.Protect[protected].Shape.Count(f.capacity(i))
+	}
+	f.units[k] = n
+	return n
+}
+
+// scan adds the candidates of a group's racks to the pool.
+func (f *finder) scan(g *group) {
+	for _, r := range g.racks {
+		f.scanRack(r)
+	}
+}
+
+func (f *finder) scanRack(r *group) {
+	if f.bound(r) == 0 {
+		return
+	}
+	for _, i := range r.members {
+		if c, ok := f.candidate(i, f.Tasks); ok {
+			f.pool = append(f.pool, c)
+		}
+	}
+}
+
+// onWorker puts the whole gang on one worker.
+func (f *finder) onWorker() ([]Part, bool) {
+	best, found := candidate{}, false
+	for _, d := range f.order {
+		if f.bound(d) < f.Tasks {
+			continue
+		}
+		for _, r := range d.racks {
+			if f.bound(r) < f.Tasks {
+				continue
+			}
+			for _, i := range r.members {
+				c, ok := f.candidate(i, f.Tasks)
+				if !ok || c.tasks < f.Tasks {
+					continue
+				}
+				if !found || better(c, best) < 0 {
+					best, found = c, true
+				}
+				if f.FirstFit || best.cost == 0 && best.harm == 0 && best.rest == 0 {
+					return []Part{{Worker: best.worker, Tasks: f.Tasks}}, true
+				}
+			}
+		}
+	}
+	return []Part{{Worker: best.worker, Tasks: f.Tasks}}, found
+}
+
+// inRack puts the gang in the rack where it does the least harm.
+func (f *finder) inRack() ([]Part, bool) {
+	best, found := choice{}, false
+	for _, d := range f.order {
+		if f.bound(d) < f.Tasks {
+			continue
+		}
+		for _, r := range d.racks {
+			if f.bound(r) < f.Tasks {
+				continue
+			}
+			f.pool = f.pool[:0]
+			f.scanRack(r)
+			c, ok := f.take()
+			if !ok {
+				continue
+			}
+			if !found || c.less(best) {
+				best, found = c, true
+			}
+			if f.FirstFit {
+				return best.parts, true
+			}
+		}
+	}
+	return best.parts, found
+}
+
+func (f *finder) inDomain() ([]Part, bool) {
+	best, found := choice{}, false
+	for _, d := range f.order {
+		if f.bound(d) < f.Tasks {
+			continue
+		}
+		f.pool = f.pool[:0]
+		f.scan(d)
+		c, ok := f.take()
+		if ok && (!found || c.less(best)) {
+			best, found = c, true
+		}
+	}
+	return best.parts, found
+}
+
+func (f *finder) anywhere() ([]Part, bool) {
+	for _, d := range f.order {
+		f.scan(d)
+	}
+	c, ok := f.take()
+	return c.parts, ok
+}
+
+// choice is a complete set of parts.
+type choice struct {
+	parts []Part
+	cost  float64
+	harm  float64
+	rest  float64
+}
+
+func (c choice) less(o choice) bool {
+	return cmp.Or(
+		cmp.Compare(c.cost, o.cost),
+		cmp.Compare(c.harm, o.harm),
+		cmp.Compare(c.rest, o.rest),
+		cmp.Compare(len(c.parts), len(o.parts)),
+	) < 0
+}
+
+// take fills the gang from the pool, the best candidates first.
+func (f *finder) take() (choice, bool) {
+	have := 0
+	for _, c := range f.pool {
+		have += c.tasks
+	}
+	if have < f.Tasks {
+		return choice{}, false
+	}
+	if !f.FirstFit {
+		slices.SortFunc(f.pool, better)
+	}
+	out := choice{}
+	need := f.Tasks
+	for _, c := range f.pool {
+		if c.tasks > need {
+			c = f.shrink(c, need)
+		}
+		out.parts = append(out.parts, Part{Worker: c.worker, Tasks: c.tasks})
+		out.cost += c.cost
+		out.harm += c.harm
+		out.rest += c.rest
+		need -= c.tasks
+		if need == 0 {
+			break
+		}
+	}
+	return out, true
+}
+
+// shrink recomputes a candidate for fewer tasks.
+func (f *finder) shrink(c candidate, n int) candidate {
+	if f.FirstFit {
+		c.tasks = n
+		return c
+	}
+	c, _ = f.candidate(c.worker, n)
+	return c
+}
+
+// Spread returns the share of the protected shapes' units that are placeable on
+// free capacity, compared with the same free capacity in one piece. One means no
+// fragmentation.
+func (p *Placement) Spread() float64 {
+	var placeable, whole float64
+	for _, s := range p.Protect {
+		var sum berylshape.Shape
+		for i := range p.workers {
+			free := p.workers[i].free()
+			placeable += float64(s.Shape.Count(free))
+			sum = sum.Add(free)
+		}
+		whole += float64(s.Shape.Count(sum))
+	}
+	if whole == 0 {
+		return 1
+	}
+	return math.Min(placeable/whole, 1)
+}
