berylguarantee: plan a place for every guaranteed unit

Cause: a client account's guaranteed shape must always be reclaimable, also with any one failure domain out. Change: a plan commits every unit on a worker; firm work sees what is left; free units move; spare guarantees have backups per domain, which share capacity. Result: 3,000 runs of the scheduler's property test for stable workers, which claims guarantees at random times, find no unit that can't be reclaimed.

--- /dev/null
+++ b/berylguarantee/backup.go
@@ -0,0 +1,122 @@
+package berylguarantee
+
+import (
+	"slices"
+
+	"berylglade/berylplacement"
+	"berylglade/berylshape"
+)
+
+// clearBackups gives up all backup places of a promise.
+func (g *Guarantee) clearBackups(p *promise) {
+	for _, d := range g.allDomains(p) {
+		g.setBackups(p, d, nil)
+	}
+}
+
+// allDomains returns the domains for which a promise has backups, sorted.
+func (g *Guarantee) allDomains(p *promise) []string {
+	out := make([]string, 0, len(p.backup))
+	for d := range p.backup {
+		out = append(out, d)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// setBackups replaces the backup places for one domain.
+func (g *Guarantee) setBackups(p *promise, domain string, workers []int) {
+	old := p.backup[domain]
+	for _, w := range old {
+		g.addBackup(w, domain, p.Shape, -1)
+		g.home(w, p, -1)
+	}
+	for _, w := range workers {
+		g.addBackup(w, domain, p.Shape, 1)
+		g.home(w, p, 1)
+	}
+	if len(workers) == 0 {
+		delete(p.backup, domain)
+	} else {
+		p.backup[domain] = workers
+	}
+	g.undo = append(g.undo, func() { g.setBackups(p, domain, old) })
+}
+
+func (g *Guarantee) addBackup(worker int, domain string, s berylshape.Shape, n int) {
+	m := g.backups[worker]
+	if m == nil {
+		m = map[string]berylshape.Shape{}
+		g.backups[worker] = m
+	}
+	before := most(m)
+	m[domain] = m[domain].Add(s.Times(n))
+	if m[domain].Empty() {
+		delete(m, domain)
+	}
+	after := most(m)
+	if len(m) == 0 {
+		delete(g.backups, worker)
+	}
+	g.commit(worker, after.Sub(before), 1)
+}
+
+// most is the largest amount of each resource that any one domain needs.
+func most(m map[string]berylshape.Shape) berylshape.Shape {
+	out := berylshape.Shape{}
+	for _, s := range m {
+		out.Accelerators = max(out.Accelerators, s.Accelerators)
+		out.Cores = max(out.Cores, s.Cores)
+		out.Memory = max(out.Memory, s.Memory)
+	}
+	return out
+}
+
+// refreshBackups makes the backups match the units and reports whether every
+// unit has one.
+func (g *Guarantee) refreshBackups(p *promise) bool {
+	if !p.Spare {
+		return true
+	}
+	ok := true
+	for _, d := range g.domains {
+		if !g.refreshBackup(p, d) {
+			ok = false
+		}
+	}
+	return ok
+}
+
+func (g *Guarantee) refreshBackup(p *promise, domain string) bool {
+	want := p.in(g, domain)
+	have := p.backup[domain]
+	if len(have) == want && !slices.ContainsFunc(have, func(w int) bool { return !g.good(w) }) {
+		return true
+	}
+	g.setBackups(p, domain, nil)
+	if want == 0 {
+		return true
+	}
+	parts, ok := g.Placement.Find(berylplacement.Request{
+		Shape:    p.Shape,
+		Tasks:    want,
+		Adjacent: p.Adjacent,
+		Mode:     berylplacement.Evict,
+		Avoid:    func(w int) bool { return g.Placement.Worker(w).Domain == domain },
+		Bonus: func(w int) berylshape.Shape {
+			m := g.backups[w]
+			return most(m).Sub(m[domain])
+		},
+	})
+	if !ok {
+		return false
+	}
+	workers := make([]int, 0, want)
+	for _, part := range parts {
+		for range part.Tasks {
+			workers = append(workers, part.Worker)
+		}
+	}
+	g.setBackups(p, domain, workers)
+	return true
+}
