berylscheduler: first version of all decisions

Cause: others integrate against Handle and Decide. Change: slack order, whole gangs, guarantees with reclaim, reservation and backfill, failure domains, quarantine, compaction, lateness and rejection, with switches for ablation.

--- /dev/null
+++ b/berylscheduler/decide.go
@@ -0,0 +1,525 @@
+package berylscheduler
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"berylglade/beryladjacency"
+	"berylglade/berylguarantee"
+	"berylglade/beryljob"
+	"berylglade/berylplacement"
+	"berylglade/berylqueue"
+	"berylglade/berylshape"
+)
+
+const (
+	// _mostPlaced and _mostFailed bound one call of Decide: the number of gangs
+	// placed, and the number of searches that find nothing.
+	_mostPlaced = 128
+	_mostFailed = 24
+	// _repackMost is the number of guarantees times workers up to which units may
+	// be planned afresh; above it a decision would take more than 10 ms.
+	_repackMost = 20_000
+	// _lookAgain is the time between searches for a job if no capacity became free
+	// meanwhile, and _pressAgain the same if its target is pressing, as it may then
+	// stop other gangs.
+	_lookAgain  = time.Minute
+	_pressAgain = time.Second
+)
+
+// Decide returns what to do now. One call does a bounded amount of work; while it
+// returns a Place, another call may return more.
+func (s *Scheduler) Decide(now time.Time) []Action {
+	s.tick(now)
+	out := make([]Action, 0, len(s.rejects))
+	for _, r := range s.rejects {
+		out = append(out, r)
+	}
+	s.rejects = nil
+	out = append(out, s.tickDomains()...)
+	out = append(out, s.tickProbes()...)
+	s.forgetLost()
+	s.recharge()
+	s.guarantee.Settle(s.now)
+	out = append(out, s.compact()...)
+	out = append(out, s.remind()...)
+	out = append(out, s.startBooked()...)
+	out = append(out, s.walk()...)
+	out = append(out, s.tickLate()...)
+	return out
+}
+
+func (s *Scheduler) tickProbes() []Action {
+	var out []Action
+	for _, name := range s.bad.Probes(s.now) {
+		i, ok := s.place.Index(name)
+		if !ok {
+			continue
+		}
+		s.probing[i] = true
+		s.refresh(i)
+		out = append(out, Probe{Worker: name})
+	}
+	return out
+}
+
+// forgetLost drops workers that have been away for long, so that jobs which fit
+// only there are rejected.
+func (s *Scheduler) forgetLost() {
+	for _, i := range slices.Sorted(maps.Keys(s.lost)) {
+		if s.now.Sub(s.lost[i]) >= s.opts.Away {
+			delete(s.lost, i)
+			s.place.Forget(i)
+			s.refit()
+		}
+	}
+}
+
+// refit makes every waiting job prove again that it fits at all.
+func (s *Scheduler) refit() {
+	clear(s.never)
+	s.empty = nil
+}
+
+// startBooked places booked jobs whose workers are free now.
+func (s *Scheduler) startBooked() []Action {
+	var out []Action
+	var rest []*job
+	for _, j := range s.booked {
+		switch {
+		case j.step != _booked:
+		case !s.usable(j.parts):
+			s.unbook(j)
+			s.enqueue(j)
+		case j.waits > 0:
+			rest = append(rest, j)
+		default:
+			out = append(out, s.start(j))
+		}
+	}
+	s.booked = rest
+	return out
+}
+
+// unbook gives the workers of a booked job back.
+func (s *Scheduler) unbook(j *job) {
+	for _, v := range s.stopping {
+		v.waiters = slices.DeleteFunc(v.waiters, func(w *job) bool { return w == j })
+	}
+	j.waits = 0
+	s.release(j)
+}
+
+// start hands a booked job to the owner.
+func (s *Scheduler) start(j *job) Place {
+	j.step = _placed
+	j.attempt++
+	j.placed, j.started = s.now, s.now
+	j.moved = false
+	s.counts.Placed++
+	act := Place{Job: j.ID, Attempt: j.attempt}
+	for _, p := range j.parts {
+		w := &s.workers[p.Worker].Worker
+		act.Members = append(act.Members, beryljob.Member{
+			Agent: w.Name, Incarnation: w.Incarnation, Addr: w.Addr, Tasks: p.Tasks,
+		})
+	}
+	return act
+}
+
+// walk tries the waiting jobs, least slack first.
+func (s *Scheduler) walk() []Action {
+	var out []Action
+	placed, failed := 0, 0
+	var blocked *job
+	resume := s.cursor
+	s.cursor = ""
+	skip := resume != "" && s.queue.Has(resume)
+	front := 0
+	s.fails.reset(s.grown)
+	s.queue.Walk(func(it berylqueue.Item) bool {
+		j := s.jobs[it.ID]
+		front++
+		// After a walk that ran out of time, the first few jobs get their
+		// chance again and the others go on where it stopped.
+		if skip && it.ID != resume && front > _mostFailed/4 {
+			return true
+		}
+		skip = skip && it.ID != resume
+		acts, res := s.try(j)
+		out = append(out, acts...)
+		switch res {
+		case _done:
+			placed++
+		case _nothingFits:
+			failed++
+			if blocked == nil && s.large(j) {
+				blocked = j
+			}
+		case _knownNotToFit:
+			if blocked == nil && s.large(j) {
+				blocked = j
+			}
+		case _notNow:
+		}
+		if placed >= _mostPlaced || failed >= _mostFailed {
+			s.cursor = it.ID
+			return false
+		}
+		return true
+	})
+	s.rereserve(blocked)
+	return out
+}
+
+// result says how an attempt to place a job ended.
+type result uint8
+
+const (
+	// done means placed, booked or rejected.
+	_done result = iota + 1
+	// nothingFits means that a search found no place.
+	_nothingFits
+	// knownNotToFit means that a search would find no place.
+	_knownNotToFit
+	// notNow means that a rule of the account or the job holds it back.
+	_notNow
+)
+
+// try places one waiting job if it can.
+func (s *Scheduler) try(j *job) ([]Action, result) {
+	if s.overQuota(j) {
+		return s.tryReject(j)
+	}
+	if j.tried == s.grown && s.now.Sub(j.looked) < s.lookAgain(j) {
+		return nil, _knownNotToFit
+	}
+	j.looked = s.now
+	holder := s.hold != nil && s.hold.job == j
+	if holder {
+		s.lift()
+		defer s.relay(j)
+		if s.repack() {
+			s.grown++
+		}
+	}
+	if !s.fails.knows(s, j) {
+		if s.tryGranted(j) || s.tryFree(j) {
+			return s.book(j, nil), _done
+		}
+	} else if !holder && !s.pressing(j) {
+		j.tried = s.grown
+		if acts, res := s.tryReject(j); res == _done {
+			return acts, res
+		}
+		return nil, _knownNotToFit
+	}
+	if victims, ok := s.tryEvict(j, holder); ok {
+		return s.book(j, victims), _done
+	}
+	j.tried = s.grown
+	s.fails.add(s, j)
+	acts, res := s.tryReject(j)
+	if res == _done {
+		return acts, res
+	}
+	return nil, _nothingFits
+}
+
+func (s *Scheduler) lookAgain(j *job) time.Duration {
+	if s.pressing(j) {
+		return _pressAgain
+	}
+	return _lookAgain
+}
+
+func (s *Scheduler) overQuota(j *job) bool {
+	q := s.cfg.Accounts[j.Account].Quota
+	return exceeds(s.used[j.Account].Add(j.Shape.Times(j.Tasks)), q)
+}
+
+// exceeds reports whether use is above a quota, in which zero means no limit.
+func exceeds(use, quota berylshape.Shape) bool {
+	return quota.Accelerators > 0 && use.Accelerators > quota.Accelerators ||
+		quota.Cores > 0 && use.Cores > quota.Cores ||
+		quota.Memory > 0 && use.Memory > quota.Memory
+}
+
+// tryReject ends a job that can never run.
+func (s *Scheduler) tryReject(j *job) ([]Action, result) {
+	reason := s.impossible(j)
+	if reason == "" {
+		return nil, _notNow
+	}
+	s.queue.Remove(j.ID)
+	j.step = _idle
+	j.rejected = true
+	s.counts.Rejected++
+	return []Action{Reject{Job: j.ID, Reason: reason}}, _done
+}
+
+func (s *Scheduler) impossible(j *job) string {
+	if err := j.Check(); err != nil {
+		return err.Error()
+	}
+	whole := j.Shape.Times(j.Tasks)
+	if q := s.cfg.Accounts[j.Account].Quota; exceeds(whole, q) {
+		return fmt.Sprintf("the job needs %v; the quota of account %s is %v", whole, j.Account, q)
+	}
+	if s.now.Sub(s.began) < s.opts.Away || s.now.Sub(j.Accepted) < s.opts.Away {
+		return ""
+	}
+	k := s.failedAs(j)
+	reason, ok := s.never[k]
+	if !ok {
+		reason = s.neverFits(j)
+		s.never[k] = reason
+	}
+	if len(s.lost) > 0 {
+		return ""
+	}
+	return reason
+}
+
+// neverFits returns why a job does not fit even on an empty cluster.
+func (s *Scheduler) neverFits(j *job) string {
+	r := s.request(j, berylplacement.Total)
+	r.Avoid = nil
+	if _, ok := s.place.Find(r); ok {
+		return s.besideGuarantees(j)
+	}
+	return fmt.Sprintf("%d tasks of %v with adjacency %v do not fit on the known workers", j.Tasks, j.Shape, j.Adjacent)
+}
+
+// request is the search for a job's places.
+func (s *Scheduler) request(j *job, m berylplacement.Mode) berylplacement.Request {
+	return berylplacement.Request{
+		Shape:    j.Shape,
+		Tasks:    j.Tasks,
+		Adjacent: j.Adjacent,
+		Mode:     m,
+		Avoid:    s.avoids(j),
+	}
+}
+
+// avoids returns the workers that a job must not use now: those that refused it,
+// those on which it failed, and quarantined workers unless it can be the probe.
+func (s *Scheduler) avoids(j *job) func(int) bool {
+	if len(j.avoid) == 0 && len(j.Blamed) == 0 && len(s.probing) == 0 {
+		return nil
+	}
+	blamed := map[int]bool{}
+	for _, name := range j.Blamed {
+		if i, ok := s.place.Index(name); ok {
+			blamed[i] = true
+		}
+	}
+	return func(i int) bool {
+		if s.probing[i] && (j.Tasks > 1 || len(s.workers[i].gangs) > 0) {
+			return true
+		}
+		return blamed[i] || s.now.Before(j.avoid[i])
+	}
+}
+
+func (s *Scheduler) gang(j *job) berylguarantee.Gang {
+	return berylguarantee.Gang{
+		Account: j.Account, Shape: j.Shape, Tasks: j.Tasks, Adjacent: j.Adjacent, Avoid: s.avoids(j),
+	}
+}
+
+// tryGranted uses the account's guarantee on capacity that is free.
+func (s *Scheduler) tryGranted(j *job) bool {
+	if s.opts.NoGuarantee {
+		return false
+	}
+	j.grant = s.guarantee.Claim(s.gang(j), false)
+	if j.grant == nil {
+		return false
+	}
+	j.kind, j.parts = _granted, j.grant.Parts
+	return true
+}
+
+// tryFree uses free capacity: any for work that can be reclaimed, otherwise what
+// no guarantee needs.
+func (s *Scheduler) tryFree(j *job) bool {
+	if s.class(j).Checkpoint {
+		parts, ok := s.place.Find(s.request(j, berylplacement.Free))
+		j.kind, j.parts = _borrowed, parts
+		return ok
+	}
+	if parts, ok := s.place.Find(s.request(j, berylplacement.Firm)); ok {
+		j.kind, j.parts = _firm, parts
+		return true
+	}
+	for _, domain := range s.choices(j) {
+		r := s.request(j, berylplacement.Free)
+		r.Cost = func(i int) float64 { return s.unitsLost(i, j.Shape) }
+		r.Avoid = s.avoidsAlso(r.Avoid, domain)
+		parts, ok := s.place.Find(r)
+		if ok && s.displace(j, parts) {
+			j.kind, j.parts = _firm, parts
+			return true
+		}
+	}
+	return false
+}
+
+// repack plans the guaranteed units afresh if that is quick enough.
+func (s *Scheduler) repack() bool {
+	if s.opts.NoGuarantee || s.now.Sub(s.repacked) < _lookAgain ||
+		s.guarantee.Promises()*s.place.Len() > _repackMost {
+		return false
+	}
+	s.repacked = s.now
+	return s.guarantee.Repack()
+}
+
+// choices returns the failure domains to which searches that move guaranteed
+// units are limited in turn; the empty name is no limit.
+func (s *Scheduler) choices(j *job) []string {
+	out := []string{""}
+	if j.Adjacent != beryladjacency.Anywhere && !s.opts.NoGuarantee {
+		out = append(out, slices.Sorted(maps.Keys(s.domains))...)
+	}
+	return out
+}
+
+// avoidsAlso limits a search to a failure domain and leaves out reserved workers.
+func (s *Scheduler) avoidsAlso(avoid func(int) bool, domain string) func(int) bool {
+	return func(i int) bool {
+		return domain != "" && s.workers[i].Domain != domain || s.reservedOn(i) || avoid != nil && avoid(i)
+	}
+}
+
+// unitsLost is one if a task on the worker needs guaranteed units to move.
+func (s *Scheduler) unitsLost(i int, shape berylshape.Shape) float64 {
+	w := s.place.Worker(i)
+	if shape.Fits(w.Total.Sub(w.Committed)) {
+		return 0
+	}
+	return 1
+}
+
+// displace moves guaranteed units out of the way of firm work. It does not commit
+// the work itself; that follows with acquire.
+func (s *Scheduler) displace(j *job, parts []berylplacement.Part) bool {
+	if s.opts.NoGuarantee || !s.guarantee.Displace(j.Shape, parts) {
+		return false
+	}
+	for _, p := range parts {
+		s.guarantee.Firm(p.Worker, j.Shape, -p.Tasks)
+	}
+	return true
+}
+
+// book takes the job's parts. The job starts at once if no gang has to end first.
+func (s *Scheduler) book(j *job, victims []*job) []Action {
+	var out []Action
+	s.queue.Remove(j.ID)
+	if s.hold != nil && s.hold.job == j {
+		s.hold = nil
+	}
+	s.acquire(j)
+	j.step = _booked
+	for _, v := range victims {
+		if v.step == _booked {
+			s.unbook(v)
+			s.enqueue(v)
+			continue
+		}
+		if v.stopped.IsZero() {
+			out = append(out, s.preempt(v, s.mayCheckpoint(j, v), "the capacity is needed by job "+j.ID))
+		}
+		v.waiters = append(v.waiters, j)
+		j.waits++
+	}
+	if j.waits == 0 {
+		return append(out, s.start(j))
+	}
+	s.booked = append(s.booked, j)
+	return out
+}
+
+// large reports whether waiting for free capacity alone could take for ever,
+// because smaller work would always come first.
+func (s *Scheduler) large(j *job) bool {
+	if j.Tasks > 1 || j.Adjacent != beryladjacency.Anywhere {
+		return true
+	}
+	return j.Shape.Accelerators > 1
+}
+
+// lateHeap has the times at which targets have to be looked at.
+type lateHeap []lateCheck
+
+type lateCheck struct {
+	at  time.Time
+	job string
+}
+
+func (h lateHeap) Len() int { return len(h) }
+func (h lateHeap) Less(i, k int) bool {
+	return cmp.Or(h[i].at.Compare(h[k].at), cmp.Compare(h[i].job, h[k].job)) < 0
+}
+func (h lateHeap) Swap(i, k int) { h[i], h[k] = h[k], h[i] }
+
+// Push is for container/heap.
+func (h *lateHeap) Push(x any) { *h = append(*h, x.(lateCheck)) }
+
+// Pop is for container/heap.
+func (h *lateHeap) Pop() any {
+	old := *h
+	x := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return x
+}
+
+// watch plans the next look at a job's target.
+func (s *Scheduler) watch(j *job) {
+	if at, ok := s.lateAt(j); ok && !j.late {
+		heap.Push(&s.late, lateCheck{at: at, job: j.ID})
+	}
+}
+
+// lateAt is when the target is missed if the job's step does not change. A declared
+// run time says too little to call a waiting job late.
+func (s *Scheduler) lateAt(j *job) (time.Time, bool) {
+	c := s.class(j)
+	d, ok := c.Target.Deadline(j.Accepted)
+	switch {
+	case !ok || c.Target.Start > 0 && j.step >= _running:
+		return time.Time{}, false
+	case c.Target.Start == 0 && j.step == _waiting && s.estimator.Known(j.Class, j.Account):
+		return d.Add(-s.run(j)), true
+	default:
+		return d, true
+	}
+}
+
+func (s *Scheduler) tickLate() []Action {
+	var out []Action
+	for len(s.late) > 0 && s.late[0].at.Before(s.now) {
+		c := heap.Pop(&s.late).(lateCheck)
+		j, ok := s.jobs[c.job]
+		if !ok || j.late || j.over || j.rejected {
+			continue
+		}
+		at, ok := s.lateAt(j)
+		switch {
+		case !ok:
+		case at.Before(s.now):
+			j.late = true
+			s.counts.Late++
+			out = append(out, Late{Job: j.ID})
+		default:
+			heap.Push(&s.late, lateCheck{at: at, job: j.ID})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/berylscheduler/reserve.go
@@ -0,0 +1,224 @@
+package berylscheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"berylglade/beryladjacency"
+	"berylglade/berylplacement"
+	"berylglade/berylshape"
+)
+
+// _switch is how much less slack another gang needs to take the reservation over.
+// The capacity gathered so far is lost by that.
+const _switch = 10 * time.Minute
+
+// reservation keeps the workers that free up first for one waiting gang. Firm work
+// can't use what it needs; borrowed work may, and is stopped when the rest is
+// free. So the gang starts when the gangs that ran before it have ended, whatever
+// run times were declared for later ones.
+type reservation struct {
+	job   *job
+	parts []berylplacement.Part
+	since time.Time
+	// on has the workers of parts.
+	on map[int]bool
+}
+
+func (s *Scheduler) commitHold(n int) {
+	for _, p := range s.hold.parts {
+		s.guarantee.Reserve(p.Worker, s.hold.job.Shape, n*p.Tasks)
+	}
+}
+
+// lift takes the reservation's commitment away while its holder is tried.
+func (s *Scheduler) lift() { s.commitHold(-1) }
+
+// relay puts the commitment back if the holder still waits.
+func (s *Scheduler) relay(j *job) {
+	switch {
+	case s.hold == nil || s.hold.job != j:
+	case j.step == _waiting:
+		s.commitHold(1)
+	default:
+		s.hold = nil
+	}
+}
+
+func (s *Scheduler) unreserve() {
+	s.commitHold(-1)
+	s.hold = nil
+	s.grown++
+}
+
+// reservedOn reports whether a worker is kept for the reservation's holder.
+func (s *Scheduler) reservedOn(i int) bool { return s.hold != nil && s.hold.on[i] }
+
+// rereserve gives the reservation to the first large job that waits, unless the
+// holder is nearly as urgent and its workers are still there.
+func (s *Scheduler) rereserve(first *job) {
+	if s.opts.NoReservation {
+		return
+	}
+	if s.hold != nil && s.keep(first) {
+		return
+	}
+	if s.hold != nil {
+		s.unreserve()
+	}
+	if first == nil {
+		return
+	}
+	parts, ok := s.firstFree(first)
+	if !ok {
+		return
+	}
+	s.hold = &reservation{job: first, parts: parts, since: s.now, on: map[int]bool{}}
+	for _, p := range parts {
+		s.hold.on[p.Worker] = true
+	}
+	s.commitHold(1)
+}
+
+func (s *Scheduler) keep(first *job) bool {
+	h := s.hold
+	if h.job.step != _waiting || s.overQuota(h.job) {
+		return false
+	}
+	if !s.usable(h.parts) {
+		return false
+	}
+	if first == nil || first == h.job {
+		return true
+	}
+	return s.agedSlack(first)+_switch >= s.agedSlack(h.job)
+}
+
+// agedSlack is the value by which the queue orders.
+func (s *Scheduler) agedSlack(j *job) time.Duration {
+	slack, timed := s.slack(j)
+	if s.opts.NoAgeing && !timed {
+		return slack + 365*24*time.Hour
+	}
+	if s.opts.NoAgeing {
+		return slack
+	}
+	return slack - s.now.Sub(j.Accepted)
+}
+
+// firstFree returns the workers on which a gang's places free up first.
+func (s *Scheduler) firstFree(j *job) ([]berylplacement.Part, bool) {
+	r := s.request(j, berylplacement.Evict)
+	r.Bonus = s.guarantee.FirmOn
+	if s.class(j).Checkpoint {
+		r.Mode = berylplacement.Total
+		r.Bonus = nil
+	}
+	avoid := r.Avoid
+	r.Avoid = func(i int) bool {
+		return !s.place.Worker(i).Usable || avoid != nil && avoid(i)
+	}
+	r.Cost = func(i int) float64 { return s.freeAfter(i, j).Seconds() }
+	if parts, ok := s.place.Find(r); ok || r.Mode == berylplacement.Total {
+		return parts, ok
+	}
+	// Guaranteed units are in the way; they are moved when the rest is free.
+	r.Mode, r.Bonus = berylplacement.Total, nil
+	return s.place.Find(r)
+}
+
+// freeAfter is the expected time until as many of a job's tasks as can ever fit
+// on a worker do fit.
+func (s *Scheduler) freeAfter(i int, j *job) time.Duration {
+	w := s.place.Worker(i)
+	want := min(j.Shape.Count(w.Total), j.Tasks)
+	if j.Adjacent != beryladjacency.Worker {
+		want = min(want, 1)
+	}
+	need := j.Shape.Times(want)
+	have := w.Total.Sub(w.Held)
+	if need.Fits(have) {
+		return 0
+	}
+	ends := make([]end, 0, len(s.workers[i].gangs))
+	for _, g := range s.workers[i].gangs {
+		ends = append(ends, end{after: s.remaining(g), gives: g.Shape.Times(g.on(i))})
+	}
+	slices.SortFunc(ends, func(a, b end) int { return cmp.Compare(a.after, b.after) })
+	for _, e := range ends {
+		have = have.Add(e.gives)
+		if need.Fits(have) {
+			return e.after
+		}
+	}
+	return 365 * 24 * time.Hour
+}
+
+type end struct {
+	after time.Duration
+	gives berylshape.Shape
+}
+
+// remaining is the expected rest of a gang's run time. One that runs longer than
+// expected is taken to need as long again as it has run.
+func (s *Scheduler) remaining(j *job) time.Duration {
+	ran := s.now.Sub(j.started)
+	if !j.stopped.IsZero() {
+		return min(s.class(j).Stop.Std(), ran)
+	}
+	if rest := s.run(j) - ran; rest > 0 {
+		return rest
+	}
+	return ran
+}
+
+// fails remembers requests that found no place since capacity last grew, so that a
+// long queue of similar jobs costs one search.
+type fails struct {
+	at   int
+	list []failed
+}
+
+type failed struct {
+	account  string
+	shape    berylshape.Shape
+	tasks    int
+	adjacent beryladjacency.Adjacency
+	// reclaimable work has more places to go.
+	reclaimable bool
+}
+
+func (f *fails) reset(grown int) {
+	if f.at != grown {
+		f.at = grown
+		f.list = f.list[:0]
+	}
+}
+
+func (s *Scheduler) failedAs(j *job) failed {
+	k := failed{shape: j.Shape, tasks: j.Tasks, adjacent: j.Adjacent, reclaimable: s.class(j).Checkpoint}
+	if len(s.cfg.Accounts[j.Account].Guarantees) > 0 {
+		k.account = j.Account
+	}
+	return k
+}
+
+// knows reports whether a request failed that is at least as easy to place.
+func (f *fails) knows(s *Scheduler, j *job) bool {
+	if f.at != s.grown {
+		f.reset(s.grown)
+		return false
+	}
+	k := s.failedAs(j)
+	return slices.ContainsFunc(f.list, func(o failed) bool {
+		return o.account == k.account && o.reclaimable == k.reclaimable &&
+			o.shape.Fits(k.shape) && o.tasks <= k.tasks && o.adjacent <= k.adjacent
+	})
+}
+
+func (f *fails) add(s *Scheduler, j *job) {
+	if f.at == s.grown && len(j.Blamed) == 0 && len(j.avoid) == 0 {
+		f.list = append(f.list, s.failedAs(j))
+	}
+}
