berylsettings, beryldump: add strict settings and the dump listener

Every process needs its addresses and failure domain before it starts, and operators need to see its state. Settings are JSON with comments. The decoder walks the hujson syntax tree, because encoding/json reports no line for an unknown key. Each mistake is one error with file, line and key.

--- /dev/null
+++ b/beryldump/dump.go
@@ -0,0 +1,136 @@
+// Package beryldump serves the state, metrics and health of a process over
+// HTTP: GET /dump, /metrics, /healthz and /readyz.
+//
+// The owner of the state gives a function that returns a snapshot of it. The
+// listener has no authentication and changes nothing; it is bound to the
+// operators' network.
+package beryldump
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"berylglade/berylerror"
+)
+
+const (
+	// _dumpTimeout bounds the wait for the owner of the state.
+	_dumpTimeout = 5 * time.Second
+	// _headerTimeout ends connections that send no request.
+	_headerTimeout = 5 * time.Second
+	// _stopTimeout bounds the wait for requests that are in progress.
+	_stopTimeout = time.Second
+)
+
+// Listener serves one process. All fields are set before Run.
+type Listener struct {
+	// Addr is the IP address and port to listen on.
+	Addr string
+	// Registry has the metrics of the process.
+	Registry *prometheus.Registry
+	// State returns a value that is encoded as JSON, or an error if the owner
+	// of the state does not answer.
+	State func(ctx context.Context) (any, error)
+	// Ready returns nil if the process can serve, or the reason why not.
+	Ready func() error
+}
+
+// NewRegistry returns a registry with the metrics of the Go runtime and the
+// operating system process.
+func NewRegistry() *prometheus.Registry {
+	r := prometheus.NewRegistry()
+	r.MustRegister(
+		collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	)
+	return r
+}
+
+// Run serves until ctx ends.
+func (l *Listener) Run(ctx context.Context) error {
+	lis, err := net.Listen("tcp", l.Addr)
+	if err != nil {
+		return berylerror.Unavailable.Wrap(err, "listen for dump and metrics")
+	}
+	return l.Serve(ctx, lis)
+}
+
+// Serve serves on a listener until ctx ends, and closes it.
+func (l *Listener) Serve(ctx context.Context, lis net.Listener) error {
+	srv := &http.Server{Handler: l.Handler(), ReadHeaderTimeout: _headerTimeout}
+	stopped := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(stopped)
+		end, cancel := context.WithTimeout(context.WithoutCancel(ctx), _stopTimeout)
+		defer cancel()
+		if srv.Shutdown(end) != nil {
+			_ = srv.Close()
+		}
+	})
+	err := srv.Serve(lis)
+	if !stop() {
+		<-stopped
+	}
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return berylerror.Unavailable.Wrap(err, "serve dump and metrics")
+}
+
+// Handler returns the HTTP handler.
+func (l *Listener) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /dump", l.dump)
+	mux.Handle("GET /metrics", promhttp.HandlerFor(l.Registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		w.Write([]byte("ok\n"))
+	})
+	mux.HandleFunc("GET /readyz", l.ready)
+	return mux
+}
+
+func (l *Listener) dump(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), _dumpTimeout)
+	defer cancel()
+	state, err := l.State(ctx)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	data, err := json.MarshalIndent(state, "", "  ")
+	if err != nil {
+		writeError(w, berylerror.Internal.Wrap(err, "encode dump"))
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Write(append(data, '\n'))
+}
+
+func (l *Listener) ready(w http.ResponseWriter, _ *http.Request) {
+	if err := l.Ready(); err != nil {
+		writeError(w, berylerror.Unavailable.Wrap(err, "not ready"))
+		return
+	}
+	w.Write([]byte("ready\n"))
+}
+
+// problem is the body of an answer that is not a success.
+type problem struct {
+	Kind string `json:"kind"`
+	Text string `json:"text"`
+}
+
+func writeError(w http.ResponseWriter, err error) {
+	kind := berylerror.Of(err)
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(kind.Status())
+	_ = json.NewEncoder(w).Encode(problem{Kind: kind.String(), Text: err.Error()})
+}
--- /dev/null
+++ b/berylsettings/decode.go
@@ -0,0 +1,294 @@
+package berylsettings
+
+import (
+	"bytes"
+	"encoding"
+	"encoding/json"
+	"net/netip"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/go-faster/errors"
+	"github.com/tailscale/hujson"
+
+	"berylglade/berylduration"
+	"berylglade/berylerror"
+	"berylglade/berylsize"
+)
+
+// document is a parsed file. The syntax tree keeps the offset of each value,
+// which encoding/json does not, so errors can name the line.
+type document struct {
+	file string
+	data []byte
+	root hujson.Value
+}
+
+func parse(file string, data []byte) (*document, error) {
+	root, err := hujson.Parse(data)
+	if err != nil {
+		return nil, berylerror.Invalid.Errorf("%s: %s", file, strings.TrimPrefix(err.Error(), "hujson: "))
+	}
+	return &document{file: file, data: data, root: root}, nil
+}
+
+// decode fills the struct that out points to.
+func (d *document) decode(out any) error {
+	return d.value(&d.root, "", reflect.ValueOf(out).Elem())
+}
+
+func (d *document) fail(offset int, key, text string) error {
+	line := bytes.Count(d.data[:min(offset, len(d.data))], []byte("\n")) + 1
+	if key == "" {
+		return berylerror.Invalid.Errorf("%s:%d: %s", d.file, line, text)
+	}
+	return berylerror.Invalid.Errorf("%s:%d: %s: %s", d.file, line, key, text)
+}
+
+// errorAt returns an error at the line of a key such as "agent.entries[1]", or
+// at the innermost present value around it.
+func (d *document) errorAt(key, text string) error {
+	v := &d.root
+	for _, part := range split(key) {
+		next := child(v, part)
+		if next == nil {
+			break
+		}
+		v = next
+	}
+	return d.fail(v.StartOffset, key, text)
+}
+
+func split(key string) []string {
+	return strings.FieldsFunc(key, func(r rune) bool { return r == '.' || r == '[' || r == ']' })
+}
+
+func child(v *hujson.Value, part string) *hujson.Value {
+	switch c := v.Value.(type) {
+	case *hujson.Object:
+		for i := range c.Members {
+			if name(&c.Members[i]) == part {
+				return &c.Members[i].Value
+			}
+		}
+	case *hujson.Array:
+		i, err := strconv.Atoi(part)
+		if err == nil && i >= 0 && i < len(c.Elements) {
+			return &c.Elements[i]
+		}
+	}
+	return nil
+}
+
+func name(m *hujson.ObjectMember) string {
+	lit, _ := m.Name.Value.(hujson.Literal)
+	return lit.String()
+}
+
+func join(key, part string) string {
+	if key == "" {
+		return part
+	}
+	return key + "." + part
+}
+
+func (d *document) value(v *hujson.Value, key string, out reflect.Value) error {
+	if _, ok := out.Addr().Interface().(encoding.TextUnmarshaler); ok {
+		return d.text(v, key, out)
+	}
+	switch out.Kind() {
+	case reflect.Pointer:
+		out.Set(reflect.New(out.Type().Elem()))
+		return d.value(v, key, out.Elem())
+	case reflect.Struct:
+		return d.object(v, key, out)
+	case reflect.Map:
+		return d.table(v, key, out)
+	case reflect.Slice:
+		return d.list(v, key, out)
+	default:
+		return d.literal(v, key, out)
+	}
+}
+
+// members returns the members of an object and refuses a key that occurs twice.
+func (d *document) members(v *hujson.Value, key string) ([]hujson.ObjectMember, error) {
+	obj, ok := v.Value.(*hujson.Object)
+	if !ok {
+		return nil, d.fail(v.StartOffset, key, "needs an object, not "+show(v))
+	}
+	seen := map[string]bool{}
+	for i := range obj.Members {
+		m := &obj.Members[i]
+		if seen[name(m)] {
+			return nil, d.fail(m.Name.StartOffset, join(key, name(m)), "occurs twice")
+		}
+		seen[name(m)] = true
+	}
+	return obj.Members, nil
+}
+
+func (d *document) object(v *hujson.Value, key string, out reflect.Value) error {
+	members, err := d.members(v, key)
+	if err != nil {
+		return err
+	}
+	fields := fieldsOf(out.Type())
+	for i := range members {
+		m := &members[i]
+		at := slices.IndexFunc(fields, func(f field) bool { return f.name == name(m) })
+		if at < 0 {
+			return d.fail(m.Name.StartOffset, join(key, name(m)), "unknown key; known are "+listNames(fields))
+		}
+		if err := d.value(&m.Value, join(key, name(m)), out.Field(fields[at].index)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+type field struct {
+	name  string
+	index int
+}
+
+func fieldsOf(t reflect.Type) []field {
+	fields := make([]field, 0, t.NumField())
+	for i := range t.NumField() {
+		tag, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
+		if tag != "" && tag != "-" {
+			fields = append(fields, field{name: tag, index: i})
+		}
+	}
+	return fields
+}
+
+func listNames(fields []field) string {
+	names := make([]string, 0, len(fields))
+	for _, f := range fields {
+		names = append(names, f.name)
+	}
+	return strings.Join(names, ", ")
+}
+
+func (d *document) table(v *hujson.Value, key string, out reflect.Value) error {
+	members, err := d.members(v, key)
+	if err != nil {
+		return err
+	}
+	out.Set(reflect.MakeMapWithSize(out.Type(), len(members)))
+	for i := range members {
+		elem := reflect.New(out.Type().Elem()).Elem()
+		if err := d.value(&members[i].Value, join(key, name(&members[i])), elem); err != nil {
+			return err
+		}
+		out.SetMapIndex(reflect.ValueOf(name(&members[i])), elem)
+	}
+	return nil
+}
+
+func (d *document) list(v *hujson.Value, key string, out reflect.Value) error {
+	arr, ok := v.Value.(*hujson.Array)
+	if !ok {
+		return d.fail(v.StartOffset, key, "needs a list, not "+show(v))
+	}
+	out.Set(reflect.MakeSlice(out.Type(), len(arr.Elements), len(arr.Elements)))
+	for i := range arr.Elements {
+		if err := d.value(&arr.Elements[i], key+"["+strconv.Itoa(i)+"]", out.Index(i)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// text decodes a type that is written as a string.
+func (d *document) text(v *hujson.Value, key string, out reflect.Value) error {
+	lit, ok := v.Value.(hujson.Literal)
+	if !ok || lit.Kind() != '"' {
+		return d.fail(v.StartOffset, key, "needs "+form(out)+", not "+show(v))
+	}
+	if addr, ok := out.Addr().Interface().(*netip.AddrPort); ok {
+		parsed, err := address(lit.String())
+		if err != nil {
+			return d.fail(v.StartOffset, key, err.Error())
+		}
+		*addr = parsed
+		return nil
+	}
+	u, _ := out.Addr().Interface().(encoding.TextUnmarshaler)
+	if err := u.UnmarshalText([]byte(lit.String())); err != nil {
+		return d.fail(v.StartOffset, key, err.Error())
+	}
+	return nil
+}
+
+func form(out reflect.Value) string {
+	switch out.Interface().(type) {
+	case netip.AddrPort:
+		return `an address such as "10.0.0.1:7100"`
+	case berylduration.Duration:
+		return `a duration with a unit such as "1.6s"`
+	case berylsize.Size:
+		return `a size with a unit such as "128GB"`
+	default:
+		return "a string"
+	}
+}
+
+func (d *document) literal(v *hujson.Value, key string, out reflect.Value) error {
+	want, kinds := "a string", `"`
+	switch out.Kind() {
+	case reflect.Int:
+		want, kinds = "a whole number", "0"
+	case reflect.Float64:
+		want, kinds = "a number", "0"
+	case reflect.Bool:
+		want, kinds = "true or false", "tf"
+	default:
+	}
+	lit, ok := v.Value.(hujson.Literal)
+	if !ok || !strings.ContainsRune(kinds, rune(lit.Kind())) {
+		return d.fail(v.StartOffset, key, "needs "+want+", not "+show(v))
+	}
+	if err := json.Unmarshal(lit, out.Addr().Interface()); err != nil {
+		return d.fail(v.StartOffset, key, "needs "+want+", not "+show(v))
+	}
+	return nil
+}
+
+// show returns a value for an error message.
+func show(v *hujson.Value) string {
+	switch c := v.Value.(type) {
+	case *hujson.Object:
+		return "an object"
+	case *hujson.Array:
+		return "a list"
+	case hujson.Literal:
+		return string(c)
+	default:
+		return "nothing"
+	}
+}
+
+// address reads a numeric IP address with a port between 1 and 65535.
+func address(text string) (netip.AddrPort, error) {
+	at := strings.LastIndexByte(text, ':')
+	if at < 0 {
+		return netip.AddrPort{}, errors.Errorf("address %q has no port; use IP:port", text)
+	}
+	host := strings.TrimSuffix(strings.TrimPrefix(text[:at], "["), "]")
+	if _, err := netip.ParseAddr(host); err != nil {
+		return netip.AddrPort{}, errors.Errorf("address %q is not a numeric IP address with a port", text)
+	}
+	port, err := strconv.Atoi(text[at+1:])
+	if err != nil || port < 1 || port > 65535 {
+		return netip.AddrPort{}, errors.Errorf("port %q of address %q is not between 1 and 65535", text[at+1:], text)
+	}
+	parsed, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return netip.AddrPort{}, errors.Errorf("address %q is not a numeric IP address with a port", text)
+	}
+	return parsed, nil
+}
