berylbench: measure added latency and idle cost

Bytes come from the input and output counters of the process, because the network counters of the process collector belong to the whole VM.

--- /dev/null
+++ b/berylcli/cli.go
@@ -0,0 +1,136 @@
+// Package berylcli is the command line of the program: the processes, a whole
+// system in one process for development, and the client of the HTTP API.
+//
+// [CLI.Run] parses the arguments into the grammar, which has one type for each
+// command, runs the command and returns the exit code of the error's kind.
+package berylcli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"github.com/alecthomas/kong"
+	"github.com/go-faster/errors"
+
+	"berylglade/berylerror"
+)
+
+// CLI runs commands on the given streams.
+type CLI struct {
+	In  io.Reader
+	Out io.Writer
+	Err io.Writer
+}
+
+// grammar has the flags and commands. Kong fills it from the arguments.
+type grammar struct {
+	JSON bool `name:"json" help:"Print answers and errors as JSON."`
+
+	Entry   entryCmd   `cmd:"" group:"processes" help:"Run an entry, which serves callers and operators."`
+	Agent   agentCmd   `cmd:"" group:"processes" help:"Run an agent next to a worker, a backend server, or both."`
+	Standin standinCmd `cmd:"" group:"processes" help:"Run a stand-in of the platform."`
+	Dev     devCmd     `cmd:"" group:"processes" help:"Run a whole system with stand-ins in one process on loopback."`
+	Check   checkCmd   `cmd:"" group:"processes" help:"Check settings and configuration files without starting anything."`
+
+	Call   callCmd   `cmd:"" group:"callers" help:"Send a call and print its answer."`
+	Result resultCmd `cmd:"" group:"callers" help:"Print the answer to an earlier call."`
+	Submit submitCmd `cmd:"" group:"callers" help:"Submit a job and print its id."`
+	Status statusCmd `cmd:"" group:"callers" help:"Print the state of a job."`
+	Jobs   jobsCmd   `cmd:"" group:"callers" help:"List the jobs of the client account."`
+	Cancel cancelCmd `cmd:"" group:"callers" help:"Cancel a job."`
+
+	Config configCmd `cmd:"" group:"operators" help:"Show or publish the configuration."`
+	Domain domainCmd `cmd:"" group:"operators" help:"Take a failure domain out, or bring it back."`
+	Drain  drainCmd  `cmd:"" group:"operators" help:"Give an agent's host no new work."`
+	Agents agentsCmd `cmd:"" group:"operators" help:"List the agents."`
+	Dump   dumpCmd   `cmd:"" group:"operators" help:"Print the state of one process."`
+	Bench  benchCmd  `cmd:"" group:"operators" help:"Measure added latency and idle cost on loopback."`
+}
+
+const _description = `Scheduler for multi-accelerator jobs and router for short calls.
+
+Start with "berylglade dev --demo", which runs a whole system on loopback, sends one call and one job, and exits.
+Exit codes: 0 success, 1 internal, 2 invalid, 3 denied, 4 missing, 5 conflict, 6 oversize, 7 impossible, 8 notrun, 9 unknown, 10 expired, 11 failed, 12 unavailable.`
+
+// Run runs one command until it ends or ctx ends, and returns the exit code.
+func (c *CLI) Run(ctx context.Context, args []string) int {
+	var g grammar
+	helped := false
+	parser, err := kong.New(&g,
+		kong.Name("berylglade"),
+		kong.Description(_description),
+		kong.Writers(c.Out, c.Err),
+		kong.Exit(func(int) { helped = true }),
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true, WrapUpperBound: 100}),
+		kong.ExplicitGroups([]kong.Group{
+			{Key: "processes", Title: "Processes:"},
+			{Key: "callers", Title: "For callers:"},
+			{Key: "operators", Title: "For operators:"},
+		}),
+		kong.BindTo(ctx, (*context.Context)(nil)),
+	)
+	if err != nil {
+		return c.fail(false, berylerror.Internal.Wrap(err, "build command line"))
+	}
+	parsed, err := parser.Parse(args)
+	if helped {
+		return 0
+	}
+	if err != nil {
+		return c.fail(g.JSON, usageError(err))
+	}
+	out := &output{json: g.JSON, in: c.In, out: c.Out, err: c.Err}
+	if err := parsed.Run(out); err != nil {
+		return c.fail(g.JSON, err)
+	}
+	return 0
+}
+
+// usageError gives an error of the parser its kind and a hint.
+func usageError(err error) error {
+	var parse *kong.ParseError
+	if errors.As(err, &parse) && parse.Context != nil && parse.Context.Command() != "" {
+		return berylerror.Invalid.Errorf("%v; see berylglade %s --help", err, parse.Context.Command())
+	}
+	return berylerror.Invalid.Errorf("%v; see berylglade --help", err)
+}
+
+// problem is the JSON form of an error.
+type problem struct {
+	Kind string `json:"kind"`
+	Text string `json:"text"`
+}
+
+func (c *CLI) fail(asJSON bool, err error) int {
+	kind := berylerror.Of(err)
+	if asJSON {
+		_ = json.NewEncoder(c.Err).Encode(problem{Kind: kind.String(), Text: err.Error()})
+	} else {
+		_, _ = fmt.Fprintf(c.Err, "berylglade: %s: %v\n", kind, err)
+	}
+	return kind.Exit()
+}
+
+// output is where a command reads and prints.
+type output struct {
+	json bool
+	in   io.Reader
+	out  io.Writer
+	err  io.Writer
+}
+
+// show prints v as JSON if asked for, and otherwise calls text.
+func (o *output) show(v any, text func(w io.Writer)) error {
+	if !o.json {
+		text(o.out)
+		return nil
+	}
+	enc := json.NewEncoder(o.out)
+	enc.SetIndent("", "  ")
+	if err := enc.Encode(v); err != nil {
+		return berylerror.Internal.Wrap(err, "print answer")
+	}
+	return nil
+}
--- a/beryldump/dump.go
+++ b/beryldump/dump.go
@@ -17,6 +17,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/prometheus/procfs"
 
 	"berylglade/berylerror"
 )
@@ -50,10 +51,29 @@
 	r.MustRegister(
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "beryl_process_io_bytes_total",
+			Help: "Bytes read and written by system calls of this process, on files and connections.",
+		}, ioBytes),
 	)
 	return r
 }
 
+// ioBytes returns zero where the operating system keeps no such counter. The
+// network counters of the process collector can't be used instead, as they
+// belong to the whole VM.
+func ioBytes() float64 {
+	proc, err := procfs.Self()
+	if err != nil {
+		return 0
+	}
+	usage, err := proc.IO()
+	if err != nil {
+		return 0
+	}
+	return float64(usage.RChar) + float64(usage.WChar)
+}
+
 // Run serves until ctx ends.
 func (l *Listener) Run(ctx context.Context) error {
 	lis, err := net.Listen("tcp", l.Addr)
--- a/berylsettings/config.go
+++ b/berylsettings/config.go
@@ -91,3 +91,18 @@
 	c.Minimize()
 	return json.RawMessage(c.Pack())
 }
+
+// IsConfig reports whether a file has the form of a configuration file rather
+// than of settings. Files that do not parse are taken as settings.
+func IsConfig(data []byte) bool {
+	root, err := hujson.Parse(data)
+	if err != nil {
+		return false
+	}
+	for _, key := range []string{"classes", "accounts", "domains"} {
+		if child(&root, key) != nil {
+			return child(&root, "role") == nil
+		}
+	}
+	return false
+}
