--- /dev/null
+++ b/berylappender/appender.go
@@ -0,0 +1,237 @@
+// Package berylappender appends records to one stream of the platform's log.
+//
+// An [Appender] collects the records of concurrent callers and sends them in
+// batches, one request at a time. A record whose request was refused is sent
+// again later. A record whose request got no reply is looked for in the stream
+// before it is sent again. The file queue.go has the state of each record.
+package berylappender
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"berylglade/berylclock"
+	"berylglade/berylerror"
+	"berylglade/beryllog"
+	"berylglade/berylrecord"
+)
+
+const (
+	// _interval is the least time between two append requests. 40 requests a
+	// second from each of the three streams of three entries stay below 400 a
+	// second, under the several hundred that the platform accepts.
+	_interval = 25 * time.Millisecond
+	// _minBackoff and _maxBackoff bound the pause after a failed request.
+	_minBackoff = 50 * time.Millisecond
+	_maxBackoff = 2 * time.Second
+	// _backoffFactor is the growth of the pause.
+	_backoffFactor = 2
+	// _maxRecords and _maxBytes bound one request.
+	_maxRecords = 512
+	_maxBytes   = 1 << 20
+	// _maxQueue bounds the records that wait, so that callers who arrive in a
+	// long outage are refused instead of filling the memory.
+	_maxQueue = 1 << 14
+)
+
+// Appender appends records to a stream. Its counters may be read at any time.
+type Appender struct {
+	// Sent counts append requests, Failures those that were not confirmed.
+	Sent     atomic.Int64
+	Failures atomic.Int64
+	// Found counts records that a read-back found in the stream.
+	Found atomic.Int64
+
+	log    beryllog.Log
+	stream string
+	clock  berylclock.Clock
+	wake   chan struct{}
+	// upto is an offset that every record sent from now on will be above. Only
+	// Run uses it.
+	upto int64
+
+	mu      sync.Mutex
+	queue   []*pending
+	stopped bool
+}
+
+// New returns an appender, which works while Run does.
+func New(log beryllog.Log, stream string, clock berylclock.Clock) *Appender {
+	return &Appender{log: log, stream: stream, clock: clock, wake: make(chan struct{}, 1)}
+}
+
+// Append adds a record to the stream and returns its offset. If the record was
+// added more than once, it is the first offset. Errors have kind notrun if the
+// record is certainly not in the stream and never will be, and unknown
+// otherwise. A record whose ctx ends before it is sent is not sent.
+func (a *Appender) Append(ctx context.Context, r berylrecord.Record) (int64, error) {
+	data, err := berylrecord.Encode(r)
+	if err != nil {
+		return 0, berylerror.NotRun.Wrap(err, "append")
+	}
+	if len(data) > _maxBytes {
+		return 0, berylerror.NotRun.Wrap(berylerror.Oversize.Errorf("record has %d bytes, limit is %d", len(data), _maxBytes), "append")
+	}
+	if err := ctx.Err(); err != nil {
+		return 0, berylerror.NotRun.Wrap(err, "append")
+	}
+	p := &pending{id: r.ID, base: r.Base, data: data, done: make(chan result, 1)}
+	if err := a.enqueue(p); err != nil {
+		return 0, err
+	}
+	select {
+	case res := <-p.done:
+		return res.offset, res.err
+	case <-ctx.Done():
+		return a.abandon(p, ctx.Err())
+	}
+}
+
+// Run sends the records of callers until ctx ends.
+func (a *Appender) Run(ctx context.Context) error {
+	defer a.stop()
+	pause := &backoff.ExponentialBackOff{
+		InitialInterval:     _minBackoff,
+		RandomizationFactor: backoff.DefaultRandomizationFactor,
+		Multiplier:          _backoffFactor,
+		MaxInterval:         _maxBackoff,
+	}
+	var last time.Time
+	for {
+		if !a.waitForWork(ctx) || !sleep(ctx, _interval-a.clock().Sub(last)) {
+			return nil
+		}
+		last = a.clock()
+		if err := a.step(ctx); err == nil {
+			pause.Reset()
+			continue
+		}
+		if !sleep(ctx, pause.NextBackOff()) {
+			return nil
+		}
+	}
+}
+
+// waitForWork waits until the queue has a record.
+func (a *Appender) waitForWork(ctx context.Context) bool {
+	for !a.busy() {
+		select {
+		case <-a.wake:
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return ctx.Err() == nil
+}
+
+// step looks for the records of unknown outcome and sends one batch.
+func (a *Appender) step(ctx context.Context) error {
+	if err := a.readBack(ctx); err != nil {
+		return err
+	}
+	batch := a.take()
+	if len(batch) == 0 {
+		return nil
+	}
+	records := make([][]byte, 0, len(batch))
+	for _, p := range batch {
+		records = append(records, p.data)
+	}
+	a.Sent.Add(1)
+	offset, err := a.log.Append(ctx, a.stream, records...)
+	if err == nil {
+		a.added(batch, offset)
+		return nil
+	}
+	a.Failures.Add(1)
+	switch berylerror.Of(err) {
+	case berylerror.NotRun:
+		a.refused(batch)
+	case berylerror.Invalid, berylerror.Denied, berylerror.Oversize:
+		a.rejected(batch, err)
+	default:
+		a.lost(batch)
+	}
+	return err
+}
+
+// added settles the records of a request that succeeded. A record that was
+// sent before may have an earlier copy in the stream, which the next read-back
+// finds.
+func (a *Appender) added(batch []*pending, offset int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for i, p := range batch {
+		if p.repeated && !p.abandoned {
+			p.state = stateSuspect
+			p.copied = offset + int64(i)
+			continue
+		}
+		a.settle(p, result{offset: offset + int64(i)})
+	}
+	if !a.suspicious() {
+		a.upto = max(a.upto, offset+int64(len(batch))-1)
+	}
+}
+
+// readBack looks for the records of unknown outcome. Those that are not found
+// will be sent again.
+func (a *Appender) readBack(ctx context.Context) error {
+	wanted, from := a.suspects()
+	for len(wanted) > 0 {
+		b, err := a.log.Read(ctx, a.stream, from, 0)
+		if err != nil {
+			return err
+		}
+		if b.First > from {
+			// The records may have been in the part that retention dropped.
+			a.unsettled(berylerror.Unknown.Errorf("the log dropped records before they were read back"))
+			return nil
+		}
+		for _, e := range b.Entries {
+			a.find(wanted, e)
+			from = e.Offset + 1
+		}
+		if len(b.Entries) == 0 || from >= b.Next {
+			break
+		}
+	}
+	a.sendAgain(wanted)
+	return nil
+}
+
+// find settles the record of an entry if it is wanted.
+func (a *Appender) find(wanted map[string]*pending, e beryllog.Entry) {
+	r, err := berylrecord.Decode(e.Data)
+	if err != nil {
+		return
+	}
+	p, ok := wanted[r.ID]
+	if !ok {
+		return
+	}
+	delete(wanted, r.ID)
+	a.Found.Add(1)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.settle(p, result{offset: e.Offset})
+}
+
+// sleep waits for d and reports whether ctx still holds.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
