berylentry: call path without the log

The entry side has to serve calls before the log-backed parts exist, so that the agent side can be tested against it. Adds membership, routing, retry budget, admission, the HTTP handler and the entry process for idempotent and unkeyed calls. berylrpc gets Remote, which tells an error that the remote function returned from a lost reply.

Tested in process against a fake agent over berylrpc: each error kind of the call path, lost and truncated replies, retries on a second agent, and ownership of answers pass under the race detector.

--- /dev/null
+++ b/berylapi/api.go
@@ -0,0 +1,253 @@
+// Package berylapi serves callers and operators over HTTP.
+//
+// [API] authenticates, checks and decodes each request and passes it to an
+// [Entry]; it holds no state. Callers send their client account in X-Account
+// and its token as a bearer token; operators send the operator token of the
+// entry's settings. Every error is the JSON form of [Error].
+//
+//	POST   /v1/calls?class=             run a call; the body is the request
+//	GET    /v1/calls/{id}?wait=         answer of a call
+//	GET    /v1/keys/{key}?wait=         answer of a call by idempotency key
+//	POST   /v1/jobs                     submit a job
+//	GET    /v1/jobs                     jobs of the client account
+//	GET    /v1/jobs/{id}                state of a job
+//	DELETE /v1/jobs/{id}                cancel a job
+//	GET    /v1/config                   configuration (operators)
+//	POST   /v1/config                   publish a change (operators)
+//	POST   /v1/domains/{name}/out       take a failure domain out (operators)
+//	POST   /v1/domains/{name}/back      bring it back (operators)
+//	POST   /v1/agents/{name}/drain      drain an agent (operators)
+//	GET    /v1/agents                   known agents (operators)
+package berylapi
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"berylglade/berylanswer"
+	"berylglade/berylcall"
+	"berylglade/berylconfig"
+	"berylglade/berylduration"
+	"berylglade/berylerror"
+	"berylglade/beryljob"
+	"berylglade/berylshape"
+)
+
+// Limits of requests.
+const (
+	// _defaultBody bounds the body of a call whose class sets no limit, and of
+	// every JSON request.
+	_defaultBody = 1 << 20
+	// _defaultTimeout bounds a call whose class sets no limit.
+	_defaultTimeout = 30 * time.Second
+	// _maxWait bounds the wait for an answer.
+	_maxWait = time.Minute
+	// _maxKey bounds an idempotency key.
+	_maxKey = 256
+)
+
+// Headers of the API.
+const (
+	HeaderAccount = "X-Account"
+	HeaderKey     = "Idempotency-Key"
+	HeaderTimeout = "X-Timeout"
+	HeaderCall    = "X-Call-Id"
+)
+
+// Entry carries out the requests. All errors have a kind.
+type Entry interface {
+	// Config returns the newest configuration, which must not be changed.
+	Config() *berylconfig.Config
+	// Call runs a call whose ID is empty. The ID of the answer is set if the
+	// call may have been dispatched, even with an error.
+	Call(ctx context.Context, call berylcall.Call) (berylanswer.Answer, error)
+	// Find returns the answer to a call of an account.
+	Find(ctx context.Context, account, id string, wait time.Duration) (berylanswer.Answer, error)
+	// FindKey returns the answer to a keyed call of an account.
+	FindKey(ctx context.Context, account, key string, wait time.Duration) (berylanswer.Answer, error)
+	// Submit accepts a job whose ID is empty. The ID of the state is set if the
+	// job may have been recorded, even with an error.
+	Submit(ctx context.Context, job beryljob.Job) (beryljob.State, error)
+	// Job returns the state of a job of an account.
+	Job(ctx context.Context, account, id string) (beryljob.State, error)
+	// Jobs returns the states of all jobs of an account.
+	Jobs(ctx context.Context, account string) ([]beryljob.State, error)
+	// Cancel ends a job of an account.
+	Cancel(ctx context.Context, account, id string) (beryljob.State, error)
+	// Publish appends a change of the configuration and returns its offset
+	// once it has been read back as accepted.
+	Publish(ctx context.Context, change Change) (int64, error)
+	// SetDomain publishes the state of a known failure domain.
+	SetDomain(ctx context.Context, name string, domain berylconfig.FailureDomain) (int64, error)
+	// Drain stops new work for an agent.
+	Drain(ctx context.Context, agent string) error
+	// Agents returns the agents that the entry knows.
+	Agents(ctx context.Context) ([]Agent, error)
+}
+
+// Change is the request that publishes a change of the configuration.
+type Change struct {
+	// Base is the offset of the configuration that the operator looked at. The
+	// change is refused if one of its keys was changed after it.
+	Base *int64 `json:"base"`
+	// By names the operator.
+	By string `json:"by"`
+	// Set maps configuration keys to values; null removes a key.
+	Set map[string]json.RawMessage `json:"set"`
+}
+
+// Published answers an accepted change.
+type Published struct {
+	Offset int64 `json:"offset"`
+}
+
+// Out is the request that takes a failure domain out.
+type Out struct {
+	// Grace is the time that running work has to move away.
+	Grace berylduration.Duration `json:"grace,omitempty"`
+}
+
+// Submission is the request that submits a job.
+type Submission struct {
+	Class    string                 `json:"class"`
+	Tasks    int                    `json:"tasks"`
+	Shape    berylshape.Shape       `json:"shape"`
+	Adjacent string                 `json:"adjacent,omitempty"`
+	Declared berylduration.Duration `json:"declared,omitempty"`
+	Payload  string                 `json:"payload,omitempty"`
+}
+
+// Agent is one agent as operators see it.
+type Agent struct {
+	Name        string           `json:"name"`
+	Incarnation string           `json:"incarnation"`
+	Addr        string           `json:"addr"`
+	Domain      string           `json:"domain"`
+	Rack        string           `json:"rack"`
+	State       string           `json:"state"`
+	Draining    bool             `json:"draining,omitempty"`
+	Ejected     bool             `json:"ejected,omitempty"`
+	Slots       int              `json:"slots,omitempty"`
+	Busy        int              `json:"busy,omitempty"`
+	Total       berylshape.Shape `json:"total,omitzero"`
+	Gangs       int              `json:"gangs,omitempty"`
+	// Offset is the newest configuration that the agent has.
+	Offset int64 `json:"offset"`
+}
+
+// Error is the JSON form of every error.
+type Error struct {
+	// Kind is the name of a berylerror.Kind.
+	Kind string `json:"kind"`
+	Text string `json:"text"`
+	// ID is the id of the call or job, if it may exist.
+	ID string `json:"id,omitempty"`
+	// Status and Body are the backend server's answer to a call that ran and
+	// failed.
+	Status int    `json:"status,omitempty"`
+	Body   []byte `json:"body,omitempty"`
+}
+
+// API is the HTTP handler.
+type API struct {
+	entry    Entry
+	operator string
+	mux      *http.ServeMux
+}
+
+var _ http.Handler = (*API)(nil)
+
+// New returns the handler. An empty operator token refuses every operator
+// function.
+func New(entry Entry, operatorToken string) *API {
+	a := &API{entry: entry, operator: operatorToken, mux: http.NewServeMux()}
+	a.mux.HandleFunc("POST /v1/calls", a.forAccount(a.call))
+	a.mux.HandleFunc("GET /v1/calls/{id}", a.forAccount(a.find))
+	a.mux.HandleFunc("GET /v1/keys/{key}", a.forAccount(a.findKey))
+	a.mux.HandleFunc("POST /v1/jobs", a.forAccount(a.submit))
+	a.mux.HandleFunc("GET /v1/jobs", a.forAccount(a.jobs))
+	a.mux.HandleFunc("GET /v1/jobs/{id}", a.forAccount(a.job))
+	a.mux.HandleFunc("DELETE /v1/jobs/{id}", a.forAccount(a.cancel))
+	a.mux.HandleFunc("GET /v1/config", a.forOperator(a.config))
+	a.mux.HandleFunc("POST /v1/config", a.forOperator(a.publish))
+	a.mux.HandleFunc("POST /v1/domains/{name}/out", a.forOperator(a.out))
+	a.mux.HandleFunc("POST /v1/domains/{name}/back", a.forOperator(a.back))
+	a.mux.HandleFunc("POST /v1/agents/{name}/drain", a.forOperator(a.drain))
+	a.mux.HandleFunc("GET /v1/agents", a.forOperator(a.agents))
+	a.mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		writeError(w, "", berylerror.Missing.Errorf("no function %s %s", r.Method, r.URL.Path))
+	})
+	return a
+}
+
+// ServeHTTP implements http.Handler.
+func (a *API) ServeHTTP(w http.ResponseWriter, r *http.Request) { a.mux.ServeHTTP(w, r) }
+
+// forAccount authenticates a client account. An unknown account and a wrong
+// token get the same answer, so that names of accounts can't be found out.
+func (a *API) forAccount(h func(w http.ResponseWriter, r *http.Request, account string)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		name := r.Header.Get(HeaderAccount)
+		token, ok := bearer(r)
+		if name == "" || !ok {
+			writeError(w, "", berylerror.Denied.Errorf("headers Authorization with a bearer token and %s are needed", HeaderAccount))
+			return
+		}
+		account, known := a.entry.Config().Accounts[name]
+		sum := sha256.Sum256([]byte(token))
+		if !known || account.Hash == "" || !equal(strings.ToLower(account.Hash), hex.EncodeToString(sum[:])) {
+			writeError(w, "", berylerror.Denied.Errorf("client account is not known or its token is wrong"))
+			return
+		}
+		h(w, r, name)
+	}
+}
+
+func (a *API) forOperator(h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		token, ok := bearer(r)
+		if !ok || a.operator == "" || !equal(token, a.operator) {
+			writeError(w, "", berylerror.Denied.Errorf("this function needs the operator token"))
+			return
+		}
+		h(w, r)
+	}
+}
+
+func bearer(r *http.Request) (string, bool) {
+	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	return token, ok && token != ""
+}
+
+func equal(a, b string) bool { return subtle.ConstantTimeCompare([]byte(a), []byte(b)) == 1 }
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		writeError(w, "", berylerror.Internal.Wrap(err, "encode answer"))
+		return
+	}
+	write(w, status, "application/json", data)
+}
+
+// write sends a whole body with its length, so that a caller notices a
+// truncated one.
+func write(w http.ResponseWriter, status int, kind string, body []byte) {
+	w.Header().Set("Content-Type", kind)
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	w.Write(body)
+}
+
+func writeError(w http.ResponseWriter, id string, err error) {
+	k := berylerror.Of(err)
+	data, _ := json.Marshal(Error{Kind: k.String(), Text: err.Error(), ID: id})
+	write(w, k.Status(), "application/json", data)
+}
--- /dev/null
+++ b/berylapi/call.go
@@ -0,0 +1,214 @@
+package berylapi
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"slices"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"berylglade/berylanswer"
+	"berylglade/berylcall"
+	"berylglade/berylconfig"
+	"berylglade/berylerror"
+)
+
+func (a *API) call(w http.ResponseWriter, r *http.Request, account string) {
+	call, err := a.readCall(w, r, account)
+	if err != nil {
+		writeError(w, "", err)
+		return
+	}
+	answer, err := a.entry.Call(r.Context(), call)
+	writeAnswer(w, answer, err)
+}
+
+func (a *API) readCall(w http.ResponseWriter, r *http.Request, account string) (berylcall.Call, error) {
+	query, err := readQuery(r, "class")
+	if err != nil {
+		return berylcall.Call{}, err
+	}
+	name := query.Get("class")
+	class, ok := a.entry.Config().Classes[name]
+	if !ok {
+		return berylcall.Call{}, berylerror.Missing.Errorf("class %q is not in the configuration", name)
+	}
+	key, err := readKey(r)
+	if err != nil {
+		return berylcall.Call{}, err
+	}
+	budget, err := readTimeout(r, class)
+	if err != nil {
+		return berylcall.Call{}, err
+	}
+	limit := int64(_defaultBody)
+	if class.Body > 0 {
+		limit = int64(class.Body)
+	}
+	body, err := readBody(w, r, limit)
+	if err != nil {
+		return berylcall.Call{}, err
+	}
+	return berylcall.Call{
+		Account:    account,
+		Class:      name,
+		Key:        key,
+		Idempotent: class.Idempotent,
+		Budget:     budget,
+		Body:       body,
+	}, nil
+}
+
+func (a *API) find(w http.ResponseWriter, r *http.Request, account string) {
+	wait, err := readWait(r)
+	if err != nil {
+		writeError(w, "", err)
+		return
+	}
+	answer, err := a.entry.Find(r.Context(), account, r.PathValue("id"), wait)
+	writeAnswer(w, answer, err)
+}
+
+func (a *API) findKey(w http.ResponseWriter, r *http.Request, account string) {
+	wait, err := readWait(r)
+	if err != nil {
+		writeError(w, "", err)
+		return
+	}
+	answer, err := a.entry.FindKey(r.Context(), account, r.PathValue("key"), wait)
+	writeAnswer(w, answer, err)
+}
+
+// writeAnswer sends the backend server's body. An answer with an error status
+// is sent as kind failed with the whole body inside, as its status could
+// otherwise be taken for one of the entry's own.
+func writeAnswer(w http.ResponseWriter, answer berylanswer.Answer, err error) {
+	if answer.ID != "" {
+		w.Header().Set(HeaderCall, answer.ID)
+	}
+	switch {
+	case err != nil:
+		writeError(w, answer.ID, err)
+	case answer.Status >= http.StatusBadRequest:
+		writeJSON(w, berylerror.Failed.Status(), Error{
+			Kind:   berylerror.Failed.String(),
+			Text:   "backend server answered with status " + http.StatusText(answer.Status),
+			ID:     answer.ID,
+			Status: answer.Status,
+			Body:   answer.Body,
+		})
+	default:
+		write(w, http.StatusOK, "application/octet-stream", answer.Body)
+	}
+}
+
+// readQuery returns the query parameters and refuses unknown or repeated ones.
+func readQuery(r *http.Request, allowed ...string) (url.Values, error) {
+	query, err := url.ParseQuery(r.URL.RawQuery)
+	if err != nil {
+		return nil, berylerror.Invalid.Wrap(err, "query")
+	}
+	for name, values := range query {
+		if !slices.Contains(allowed, name) {
+			return nil, berylerror.Invalid.Errorf("query parameter %q is not known", name)
+		}
+		if len(values) > 1 {
+			return nil, berylerror.Invalid.Errorf("query parameter %q is repeated", name)
+		}
+	}
+	return query, nil
+}
+
+func readKey(r *http.Request) (string, error) {
+	values := r.Header.Values(HeaderKey)
+	if len(values) == 0 {
+		return "", nil
+	}
+	if len(values) > 1 {
+		return "", berylerror.Invalid.Errorf("header %s is repeated", HeaderKey)
+	}
+	key := values[0]
+	if key == "" || len(key) > _maxKey {
+		return "", berylerror.Invalid.Errorf("header %s has %d bytes, not 1 to %d", HeaderKey, len(key), _maxKey)
+	}
+	for _, c := range []byte(key) {
+		if c <= ' ' || c > '~' {
+			return "", berylerror.Invalid.Errorf("header %s has a character that is not printable ASCII", HeaderKey)
+		}
+	}
+	return key, nil
+}
+
+// readTimeout returns the caller's timeout, at most that of the class.
+func readTimeout(r *http.Request, class berylconfig.Class) (time.Duration, error) {
+	limit := _defaultTimeout
+	if class.Timeout > 0 {
+		limit = class.Timeout.Std()
+	}
+	values := r.Header.Values(HeaderTimeout)
+	if len(values) == 0 {
+		return limit, nil
+	}
+	d, err := time.ParseDuration(values[0])
+	if err != nil || d <= 0 || len(values) > 1 {
+		return 0, berylerror.Invalid.Errorf("header %s %q is not one duration above zero such as 1.5s", HeaderTimeout, values)
+	}
+	return min(d, limit), nil
+}
+
+func readWait(r *http.Request) (time.Duration, error) {
+	query, err := readQuery(r, "wait")
+	if err != nil {
+		return 0, err
+	}
+	if !query.Has("wait") {
+		return 0, nil
+	}
+	d, err := time.ParseDuration(query.Get("wait"))
+	if err != nil || d < 0 {
+		return 0, berylerror.Invalid.Errorf("query parameter wait %q is not a duration such as 10s", query.Get("wait"))
+	}
+	return min(d, _maxWait), nil
+}
+
+// readBody returns the whole body; a truncated one is an error.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	if r.ContentLength > limit {
+		return nil, berylerror.Oversize.Errorf("body of %d bytes is above the limit of %d", r.ContentLength, limit)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, berylerror.Oversize.Errorf("body is above the limit of %d bytes", limit)
+	case err != nil:
+		return nil, berylerror.Invalid.Wrap(err, "read body")
+	default:
+		return body, nil
+	}
+}
+
+// readJSON decodes exactly one JSON value without unknown fields.
+func readJSON(w http.ResponseWriter, r *http.Request, v any) error {
+	body, err := readBody(w, r, _defaultBody)
+	if err != nil {
+		return err
+	}
+	return decode(body, v)
+}
+
+func decode(body []byte, v any) error {
+	dec := json.NewDecoder(bytes.NewReader(body))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(v); err != nil {
+		return berylerror.Invalid.Wrap(err, "decode body")
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return berylerror.Invalid.Errorf("body has data after the JSON value")
+	}
+	return nil
+}
--- /dev/null
+++ b/berylentry/call.go
@@ -0,0 +1,329 @@
+package berylentry
+
+import (
+	"context"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/go-faster/errors"
+
+	"berylglade/beryladmission"
+	"berylglade/berylanswer"
+	"berylglade/berylcall"
+	"berylglade/berylerror"
+	"berylglade/berylid"
+	"berylglade/berylmember"
+	"berylglade/berylmessage"
+	"berylglade/berylroute"
+	"berylglade/berylrpc"
+)
+
+// Limits of the call path.
+const (
+	// _maxAttempts bounds the attempts of one call.
+	_maxAttempts = 4
+	// _rpcGrace is added to the caller's timeout when an entry waits for an
+	// agent, so that the agent's own report of a timeout arrives.
+	_rpcGrace = 250 * time.Millisecond
+	// _noServerWait is how long a call waits for any backend server, for
+	// example while a new entry waits for the first heartbeats.
+	_noServerWait = 3 * time.Second
+	_noServerPoll = 50 * time.Millisecond
+	// _firstBackoff and _maxBackoff bound the pause between two requests for
+	// the outcome of a call.
+	_firstBackoff = 10 * time.Millisecond
+	_maxBackoff   = 500 * time.Millisecond
+)
+
+// run is one call on its way through the entry.
+type run struct {
+	e        *Entry
+	call     berylcall.Call
+	deadline time.Time
+	// tried are the agents of earlier attempts.
+	tried    []string
+	attempts int
+}
+
+// Call implements berylapi.Entry.
+func (e *Entry) Call(ctx context.Context, call berylcall.Call) (berylanswer.Answer, error) {
+	now := e.clock()
+	r := &run{e: e, call: call, deadline: now.Add(call.Budget)}
+	ctx, cancel := context.WithTimeout(ctx, call.Budget)
+	defer cancel()
+	ticket, err := e.enter(ctx, now, r)
+	if err != nil {
+		return berylanswer.Answer{}, err
+	}
+	e.budget.Earn(call.Account)
+	if !call.Idempotent {
+		// A caller who disconnects must not interrupt work that may not run
+		// a second time.
+		var stop context.CancelFunc
+		ctx, stop = context.WithTimeout(context.WithoutCancel(ctx), r.deadline.Sub(e.clock()))
+		defer stop()
+	}
+	answer, err := r.thin(ctx)
+	e.admission.Leave(e.clock(), ticket, err == nil)
+	return answer, err
+}
+
+// enter waits until the call may be dispatched.
+func (e *Entry) enter(ctx context.Context, now time.Time, r *run) (*beryladmission.Ticket, error) {
+	cfg := e.view.Load().config
+	class, ok := cfg.Classes[r.call.Class]
+	if !ok {
+		return nil, berylerror.Missing.Errorf("class %q is not in the configuration", r.call.Class)
+	}
+	request := beryladmission.Request{
+		Account:  r.call.Account,
+		Config:   cfg.Accounts[r.call.Account],
+		Class:    r.call.Class,
+		Deadline: r.deadline,
+	}
+	if target, ok := class.Target.Deadline(now); ok && target.Before(r.deadline) {
+		request.Deadline = target
+	}
+	if err := e.awaitServer(ctx); err != nil {
+		return nil, err
+	}
+	ticket, err := e.admission.Enter(now, request)
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case <-ticket.Ready:
+		return ticket, nil
+	case <-ctx.Done():
+		e.admission.Leave(e.clock(), ticket, false)
+		return nil, berylerror.NotRun.Errorf("call waited for a slot until its timeout")
+	}
+}
+
+// awaitServer waits a short time for any backend server.
+func (e *Entry) awaitServer(ctx context.Context) error {
+	if e.router.Slots() > 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, _noServerWait)
+	defer cancel()
+	t := time.NewTicker(_noServerPoll)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			if e.router.Slots() > 0 {
+				return nil
+			}
+		case <-ctx.Done():
+			return berylerror.NotRun.Errorf("no backend server takes work")
+		case <-e.stopping:
+			return berylerror.NotRun.Errorf("no backend server takes work and the entry stops")
+		}
+	}
+}
+
+// thin runs a call that needs no record in the log.
+func (r *run) thin(ctx context.Context) (berylanswer.Answer, error) {
+	for {
+		pick, err := r.e.router.Choose(r.e.clock(), r.tried)
+		if err != nil {
+			return berylanswer.Answer{}, err
+		}
+		id := berylid.New(pick.Agent, pick.Incarnation, pick.Epoch).String()
+		answer, err := r.dispatch(ctx, pick, id)
+		if err != nil && lost(err) && !r.call.Idempotent {
+			answer, err = r.resolve(ctx, pick.Addr, id)
+		}
+		answer.ID = id
+		switch {
+		case err == nil:
+			return answer, nil
+		case berylerror.Of(err) == berylerror.NotRun:
+			if !r.again(ctx, pick.Agent) {
+				return berylanswer.Answer{}, err
+			}
+		case uncertain(err) && r.call.Idempotent:
+			if !r.again(ctx, pick.Agent) {
+				return answer, err
+			}
+		default:
+			return answer, err
+		}
+	}
+}
+
+// uncertain reports whether the call may have run without its outcome being
+// known. An internal fault of an agent says nothing about the call.
+func uncertain(err error) bool {
+	k := berylerror.Of(err)
+	return k == berylerror.Unknown || k == berylerror.Internal
+}
+
+// lost reports whether the agent may know the outcome although its reply did
+// not say so. An agent that answers unknown will not learn more.
+func lost(err error) bool {
+	return uncertain(err) && (!berylrpc.Remote(err) || berylerror.Of(err) != berylerror.Unknown)
+}
+
+// again reports whether one more attempt is allowed, and takes it from the
+// account's retry budget.
+func (r *run) again(ctx context.Context, agent string) bool {
+	r.tried = append(r.tried, agent)
+	r.attempts++
+	return ctx.Err() == nil && r.attempts < _maxAttempts && r.e.budget.Spend(r.call.Account)
+}
+
+// dispatch sends the call to an agent and checks that the answer is whole and
+// its own.
+func (r *run) dispatch(ctx context.Context, pick berylroute.Pick, id string) (berylanswer.Answer, error) {
+	call := r.call
+	call.ID = id
+	begin := r.e.clock()
+	call.Budget = r.deadline.Sub(begin)
+	if call.Budget <= 0 {
+		r.e.router.Done(begin, pick, berylroute.Refused, 0)
+		return berylanswer.Answer{}, berylerror.NotRun.Errorf("no time is left to dispatch the call")
+	}
+	ctx, cancel := r.e.graced(ctx, r.deadline)
+	defer cancel()
+	answer, err := invoke(ctx, r.e, pick.Addr, &berylmessage.Run{Call: call}, id, call.Account)
+	end := r.e.clock()
+	r.e.router.Done(end, pick, outcome(ctx, answer, err), end.Sub(begin))
+	return answer, err
+}
+
+func invoke(ctx context.Context, e *Entry, addr string, req *berylmessage.Run, id, account string) (berylanswer.Answer, error) {
+	reply, err := berylrpc.Call[berylmessage.Run, berylmessage.RunReply](ctx, e.client, addr, berylmessage.MethodRun, req)
+	if err != nil {
+		return berylanswer.Answer{}, err
+	}
+	if err := reply.Answer.Check(id, account); err != nil {
+		// An answer of another call says nothing about this one.
+		return berylanswer.Answer{}, berylerror.Unknown.Wrap(err, "check answer")
+	}
+	return reply.Answer, nil
+}
+
+// graced returns a context that ends a little after the deadline, unless the
+// parent is cancelled.
+func (e *Entry) graced(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
+	graced, cancel := context.WithTimeout(context.WithoutCancel(ctx), deadline.Sub(e.clock())+_rpcGrace)
+	stop := context.AfterFunc(ctx, func() {
+		if errors.Is(context.Cause(ctx), context.Canceled) {
+			cancel()
+		}
+	})
+	return graced, func() {
+		stop()
+		cancel()
+	}
+}
+
+func outcome(ctx context.Context, answer berylanswer.Answer, err error) berylroute.Outcome {
+	switch {
+	case err == nil && answer.Status < 500:
+		return berylroute.OK
+	case err == nil:
+		return berylroute.Failure
+	case errors.Is(context.Cause(ctx), context.Canceled):
+		return berylroute.Abandoned
+	}
+	switch berylerror.Of(err) {
+	case berylerror.NotRun:
+		if berylrpc.Remote(err) {
+			return berylroute.Refused
+		}
+		return berylroute.Failure
+	case berylerror.Unknown, berylerror.Internal, berylerror.Failed:
+		return berylroute.Failure
+	default:
+		return berylroute.Refused
+	}
+}
+
+// resolve finds out what became of a call whose reply was lost. It returns the
+// answer, an error of kind NotRun once the agent has confirmed that the call
+// will never run, or an error of kind Unknown when the time is over.
+func (r *run) resolve(ctx context.Context, addr, id string) (berylanswer.Answer, error) {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval = _firstBackoff
+	pause.MaxInterval = _maxBackoff
+	for {
+		answer, err := r.e.find(ctx, addr, id, r.call.Account, r.deadline.Sub(r.e.clock()))
+		if err == nil {
+			return answer, nil
+		}
+		switch berylerror.Of(err) {
+		case berylerror.Missing:
+			if r.e.tombstone(ctx, addr, id, r.call.Account) {
+				return berylanswer.Answer{}, berylerror.NotRun.Errorf("call %s was not run: its request did not reach the agent", id)
+			}
+		case berylerror.Unknown, berylerror.Internal, berylerror.NotRun, berylerror.Unavailable:
+		default:
+			return berylanswer.Answer{}, err
+		}
+		select {
+		case <-time.After(pause.NextBackOff()):
+		case <-ctx.Done():
+			return berylanswer.Answer{}, berylerror.Unknown.Errorf("outcome of call %s is not known", id)
+		}
+	}
+}
+
+// find asks an agent for an answer.
+func (e *Entry) find(ctx context.Context, addr, id, account string, wait time.Duration) (berylanswer.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, max(wait, 0)+_rpcGrace)
+	defer cancel()
+	req := &berylmessage.Find{Call: id, Account: account, Wait: max(wait, 0)}
+	reply, err := berylrpc.Call[berylmessage.Find, berylmessage.FindReply](ctx, e.client, addr, berylmessage.MethodFind, req)
+	if err != nil {
+		return berylanswer.Answer{}, err
+	}
+	if err := reply.Answer.Check(id, account); err != nil {
+		return berylanswer.Answer{}, err
+	}
+	return reply.Answer, nil
+}
+
+// tombstone reports whether the agent has confirmed that it never runs the call.
+func (e *Entry) tombstone(ctx context.Context, addr, id, account string) bool {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	req := &berylmessage.Tombstone{Call: id, Account: account}
+	reply, err := berylrpc.Call[berylmessage.Tombstone, berylmessage.TombstoneReply](ctx, e.client, addr, berylmessage.MethodTombstone, req)
+	return err == nil && reply.Confirmed
+}
+
+// Find implements berylapi.Entry.
+func (e *Entry) Find(ctx context.Context, account, id string, wait time.Duration) (berylanswer.Answer, error) {
+	parsed, err := berylid.Parse(id)
+	if err != nil {
+		return berylanswer.Answer{}, err
+	}
+	member, err := e.owner(parsed)
+	if err != nil {
+		return berylanswer.Answer{ID: id}, err
+	}
+	answer, err := e.find(ctx, member.Addr, id, account, wait)
+	if err != nil && !berylrpc.Remote(err) && uncertain(err) {
+		err = berylerror.Unavailable.Wrap(err, "agent does not answer")
+	}
+	answer.ID = id
+	return answer, err
+}
+
+// owner returns the agent incarnation that may have run the call. If it is gone
+// the outcome of the call is never known.
+func (e *Entry) owner(id berylid.ID) (berylmember.Member, error) {
+	for _, m := range e.view.Load().members {
+		switch {
+		case m.Agent != id.Agent:
+		case m.Incarnation == id.Incarnation:
+			return m, nil
+		default:
+			return berylmember.Member{}, berylerror.Unknown.Errorf("agent %s was restarted after call %s", id.Agent, id.Unique)
+		}
+	}
+	return berylmember.Member{}, berylerror.Unavailable.Errorf("agent %s is not known at the moment", id.Agent)
+}
--- /dev/null
+++ b/berylentry/fake_test.go
@@ -0,0 +1,283 @@
+package berylentry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"berylglade/berylanswer"
+	"berylglade/berylcall"
+	"berylglade/berylclock"
+	"berylglade/berylconfig"
+	"berylglade/berylduration"
+	"berylglade/berylerror"
+	"berylglade/berylid"
+	"berylglade/berylmessage"
+	"berylglade/berylrpc"
+)
+
+// fakeAgent is an agent with the ledger rules of the design and a backend
+// server that a test scripts.
+type fakeAgent struct {
+	name        string
+	incarnation string
+	addr        string
+	// serve runs one call; nil echoes the body.
+	serve func(a *fakeAgent, call berylcall.Call) (berylanswer.Answer, error)
+
+	mu    sync.Mutex
+	calls map[string]*fakeCall
+	conns []net.Conn
+}
+
+type fakeCall struct {
+	done      chan struct{}
+	answer    berylanswer.Answer
+	err       error
+	tombstone bool
+}
+
+// cutListener remembers its connections so that a test can lose replies.
+type cutListener struct {
+	net.Listener
+	a *fakeAgent
+}
+
+func (l cutListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err == nil {
+		l.a.mu.Lock()
+		l.a.conns = append(l.a.conns, conn)
+		l.a.mu.Unlock()
+	}
+	return conn, err
+}
+
+// cut closes every connection, so that replies on the way are lost.
+func (a *fakeAgent) cut() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, conn := range a.conns {
+		_ = conn.Close()
+	}
+	a.conns = nil
+}
+
+func newFakeAgent(t *testing.T, name string) *fakeAgent {
+	t.Helper()
+	is := is.New(t)
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	a := &fakeAgent{name: name, incarnation: "i1", addr: lis.Addr().String(), calls: map[string]*fakeCall{}}
+	var s berylrpc.Server
+	berylrpc.Handle(&s, berylmessage.MethodRun, a.run)
+	berylrpc.Handle(&s, berylmessage.MethodFind, a.find)
+	berylrpc.Handle(&s, berylmessage.MethodTombstone, a.bury)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = s.Serve(ctx, cutListener{Listener: lis, a: a})
+	}()
+	t.Cleanup(func() {
+		cancel()
+		a.cut()
+		<-done
+	})
+	return a
+}
+
+func (a *fakeAgent) run(_ context.Context, req *berylmessage.Run) (*berylmessage.RunReply, error) {
+	id := req.Call.ID
+	parsed, err := berylid.Parse(id)
+	if err != nil || parsed.Incarnation != a.incarnation {
+		return nil, berylerror.NotRun.Errorf("call %s is for another incarnation", id)
+	}
+	a.mu.Lock()
+	c, seen := a.calls[id]
+	if !seen {
+		c = &fakeCall{done: make(chan struct{})}
+		a.calls[id] = c
+	}
+	a.mu.Unlock()
+	if !seen {
+		serve := a.serve
+		if serve == nil {
+			serve = echo
+		}
+		c.answer, c.err = serve(a, req.Call)
+		c.tombstone = berylerror.Of(c.err) == berylerror.NotRun && c.err != nil
+		close(c.done)
+	}
+	<-c.done
+	if c.err != nil {
+		return nil, c.err
+	}
+	return &berylmessage.RunReply{Answer: c.answer}, nil
+}
+
+func echo(_ *fakeAgent, call berylcall.Call) (berylanswer.Answer, error) {
+	return berylanswer.New(call.ID, call.Account, http.StatusOK, append([]byte("echo "), call.Body...)), nil
+}
+
+func (a *fakeAgent) find(ctx context.Context, req *berylmessage.Find) (*berylmessage.FindReply, error) {
+	a.mu.Lock()
+	c, seen := a.calls[req.Call]
+	a.mu.Unlock()
+	if !seen {
+		return nil, berylerror.Missing.Errorf("call %s is not known", req.Call)
+	}
+	ctx, cancel := context.WithTimeout(ctx, req.Wait)
+	defer cancel()
+	select {
+	case <-c.done:
+	case <-ctx.Done():
+	}
+	select {
+	case <-c.done:
+	default:
+		return nil, berylerror.Unavailable.Errorf("call %s still runs", req.Call)
+	}
+	if c.err != nil {
+		return nil, c.err
+	}
+	if c.answer.Account != req.Account {
+		return nil, berylerror.Missing.Errorf("no call %s of this client account", req.Call)
+	}
+	return &berylmessage.FindReply{Answer: c.answer}, nil
+}
+
+func (a *fakeAgent) bury(_ context.Context, req *berylmessage.Tombstone) (*berylmessage.TombstoneReply, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	c, seen := a.calls[req.Call]
+	if !seen {
+		c = &fakeCall{done: make(chan struct{}), err: berylerror.NotRun.Errorf("call %s has a tombstone", req.Call), tombstone: true}
+		close(c.done)
+		a.calls[req.Call] = c
+		return &berylmessage.TombstoneReply{Confirmed: true}, nil
+	}
+	select {
+	case <-c.done:
+		return &berylmessage.TombstoneReply{Confirmed: c.tombstone}, nil
+	default:
+		return &berylmessage.TombstoneReply{}, nil
+	}
+}
+
+// ran returns the bodies of the calls that the backend server ran.
+func (a *fakeAgent) ran() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	n := 0
+	for _, c := range a.calls {
+		if !c.tombstone {
+			n++
+		}
+	}
+	return n
+}
+
+// announce sends heartbeats to the entry until the test ends.
+func (a *fakeAgent) announce(t *testing.T, e *Entry, change func(*berylmessage.Beat)) {
+	t.Helper()
+	is := is.New(t)
+	client := berylrpc.NewClient()
+	beat := func(ctx context.Context) error {
+		b := berylmessage.Beat{Agent: a.name, Incarnation: a.incarnation, Addr: a.addr, Domain: "ware-east", Slots: 8, Offset: 1}
+		if change != nil {
+			change(&b)
+		}
+		_, err := berylrpc.Call[berylmessage.Beat, berylmessage.BeatReply](ctx, client, e.PeerAddr, berylmessage.MethodBeat, &b)
+		return err
+	}
+	is.NoErr(beat(context.Background()))
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for ctx.Err() == nil {
+			_ = beat(ctx)
+			select {
+			case <-time.After(200 * time.Millisecond):
+			case <-ctx.Done():
+			}
+		}
+	})
+	t.Cleanup(func() {
+		cancel()
+		wg.Wait()
+		_ = client.Close()
+	})
+}
+
+func hash(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
+
+// testConfig has two client accounts with the tokens "qt" and "rt".
+func testConfig() *berylconfig.Config {
+	return &berylconfig.Config{
+		Offset: 1,
+		Classes: map[string]berylconfig.Class{
+			"read":  {Idempotent: true, Timeout: berylduration.Duration(2 * time.Second)},
+			"write": {Timeout: berylduration.Duration(2 * time.Second)},
+			"small": {Body: 10},
+		},
+		Accounts: map[string]berylconfig.ClientAccount{
+			"quabbin": {Hash: hash("qt")},
+			"ribnica": {Hash: hash("rt")},
+			"slow":    {Hash: hash("st"), Rate: 1, Burst: 1},
+		},
+		Domains: map[string]berylconfig.FailureDomain{"ware-east": {}},
+	}
+}
+
+func testSettings(name string) Settings {
+	return Settings{
+		Name:      name,
+		HTTP:      "127.0.0.1:0",
+		Peer:      "127.0.0.1:0",
+		Operator:  "op",
+		Retention: berylduration.Duration(time.Hour),
+		Drain:     berylduration.Duration(5 * time.Second),
+	}
+}
+
+// start runs an entry until the test ends and gives it the test configuration
+// the way a peer does.
+func start(t *testing.T, settings Settings) *Entry {
+	t.Helper()
+	is := is.New(t)
+	e, err := New(settings, berylclock.System())
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- e.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	offer(t, e, testConfig())
+	return e
+}
+
+func offer(t *testing.T, e *Entry, cfg *berylconfig.Config) {
+	t.Helper()
+	is := is.New(t)
+	client := berylrpc.NewClient()
+	defer func() { _ = client.Close() }()
+	_, err := berylrpc.Call[berylmessage.ConfigRequest, berylmessage.ConfigReply](
+		context.Background(), client, e.PeerAddr, berylmessage.MethodConfig,
+		&berylmessage.ConfigRequest{Offset: cfg.Offset, Config: cfg})
+	is.NoErr(err)
+}
--- /dev/null
+++ b/berylentry/settings.go
@@ -0,0 +1,44 @@
+package berylentry
+
+import (
+	"berylglade/berylduration"
+	"berylglade/berylerror"
+)
+
+// Settings are the settings of an entry.
+type Settings struct {
+	// Name is unique among the entries.
+	Name string `json:"name"`
+	// Domain is the entry's own failure domain.
+	Domain string `json:"domain"`
+	// HTTP is the address for callers and operators.
+	HTTP string `json:"http"`
+	// Peer is the address for our own processes.
+	Peer string `json:"peer"`
+	// Entries are the peer addresses of the other entries.
+	Entries []string `json:"entries,omitempty"`
+	// Log is the URL of the platform's log.
+	Log string `json:"log"`
+	// Operator is the token of operators; empty refuses operator functions.
+	Operator string `json:"operator,omitempty"`
+	// Retention is how long the log keeps records.
+	Retention berylduration.Duration `json:"retention"`
+	// Drain is the longest time that a planned stop waits for calls in
+	// progress; zero means 30 s.
+	Drain berylduration.Duration `json:"drain,omitempty"`
+	// Latency is the one-way delay to each failure domain.
+	Latency map[string]berylduration.Duration `json:"latency,omitempty"`
+}
+
+func (s *Settings) check() error {
+	switch {
+	case s.Name == "":
+		return berylerror.Invalid.Errorf("settings: name of the entry is missing")
+	case s.HTTP == "" || s.Peer == "":
+		return berylerror.Invalid.Errorf("settings: http and peer addresses of entry %s are needed", s.Name)
+	case s.Retention <= 0:
+		return berylerror.Invalid.Errorf("settings: retention of the log is missing")
+	default:
+		return nil
+	}
+}
--- a/berylrpc/client.go
+++ b/berylrpc/client.go
@@ -60,6 +60,10 @@
 	return nil, callError(err, dialed, addr, m)
 }
 
+// Remote reports whether err was returned by the remote function. Otherwise the
+// request was not sent or its outcome was lost.
+func Remote(err error) bool { return drpcerr.Code(err) != 0 }
+
 func callError(err error, dialed bool, addr string, m berylmessage.Method) error {
 	text := string(m) + " to " + addr
 	if !dialed {
