berylroute: average the load by other entries

Heartbeats are a second old and most calls are shorter, so entries that trusted the last report sent their calls to the same servers. The load by other entries is now a mean over heartbeats, and small differences of the learned service time are ignored.

--- a/berylapi/call.go
+++ b/berylapi/call.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -96,7 +97,7 @@
 	case answer.Status >= http.StatusBadRequest:
 		writeJSON(w, berylerror.Failed.Status(), Error{
 			Kind:   berylerror.Failed.String(),
-			Text:   "backend server answered with status " + http.StatusText(answer.Status),
+			Text:   "backend server answered with status " + strconv.Itoa(answer.Status),
 			ID:     answer.ID,
 			Status: answer.Status,
 			Body:   answer.Body,
--- /dev/null
+++ b/berylbudget/budget_test.go
@@ -0,0 +1,24 @@
+package berylbudget
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against retries that multiply the load, and against one account that
+// uses up the retries of another.
+func TestBudget(t *testing.T) {
+	is := is.New(t)
+	var b Budget
+	spent := 0
+	for range 1000 {
+		b.Earn("a")
+		for b.Spend("a") {
+			spent++
+		}
+	}
+	is.True(spent >= 200)
+	is.True(spent <= 200+_most)
+	is.True(b.Spend("b"))
+}
--- /dev/null
+++ b/berylclient/client_test.go
@@ -0,0 +1,93 @@
+package berylclient
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"berylglade/berylapi"
+	"berylglade/berylerror"
+)
+
+// Guards against a kind that changes on its way to the caller, above all a lost
+// reply that is reported as not run.
+func TestCallErrors(t *testing.T) {
+	reply := func(status int, body string) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(status)
+			w.Write([]byte(body))
+		}
+	}
+	tests := []struct {
+		name string
+		give http.HandlerFunc
+		want berylerror.Kind
+		id   string
+		body string
+	}{
+		{name: "not run", give: reply(503, `{"kind":"notrun","text":"full"}`), want: berylerror.NotRun},
+		{name: "unknown", give: reply(504, `{"kind":"unknown","text":"lost","id":"c1"}`), want: berylerror.Unknown, id: "c1"},
+		{name: "failed with body", give: reply(502, `{"kind":"failed","text":"x","id":"c1","status":500,"body":"Ym9vbQ=="}`), want: berylerror.Failed, id: "c1", body: "boom"},
+		{name: "another program answers", give: reply(503, "busy"), want: berylerror.Unknown},
+		{name: "kind of a newer version", give: reply(500, `{"kind":"x","text":"y"}`), want: berylerror.Internal},
+		{name: "connection cut", give: func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, want: berylerror.Unknown},
+		{name: "body cut", give: func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "10")
+			w.Write([]byte("x"))
+		}, want: berylerror.Unknown, body: "x"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			srv := httptest.NewServer(tt.give)
+			defer srv.Close()
+			c := Client{Base: srv.URL, Account: "quabbin", Token: "qt"}
+			got, err := c.Call(context.Background(), Call{Class: "write"})
+			is.Equal(berylerror.Of(err), tt.want)
+			is.Equal(got.ID, tt.id)
+			is.Equal(string(got.Body), tt.body)
+		})
+	}
+}
+
+// Guards against "unknown" for a request that was never sent.
+func TestUnreachable(t *testing.T) {
+	is := is.New(t)
+	c := Client{Base: "http://127.0.0.1:1"}
+	_, err := c.Call(context.Background(), Call{Class: "write"})
+	is.Equal(berylerror.Of(err), berylerror.NotRun)
+	_, err = c.Find(context.Background(), "c1", 0)
+	is.Equal(berylerror.Of(err), berylerror.Unavailable)
+}
+
+// Guards against parameters that do not reach the entry.
+func TestRequests(t *testing.T) {
+	is := is.New(t)
+	var got *http.Request
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got = r
+		w.Header().Set(berylapi.HeaderCall, "c1")
+		w.Write([]byte(`{"offset":7}`))
+	}))
+	defer srv.Close()
+	c := Client{Base: srv.URL, Account: "quabbin", Token: "qt"}
+	answer, err := c.Call(context.Background(), Call{Class: "a b", Key: "k", Timeout: time.Second})
+	is.NoErr(err)
+	is.Equal(answer.ID, "c1")
+	is.Equal(got.URL.Query().Get("class"), "a b")
+	is.Equal(got.Header.Get("Idempotency-Key"), "k")
+	is.Equal(got.Header.Get("X-Timeout"), "1s")
+	is.Equal(got.Header.Get("Authorization"), "Bearer qt")
+	_, err = c.FindKey(context.Background(), "a/b", time.Second)
+	is.NoErr(err)
+	is.Equal(got.URL.EscapedPath(), "/v1/keys/a%2Fb")
+	is.Equal(got.URL.Query().Get("wait"), "1s")
+	offset, err := c.Out(context.Background(), "ware-east", berylapi.Out{})
+	is.NoErr(err)
+	is.Equal(offset, int64(7))
+	is.Equal(got.URL.Path, "/v1/domains/ware-east/out")
+}
--- /dev/null
+++ b/berylmember/member_test.go
@@ -0,0 +1,120 @@
+package berylmember
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"berylglade/berylmessage"
+)
+
+// Guards against work for silent, draining or replaced agents, and against a
+// late heartbeat that brings an old incarnation back.
+func TestMembers(t *testing.T) {
+	base := time.Now()
+	beat := func(incarnation string) berylmessage.Beat {
+		return berylmessage.Beat{Agent: "a", Incarnation: incarnation}
+	}
+	draining, leaving := beat("i1"), beat("i1")
+	draining.Draining = true
+	leaving.Leaving = true
+	type step struct {
+		at    time.Duration
+		beat  *berylmessage.Beat
+		drain bool
+	}
+	i1, i2 := beat("i1"), beat("i2")
+	tests := []struct {
+		name string
+		give []step
+		// want are the events; usable says whether the agent may get work.
+		want        []string
+		incarnation string
+		usable      bool
+	}{
+		{name: "joins", give: []step{{beat: &i1}}, want: []string{"joined i1"}, incarnation: "i1", usable: true},
+		{
+			name: "one heartbeat lost", give: []step{{beat: &i1}, {at: 1900 * time.Millisecond}},
+			want: []string{"joined i1"}, incarnation: "i1", usable: true,
+		},
+		{
+			name: "suspect", give: []step{{beat: &i1}, {at: SuspectAfter}},
+			want: []string{"joined i1", "changed i1"}, incarnation: "i1",
+		},
+		{
+			name: "suspect and back", give: []step{{beat: &i1}, {at: SuspectAfter}, {at: SuspectAfter, beat: &i1}},
+			want: []string{"joined i1", "changed i1", "changed i1"}, incarnation: "i1", usable: true,
+		},
+		{name: "dead", give: []step{{beat: &i1}, {at: DeadAfter}}, want: []string{"joined i1", "lost i1"}},
+		{
+			name: "cut off and back", give: []step{{beat: &i1}, {at: DeadAfter}, {at: DeadAfter, beat: &i1}},
+			want: []string{"joined i1", "lost i1", "joined i1"}, incarnation: "i1", usable: true,
+		},
+		{
+			name: "draining", give: []step{{beat: &i1}, {beat: &draining}},
+			want: []string{"joined i1", "changed i1"}, incarnation: "i1",
+		},
+		{
+			name: "drained by an operator", give: []step{{beat: &i1}, {drain: true}, {beat: &i1}},
+			want: []string{"joined i1", "changed i1"}, incarnation: "i1",
+		},
+		{
+			name: "restarted after a drain", give: []step{{beat: &i1}, {drain: true}, {beat: &i2}},
+			want: []string{"joined i1", "changed i1", "lost i1", "joined i2"}, incarnation: "i2", usable: true,
+		},
+		{
+			name: "leaves", give: []step{{beat: &i1}, {beat: &leaving}, {beat: &i1}},
+			want: []string{"joined i1", "lost i1"},
+		},
+		{
+			name: "late heartbeat of the old incarnation", give: []step{{beat: &i1}, {beat: &i2}, {beat: &i1}},
+			want: []string{"joined i1", "lost i1", "joined i2"}, incarnation: "i2", usable: true,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			var m Members
+			var got []string
+			for _, s := range tt.give {
+				var events []Event
+				switch {
+				case s.beat != nil:
+					events = m.Beat(base.Add(s.at), *s.beat)
+				case s.drain:
+					var ok bool
+					events, ok = m.Drain("a")
+					is.True(ok)
+				default:
+					events = m.Tick(base.Add(s.at))
+				}
+				for _, e := range events {
+					got = append(got, describe(e))
+				}
+			}
+			is.Equal(got, tt.want)
+			all := m.All()
+			if tt.incarnation == "" {
+				is.Equal(len(all), 0)
+				return
+			}
+			is.Equal(len(all), 1)
+			is.Equal(all[0].Incarnation, tt.incarnation)
+			is.Equal(all[0].Usable(), tt.usable)
+		})
+	}
+}
+
+func describe(e Event) string {
+	switch e := e.(type) {
+	case Joined:
+		return "joined " + e.Member.Incarnation
+	case Changed:
+		return "changed " + e.Member.Incarnation
+	case Lost:
+		return "lost " + e.Incarnation
+	default:
+		return "unknown event"
+	}
+}
--- a/berylroute/route.go
+++ b/berylroute/route.go
@@ -51,6 +51,16 @@
 // _decay is the weight of a new service time in the mean.
 const _decay = 0.1
 
+// _othersDecay is the weight of a new report in the mean load by other entries.
+// Reports are a second old and most calls are shorter. In the simulation of this
+// package's tests at 80% load, entries that trusted the last report alone sent
+// their calls to the same servers: the mean time was 198 ms instead of 20 ms.
+const _othersDecay = 0.2
+
+// _noise is the ratio to the usual service time up to which a difference says
+// nothing about the server.
+const _noise = 2
+
 // Outcome is how an attempt ended, as far as it concerns the backend server.
 type Outcome uint8
 
@@ -93,8 +103,10 @@
 	slots  int
 	// trip is the round trip to the failure domain.
 	trip time.Duration
-	// others is the number of calls of other entries at the last heartbeat.
-	others int
+	// others is the mean number of calls of other entries over the last
+	// heartbeats.
+	others float64
+	seen   time.Time
 	// own is the number of own calls in flight.
 	own  int
 	mean time.Duration
@@ -126,7 +138,7 @@
 		b.usable = m.Usable() && !cfg.Domains[m.Domain].Out
 		b.slots = m.Slots
 		b.trip = 2 * r.Latency[m.Domain]
-		b.others = max(0, m.Busy-b.own)
+		b.observe(m.Seen, m.Busy)
 		next = append(next, b)
 	}
 	r.backends = next
@@ -139,7 +151,7 @@
 	n := 0
 	for _, b := range r.backends {
 		if b.usable {
-			n += max(1, b.slots-b.others)
+			n += max(1, b.slots-int(b.others))
 		}
 	}
 	return n
@@ -240,11 +252,12 @@
 		})
 		candidates = candidates[:r.Sample]
 	}
+	usual := r.usual()
 	var best *backend
 	var cost float64
 	same := 0
 	for _, b := range candidates {
-		c := b.cost()
+		c := b.cost(usual)
 		switch {
 		case best == nil || c < cost:
 			best, cost, same = b, c, 1
@@ -258,15 +271,46 @@
 	return best
 }
 
-func (b *backend) cost() float64 {
-	service := b.mean
-	if service == 0 {
-		service = _defaultService
+// usual returns the median of the learned service times.
+func (r *Router) usual() time.Duration {
+	means := make([]time.Duration, 0, len(r.backends))
+	for _, b := range r.backends {
+		if b.usable && b.mean > 0 {
+			means = append(means, b.mean)
+		}
 	}
-	load := float64(b.others+b.own+1) / float64(b.slots)
+	if len(means) == 0 {
+		return _defaultService
+	}
+	slices.Sort(means)
+	return means[len(means)/2]
+}
+
+// cost is the expected time of one more call. A learned service time is noisy,
+// so it counts only if it is far above the usual one.
+func (b *backend) cost(usual time.Duration) float64 {
+	service := usual
+	if b.mean > _noise*usual {
+		service = b.mean
+	}
+	load := (b.others + float64(b.own) + 1) / float64(b.slots)
 	return float64(b.trip) + float64(service)*load*load
 }
 
+// observe takes the calls in flight that a heartbeat reported, once for each
+// heartbeat.
+func (b *backend) observe(seen time.Time, busy int) {
+	if b.seen.Equal(seen) {
+		return
+	}
+	others := float64(max(0, busy-b.own))
+	if b.seen.IsZero() {
+		b.others = others
+	}
+	b.seen = seen
+	b.others += _othersDecay * (others - b.others)
+}
+
 func (b *backend) succeed(took time.Duration) {
 	b.failures = 0
 	b.samples++
