berylagent: run calls at most once and send heartbeats

Entries need a process beside each backend server that runs a call id at most once, keeps its answer and refuses what may not start.

Adds the agent's path of calls (Run, Find, Tombstone, Config), heartbeats to every entry, and graceful shutdown; berylledger, which gives the permission to run an id once; berylrunner, the client of a backend server; and berylstandrunner, the stand-in. berylmessage.Run gets the field First: an agent that cannot tell whether an id ran answers notrun only if the sender has never sent the id before.

--- /dev/null
+++ b/berylagent/agent_test.go
@@ -0,0 +1,381 @@
+package berylagent
+
+import (
+	"context"
+	"net"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"berylglade/berylcall"
+	"berylglade/berylclock"
+	"berylglade/berylconfig"
+	"berylglade/berylerror"
+	"berylglade/berylid"
+	"berylglade/berylmessage"
+	"berylglade/berylrpc"
+	"berylglade/berylstandrunner"
+)
+
+// testFreshness allows starts for three seconds after a confirmation.
+type testFreshness struct {
+	until time.Time
+}
+
+func (f *testFreshness) Check(now time.Time) error {
+	if now.After(f.until) {
+		return berylerror.NotRun.Errorf("configuration is not confirmed")
+	}
+	return nil
+}
+
+func (f *testFreshness) Confirm(_, sent time.Time, c berylmessage.Confirmation, own int64) {
+	until := sent.Add(3*time.Second - c.Age)
+	if c.Valid && own >= c.Offset && until.After(f.until) {
+		f.until = until
+	}
+}
+
+// testEntry is an entry that answers heartbeats.
+type testEntry struct {
+	addr string
+
+	mu     sync.Mutex
+	beats  []*berylmessage.Beat
+	reply  berylmessage.BeatReply
+	config *berylconfig.Config
+}
+
+func newTestEntry(t *testing.T) *testEntry {
+	t.Helper()
+	is := is.New(t)
+	e := &testEntry{reply: berylmessage.BeatReply{Confirmation: berylmessage.Confirmation{Valid: true}, Term: 1}}
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	e.addr = lis.Addr().String()
+	var s berylrpc.Server
+	berylrpc.Handle(&s, berylmessage.MethodBeat, e.beat)
+	berylrpc.Handle(&s, berylmessage.MethodConfig, e.takeConfig)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = s.Serve(ctx, lis)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return e
+}
+
+func (e *testEntry) beat(_ context.Context, b *berylmessage.Beat) (*berylmessage.BeatReply, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.beats = append(e.beats, b)
+	reply := e.reply
+	if reply.Config != nil && b.Offset >= reply.Config.Offset {
+		reply.Config = nil
+	}
+	return &reply, nil
+}
+
+func (e *testEntry) takeConfig(_ context.Context, req *berylmessage.ConfigRequest) (*berylmessage.ConfigReply, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.config = req.Config
+	return &berylmessage.ConfigReply{}, nil
+}
+
+func (e *testEntry) set(f func(r *berylmessage.BeatReply)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	f(&e.reply)
+}
+
+func (e *testEntry) last() *berylmessage.Beat {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.beats) == 0 {
+		return &berylmessage.Beat{}
+	}
+	return e.beats[len(e.beats)-1]
+}
+
+// eventually waits until the condition holds.
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
+		if f() {
+			return
+		}
+	}
+	t.Fatalf("not within 20 s: %s", what)
+}
+
+// testAgent is an agent that runs until stop is called.
+type testAgent struct {
+	*Agent
+	stop func()
+}
+
+func startAgent(t *testing.T, settings Settings) *testAgent {
+	t.Helper()
+	is := is.New(t)
+	settings.Listen = "127.0.0.1:0"
+	a, err := New(settings, berylclock.System(), &testFreshness{}, prometheus.NewRegistry())
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := a.Run(ctx); err != nil {
+			t.Errorf("agent ended with %v", err)
+		}
+	}()
+	stop := sync.OnceFunc(func() {
+		cancel()
+		<-done
+	})
+	t.Cleanup(stop)
+	return &testAgent{Agent: a, stop: stop}
+}
+
+// callBench is one agent with a backend server and an entry.
+type callBench struct {
+	entry  *testEntry
+	runner *berylstandrunner.Server
+	agent  *testAgent
+	client *berylrpc.Client
+}
+
+func newCallBench(t *testing.T, slots int) *callBench {
+	t.Helper()
+	b := &callBench{
+		entry:  newTestEntry(t),
+		runner: berylstandrunner.New(berylstandrunner.Settings{Slots: slots}),
+		client: berylrpc.NewClient(),
+	}
+	t.Cleanup(func() { _ = b.client.Close() })
+	srv := httptest.NewServer(b.runner)
+	t.Cleanup(srv.Close)
+	b.agent = startAgent(t, Settings{
+		Name: "a", Domain: "d", Rack: "r", Entries: []string{b.entry.addr}, Runner: srv.URL, Slots: slots,
+	})
+	eventually(t, "agent is fresh", func() bool { return b.agent.gate.permit(time.Now()) == nil })
+	return b
+}
+
+func (b *callBench) id() berylid.ID {
+	return berylid.New("a", b.agent.Incarnation, b.agent.calls.epoch())
+}
+
+func (b *callBench) run(id berylid.ID, body string, budget time.Duration) (*berylmessage.RunReply, error) {
+	return berylrpc.Call[berylmessage.Run, berylmessage.RunReply](context.Background(), b.client, b.agent.Addr,
+		berylmessage.MethodRun, &berylmessage.Run{Call: berylcall.Call{
+			ID: id.String(), Account: "x", Class: "c", Budget: budget, Body: []byte(body),
+		}})
+}
+
+func (b *callBench) find(id berylid.ID, account string, wait time.Duration) (*berylmessage.FindReply, error) {
+	return berylrpc.Call[berylmessage.Find, berylmessage.FindReply](context.Background(), b.client, b.agent.Addr,
+		berylmessage.MethodFind, &berylmessage.Find{Call: id.String(), Account: account, Wait: wait})
+}
+
+// Guards against a second run when an id is sent again, together with or after
+// its first run, and against an answer that is not the call's.
+func TestRunOnce(t *testing.T) {
+	is := is.New(t)
+	b := newCallBench(t, 4)
+	id := b.id()
+	var wg sync.WaitGroup
+	for range 5 {
+		wg.Go(func() {
+			reply, err := b.run(id, "run=50ms x", 5*time.Second)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			if err := reply.Answer.Check(id.String(), "x"); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	wg.Wait()
+	reply, err := b.run(id, "run=50ms x", 5*time.Second)
+	is.NoErr(err)
+	is.Equal(reply.Answer.Body, berylstandrunner.Answer(id.String(), []byte("run=50ms x")))
+	is.Equal(b.runner.Ledger().Counts[id.String()], 1)
+
+	found, err := b.find(id, "x", 0)
+	is.NoErr(err)
+	is.NoErr(found.Answer.Check(id.String(), "x"))
+	_, err = b.find(id, "y", 0)
+	is.Equal(berylerror.Of(err), berylerror.Missing)
+}
+
+// Guards against losing the answer of a call whose caller gave up, and against
+// running it again.
+func TestFindAfterBudget(t *testing.T) {
+	is := is.New(t)
+	b := newCallBench(t, 1)
+	id := b.id()
+	_, err := b.run(id, "run=300ms", 50*time.Millisecond)
+	is.Equal(berylerror.Of(err), berylerror.Unknown)
+	_, err = b.find(id, "x", 0)
+	is.Equal(berylerror.Of(err), berylerror.Unknown)
+	found, err := b.find(id, "x", 5*time.Second)
+	is.NoErr(err)
+	is.NoErr(found.Answer.Check(id.String(), "x"))
+	is.Equal(b.runner.Ledger().Counts[id.String()], 1)
+}
+
+// Guards against running a call that was reported as not run, and against more
+// calls at the backend server than it has slots.
+func TestQueueAndTombstones(t *testing.T) {
+	is := is.New(t)
+	b := newCallBench(t, 1)
+	var wg sync.WaitGroup
+	first := b.id()
+	wg.Go(func() { _, _ = b.run(first, "run=400ms", 5*time.Second) })
+	eventually(t, "the slot is taken", func() bool { return b.runner.Ledger().Running == 1 })
+
+	late, tombstoned := b.id(), b.id()
+	_, err := b.run(late, "", 50*time.Millisecond)
+	is.Equal(berylerror.Of(err), berylerror.NotRun)
+
+	wg.Go(func() {
+		_, err := b.run(tombstoned, "", 5*time.Second)
+		if berylerror.Of(err) != berylerror.NotRun {
+			t.Errorf("tombstoned call ended with %v", err)
+		}
+	})
+	eventually(t, "the call waits", func() bool { return b.agent.calls.queued.Load() == 1 })
+	reply, err := berylrpc.Call[berylmessage.Tombstone, berylmessage.TombstoneReply](context.Background(), b.client, b.agent.Addr,
+		berylmessage.MethodTombstone, &berylmessage.Tombstone{Call: tombstoned.String(), Account: "x"})
+	is.NoErr(err)
+	is.True(reply.Confirmed)
+
+	kinds := make(chan berylerror.Kind, 3*_queuePerSlot)
+	for range cap(kinds) {
+		wg.Go(func() {
+			if _, err := b.run(b.id(), "", 5*time.Second); err != nil {
+				kinds <- berylerror.Of(err)
+			}
+		})
+	}
+	wg.Wait()
+	close(kinds)
+	is.True(len(kinds) > 0) // the queue is bounded
+	for kind := range kinds {
+		is.Equal(kind, berylerror.NotRun)
+	}
+	for _, id := range []berylid.ID{late, tombstoned} {
+		_, err = b.run(id, "", 5*time.Second)
+		is.Equal(berylerror.Of(err), berylerror.NotRun)
+		is.Equal(b.runner.Ledger().Counts[id.String()], 0)
+	}
+	is.Equal(b.runner.Ledger().Peak, 1)
+}
+
+// Guards against reporting "not run" for a call that may have run.
+func TestRunOutcomes(t *testing.T) {
+	b := newCallBench(t, 2)
+	epoch := b.agent.calls.epoch()
+	tests := []struct {
+		name   string
+		id     berylid.ID
+		first  bool
+		faults berylstandrunner.Faults
+		want   berylerror.Kind
+		runs   int
+	}{
+		{name: "closed", id: b.id(), faults: berylstandrunner.Faults{Close: true}, want: berylerror.Unknown, runs: 1},
+		{name: "truncated", id: b.id(), faults: berylstandrunner.Faults{Truncate: true}, want: berylerror.Unknown, runs: 1},
+		{name: "other incarnation", id: berylid.New("a", "old", epoch), want: berylerror.Unknown},
+		{name: "other incarnation, first dispatch", id: berylid.New("a", "old", epoch), first: true, want: berylerror.NotRun},
+		{name: "epoch of the future", id: berylid.New("a", b.agent.Incarnation, epoch+1), first: true, want: berylerror.Invalid},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			b.runner.SetFaults(tt.faults)
+			defer b.runner.SetFaults(berylstandrunner.Faults{})
+			run := &berylmessage.Run{First: tt.first, Call: berylcall.Call{ID: tt.id.String(), Account: "x", Budget: time.Second}}
+			for range 2 {
+				_, err := berylrpc.Call[berylmessage.Run, berylmessage.RunReply](
+					context.Background(), b.client, b.agent.Addr, berylmessage.MethodRun, run)
+				is.Equal(berylerror.Of(err), tt.want)
+			}
+			is.Equal(b.runner.Ledger().Counts[tt.id.String()], tt.runs)
+		})
+	}
+}
+
+// Guards against starting calls on an old configuration or in a failure domain
+// that is out, and against a configuration that goes back.
+func TestConfigAndFreshness(t *testing.T) {
+	is := is.New(t)
+	b := newCallBench(t, 1)
+	b.entry.set(func(r *berylmessage.BeatReply) {
+		r.Offset = 7
+		r.Config = &berylconfig.Config{Offset: 7, Domains: map[string]berylconfig.FailureDomain{"d": {Out: true}}}
+	})
+	eventually(t, "configuration is adopted", func() bool { return b.entry.last().Offset == 7 })
+	_, err := b.run(b.id(), "", time.Second)
+	is.Equal(berylerror.Of(err), berylerror.NotRun)
+
+	b.entry.set(func(r *berylmessage.BeatReply) {
+		r.Config = nil
+		r.Offset = 6
+		r.Want = true
+	})
+	eventually(t, "configuration is relayed", func() bool {
+		b.entry.mu.Lock()
+		defer b.entry.mu.Unlock()
+		return b.entry.config != nil && b.entry.config.Offset == 7
+	})
+	_, err = berylrpc.Call[berylmessage.ConfigRequest, berylmessage.ConfigReply](context.Background(), b.client, b.agent.Addr,
+		berylmessage.MethodConfig, &berylmessage.ConfigRequest{Offset: 5, Config: &berylconfig.Config{Offset: 5}})
+	is.NoErr(err)
+	b.agent.loop.Tell(configLearned{config: &berylconfig.Config{Offset: 8}})
+	eventually(t, "newer configuration is adopted", func() bool { return b.entry.last().Offset == 8 })
+	_, err = b.run(b.id(), "", time.Second)
+	is.NoErr(err)
+
+	b.entry.set(func(r *berylmessage.BeatReply) { r.Valid = false })
+	eventually(t, "confirmation is too old", func() bool { return b.agent.gate.permit(time.Now()) != nil })
+	_, err = b.run(b.id(), "", time.Second)
+	is.Equal(berylerror.Of(err), berylerror.NotRun)
+}
+
+// Guards against a shutdown that interrupts a call in progress or accepts new
+// ones, and against an agent that leaves without saying so.
+func TestShutdownFinishesCalls(t *testing.T) {
+	is := is.New(t)
+	b := newCallBench(t, 2)
+	running := b.id()
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		reply, err := b.run(running, "run=1s", 5*time.Second)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		if err := reply.Answer.Check(running.String(), "x"); err != nil {
+			t.Error(err)
+		}
+	})
+	eventually(t, "the call runs", func() bool { return b.runner.Ledger().Running == 1 })
+	wg.Go(b.agent.stop)
+	eventually(t, "draining is announced", func() bool { return b.entry.last().Draining })
+	_, err := b.run(b.id(), "", time.Second)
+	is.Equal(berylerror.Of(err), berylerror.NotRun)
+	wg.Wait()
+	is.True(b.entry.last().Leaving)
+	is.Equal(len(b.runner.Ledger().Counts), 1)
+}
--- /dev/null
+++ b/berylagent/calls.go
@@ -0,0 +1,325 @@
+package berylagent
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"berylglade/berylanswer"
+	"berylglade/berylcall"
+	"berylglade/berylclock"
+	"berylglade/berylerror"
+	"berylglade/berylid"
+	"berylglade/berylledger"
+	"berylglade/berylmessage"
+	"berylglade/berylrunner"
+)
+
+const (
+	// _queuePerSlot bounds the calls that wait for a slot. Entries see the
+	// number of busy slots once a second, so a short queue absorbs what they
+	// send in between; a longer one only adds latency.
+	_queuePerSlot = 4
+	// _callTimeout is the longest run time of a call whose class sets none.
+	_callTimeout = 30 * time.Second
+)
+
+// calls is the path of calls. Its goroutines run outside the control actor.
+type calls struct {
+	clock   berylclock.Clock
+	gate    *gate
+	runner  berylrunner.Runner
+	metrics *metrics
+	// slots has one element for each call at the backend server.
+	slots chan struct{}
+	// queued is the number of calls that wait for a slot.
+	queued atomic.Int64
+
+	mu     sync.Mutex
+	ledger *berylledger.Ledger
+	// pending has the calls that wait or run.
+	pending map[berylid.ID]*pending
+	// serving counts requests being served, whose replies have to be sent
+	// before the process may end.
+	serving int
+}
+
+// pending is a call that waits or runs. The fields answer and err are set
+// before done is closed.
+type pending struct {
+	done   chan struct{}
+	answer berylanswer.Answer
+	err    error
+}
+
+func newCalls(s *Settings, incarnation string, clock berylclock.Clock, g *gate, r berylrunner.Runner, m *metrics) *calls {
+	return &calls{
+		clock:   clock,
+		gate:    g,
+		runner:  r,
+		metrics: m,
+		slots:   make(chan struct{}, s.Slots),
+		ledger:  berylledger.New(s.Name, incarnation, 0, clock()),
+		pending: map[berylid.ID]*pending{},
+	}
+}
+
+func (c *calls) epoch() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ledger.Epoch(c.clock())
+}
+
+// idle reports whether no request is being served and no call runs.
+func (c *calls) idle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.serving == 0 && len(c.pending) == 0
+}
+
+// serve counts a request until the returned function is called.
+func (c *calls) serve() func() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.serving++
+	return func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.serving--
+	}
+}
+
+// run serves Run.
+func (c *calls) run(ctx context.Context, req *berylmessage.Run) (*berylmessage.RunReply, error) {
+	defer c.serve()()
+	began := c.clock()
+	answer, err := c.answer(ctx, req)
+	c.metrics.call(err, c.clock().Sub(began))
+	if err != nil {
+		return nil, err
+	}
+	return &berylmessage.RunReply{Answer: answer}, nil
+}
+
+func (c *calls) answer(ctx context.Context, req *berylmessage.Run) (berylanswer.Answer, error) {
+	call := &req.Call
+	id, err := berylid.Parse(call.ID)
+	if err != nil {
+		return berylanswer.Answer{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, call.Budget)
+	defer cancel()
+	record, p, err := c.admit(id, call.Account)
+	if err != nil {
+		if req.First && berylerror.Of(err) == berylerror.Unknown {
+			err = berylerror.NotRun.Wrap(err, "first dispatch")
+		}
+		return berylanswer.Answer{}, err
+	}
+	switch record.Phase {
+	case berylledger.Admitted:
+		c.start(ctx, id, call, p)
+		return wait(ctx, id, p)
+	case berylledger.Waiting, berylledger.Running:
+		return wait(ctx, id, p)
+	default:
+		return outcome(id, record)
+	}
+}
+
+// admit asks the ledger and returns the pending call if there is one.
+func (c *calls) admit(id berylid.ID, account string) (berylledger.Record, *pending, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	record, err := c.ledger.Admit(c.clock(), id, account)
+	if err != nil {
+		return record, nil, err
+	}
+	if record.Phase == berylledger.Admitted {
+		c.pending[id] = &pending{done: make(chan struct{})}
+	}
+	return record, c.pending[id], nil
+}
+
+// start takes a slot and forwards the call in a goroutine that outlives the
+// request, or refuses the call.
+func (c *calls) start(ctx context.Context, id berylid.ID, call *berylcall.Call, p *pending) {
+	if err := c.gate.admit(c.clock()); err != nil {
+		c.refuse(id, p, err)
+		return
+	}
+	if c.runner == nil {
+		c.refuse(id, p, berylerror.NotRun.Errorf("agent has no backend server"))
+		return
+	}
+	if err := c.takeSlot(ctx); err != nil {
+		c.refuse(id, p, err)
+		return
+	}
+	if !c.begin(id) {
+		<-c.slots
+		c.refuse(id, p, berylerror.NotRun.Errorf("call %s was tombstoned while it waited", id))
+		return
+	}
+	go c.forward(context.WithoutCancel(ctx), id, call, p)
+}
+
+func (c *calls) takeSlot(ctx context.Context) error {
+	if ctx.Err() != nil {
+		return berylerror.NotRun.Wrap(ctx.Err(), "budget of the call")
+	}
+	select {
+	case c.slots <- struct{}{}:
+		return nil
+	default:
+	}
+	if c.queued.Add(1) > int64(_queuePerSlot*cap(c.slots)) {
+		c.queued.Add(-1)
+		return berylerror.NotRun.Errorf("all slots and the queue of the agent are in use")
+	}
+	defer c.queued.Add(-1)
+	select {
+	case c.slots <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return berylerror.NotRun.Wrap(ctx.Err(), "wait for a slot")
+	}
+}
+
+func (c *calls) begin(id berylid.ID) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ledger.Begin(id)
+}
+
+// forward sends the call to the backend server. It holds a slot. The run time
+// is limited by the class and not by the caller's budget, so the answer can
+// still be found after the caller gave up.
+func (c *calls) forward(ctx context.Context, id berylid.ID, call *berylcall.Call, p *pending) {
+	defer func() { <-c.slots }()
+	limit := c.gate.cfg.Load().Classes[call.Class].Timeout.Std()
+	if limit == 0 {
+		limit = _callTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	if err := c.gate.permit(c.clock()); err != nil {
+		c.refuse(id, p, err)
+		return
+	}
+	resp, err := c.runner.Work(ctx, berylrunner.Request{ID: call.ID, Class: call.Class, Body: call.Body})
+	switch {
+	case err == nil:
+		c.finish(id, p, berylanswer.New(call.ID, call.Account, resp.Status, resp.Body))
+	case berylerror.Of(err) == berylerror.NotRun:
+		c.refuse(id, p, err)
+	default:
+		c.lose(id, p, err)
+	}
+}
+
+func (c *calls) refuse(id berylid.ID, p *pending, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ledger.Refuse(id)
+	p.err = err
+	c.settle(id, p)
+}
+
+func (c *calls) finish(id berylid.ID, p *pending, answer berylanswer.Answer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ledger.Finish(id, answer)
+	p.answer = answer
+	c.settle(id, p)
+}
+
+func (c *calls) lose(id berylid.ID, p *pending, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ledger.Lose(id, err)
+	p.err = err
+	c.settle(id, p)
+}
+
+func (c *calls) settle(id berylid.ID, p *pending) {
+	delete(c.pending, id)
+	close(p.done)
+}
+
+// wait returns the outcome of a pending call, or an error of kind Unknown if it
+// is not settled when ctx ends.
+func wait(ctx context.Context, id berylid.ID, p *pending) (berylanswer.Answer, error) {
+	select {
+	case <-p.done:
+		return p.answer, p.err
+	default:
+	}
+	select {
+	case <-p.done:
+		return p.answer, p.err
+	case <-ctx.Done():
+		return berylanswer.Answer{}, berylerror.Unknown.Errorf("call %s still runs", id)
+	}
+}
+
+// outcome returns the answer or the error of a settled call.
+func outcome(id berylid.ID, record berylledger.Record) (berylanswer.Answer, error) {
+	switch record.Phase {
+	case berylledger.Done:
+		return record.Answer, record.Err
+	case berylledger.Evicted:
+		return berylanswer.Answer{}, berylerror.Expired.Errorf("answer of call %s was evicted", id)
+	case berylledger.Tombstone:
+		return berylanswer.Answer{}, berylerror.NotRun.Errorf("call %s was refused and never runs", id)
+	default:
+		return berylanswer.Answer{}, berylerror.Unknown.Errorf("call %s still runs", id)
+	}
+}
+
+// find serves Find.
+func (c *calls) find(ctx context.Context, req *berylmessage.Find) (*berylmessage.FindReply, error) {
+	defer c.serve()()
+	id, err := berylid.Parse(req.Call)
+	if err != nil {
+		return nil, err
+	}
+	record, p, err := c.lookUp(id, req.Account)
+	if err != nil {
+		return nil, err
+	}
+	if p == nil {
+		answer, err := outcome(id, record)
+		return &berylmessage.FindReply{Answer: answer}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, req.Wait)
+	defer cancel()
+	answer, err := wait(ctx, id, p)
+	return &berylmessage.FindReply{Answer: answer}, err
+}
+
+func (c *calls) lookUp(id berylid.ID, account string) (berylledger.Record, *pending, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	record, err := c.ledger.Find(c.clock(), id, account)
+	if err != nil {
+		return record, nil, err
+	}
+	return record, c.pending[id], nil
+}
+
+// tombstone serves Tombstone.
+func (c *calls) tombstone(_ context.Context, req *berylmessage.Tombstone) (*berylmessage.TombstoneReply, error) {
+	id, err := berylid.Parse(req.Call)
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	confirmed, err := c.ledger.Tombstone(c.clock(), id, req.Account)
+	if err != nil {
+		return nil, err
+	}
+	return &berylmessage.TombstoneReply{Confirmed: confirmed}, nil
+}
--- /dev/null
+++ b/berylledger/ledger.go
@@ -0,0 +1,254 @@
+// Package berylledger remembers which calls an agent incarnation has seen, so
+// that it runs none of them twice and can answer for each of them later.
+//
+// The owner asks [Ledger.Admit] when a call arrives, [Ledger.Begin] immediately
+// before it forwards the call, and reports the outcome with [Ledger.Finish],
+// [Ledger.Lose] or [Ledger.Refuse]. Begin is the only permission to run, and it
+// is given at most once for an id. An id that was refused before it began is a
+// tombstone and never begins. The owner serializes all calls of methods.
+package berylledger
+
+import (
+	"slices"
+	"time"
+
+	"berylglade/berylanswer"
+	"berylglade/berylerror"
+	"berylglade/berylid"
+	"berylglade/berylsize"
+)
+
+const (
+	// EpochLength is how long an epoch lasts by the agent's clock.
+	EpochLength = 5 * time.Minute
+	// EpochCalls is the number of ids after which an epoch ends early. Two
+	// epochs of ids take about 12 MB, a fifth of an agent's memory.
+	EpochCalls = 25_000
+	// AnswerLimit is the default limit on the bytes of all kept answers.
+	AnswerLimit = 16 * berylsize.MB
+)
+
+// Phase is how far a call has come on this agent.
+type Phase uint8
+
+const (
+	// Admitted means that the id was not known and now waits; only the caller
+	// of Admit that gets this phase may go on with the call.
+	Admitted Phase = iota + 1
+	// Waiting means that the call was admitted before and has not begun.
+	Waiting
+	// Running means that the call may be at the backend server.
+	Running
+	// Done means that the record holds the answer or the error.
+	Done
+	// Evicted means that the call ran and its answer was dropped.
+	Evicted
+	// Tombstone means that the call never ran and never will.
+	Tombstone
+)
+
+// Record is what the ledger knows of a call.
+type Record struct {
+	Phase Phase
+	// Answer is set in phase Done if Err is nil.
+	Answer berylanswer.Answer
+	// Err is set in phase Done if the call ran, or may have run, and there is
+	// no answer.
+	Err error
+}
+
+// Ledger is the memory of one agent incarnation.
+type Ledger struct {
+	agent       string
+	incarnation string
+	limit       berylsize.Size
+
+	epoch   int64
+	began   time.Time
+	entries map[int64]map[string]*entry
+	// finished are the entries with answers, oldest first.
+	finished []*entry
+	bytes    berylsize.Size
+}
+
+type entry struct {
+	account string
+	record  Record
+}
+
+// New returns an empty ledger. A limit of zero means AnswerLimit.
+func New(agent, incarnation string, limit berylsize.Size, now time.Time) *Ledger {
+	if limit == 0 {
+		limit = AnswerLimit
+	}
+	return &Ledger{
+		agent:       agent,
+		incarnation: incarnation,
+		limit:       limit,
+		epoch:       1,
+		began:       now,
+		entries:     map[int64]map[string]*entry{1: {}},
+	}
+}
+
+// Epoch starts a new epoch if the current one is over and returns the epoch
+// that new ids must carry.
+func (l *Ledger) Epoch(now time.Time) int64 {
+	passed := int64(now.Sub(l.began) / EpochLength)
+	if passed == 0 && len(l.entries[l.epoch]) >= EpochCalls {
+		passed = 1
+	}
+	if passed <= 0 {
+		return l.epoch
+	}
+	l.epoch += passed
+	l.began = now
+	for _, epoch := range []int64{l.epoch - 1, l.epoch} {
+		if l.entries[epoch] == nil {
+			l.entries[epoch] = map[string]*entry{}
+		}
+	}
+	for epoch, entries := range l.entries {
+		if epoch < l.epoch-1 {
+			l.drop(epoch, entries)
+		}
+	}
+	l.finished = slices.DeleteFunc(l.finished, func(e *entry) bool { return e.record.Phase != Done })
+	return l.epoch
+}
+
+// drop forgets an epoch except the calls that still run.
+func (l *Ledger) drop(epoch int64, entries map[string]*entry) {
+	for unique, e := range entries {
+		if e.record.Phase == Running || e.record.Phase == Waiting {
+			continue
+		}
+		l.evict(e)
+		delete(entries, unique)
+	}
+	if len(entries) == 0 {
+		delete(l.entries, epoch)
+	}
+}
+
+// Admit records a new call, or returns what is known of a call that was seen
+// before. An error of kind Unknown means that this incarnation cannot tell
+// whether the call ran before: the id names another incarnation, or an epoch
+// that was forgotten. The call does not run now in either case.
+func (l *Ledger) Admit(now time.Time, id berylid.ID, account string) (Record, error) {
+	e, err := l.find(now, id, account)
+	if err != nil {
+		return Record{}, err
+	}
+	if e != nil {
+		return e.record, nil
+	}
+	l.entries[id.Epoch][id.Unique] = &entry{account: account, record: Record{Phase: Waiting}}
+	return Record{Phase: Admitted}, nil
+}
+
+// Begin gives the permission to run a call that waits. It returns false if the
+// call has become a tombstone or has begun already.
+func (l *Ledger) Begin(id berylid.ID) bool {
+	e := l.entries[id.Epoch][id.Unique]
+	if e == nil || e.record.Phase != Waiting {
+		return false
+	}
+	e.record.Phase = Running
+	return true
+}
+
+// Refuse makes a call a tombstone. The owner calls it only if the call was
+// certainly not sent to the backend server.
+func (l *Ledger) Refuse(id berylid.ID) {
+	e := l.entries[id.Epoch][id.Unique]
+	if e != nil && (e.record.Phase == Waiting || e.record.Phase == Running) {
+		e.record = Record{Phase: Tombstone}
+	}
+}
+
+// Finish records the answer of a running call and evicts the oldest answers
+// above the limit.
+func (l *Ledger) Finish(id berylid.ID, answer berylanswer.Answer) {
+	e := l.entries[id.Epoch][id.Unique]
+	if e == nil || e.record.Phase != Running {
+		return
+	}
+	e.record = Record{Phase: Done, Answer: answer}
+	l.finished = append(l.finished, e)
+	l.bytes += berylsize.Size(len(answer.Body))
+	for l.bytes > l.limit {
+		l.evict(l.finished[0])
+		l.finished = l.finished[1:]
+	}
+}
+
+// evict drops the answer of an entry.
+func (l *Ledger) evict(e *entry) {
+	if e.record.Phase != Done || e.record.Err != nil {
+		return
+	}
+	l.bytes -= berylsize.Size(len(e.record.Answer.Body))
+	e.record = Record{Phase: Evicted}
+}
+
+// Lose records that a running call ended without an answer.
+func (l *Ledger) Lose(id berylid.ID, err error) {
+	e := l.entries[id.Epoch][id.Unique]
+	if e != nil && e.record.Phase == Running {
+		e.record = Record{Phase: Done, Err: err}
+	}
+}
+
+// Tombstone makes sure that a call that has not begun never runs. It returns
+// false if the call has begun.
+func (l *Ledger) Tombstone(now time.Time, id berylid.ID, account string) (bool, error) {
+	e, err := l.find(now, id, account)
+	if err != nil {
+		return false, err
+	}
+	if e == nil {
+		l.entries[id.Epoch][id.Unique] = &entry{account: account, record: Record{Phase: Tombstone}}
+		return true, nil
+	}
+	if e.record.Phase == Waiting {
+		e.record = Record{Phase: Tombstone}
+	}
+	return e.record.Phase == Tombstone, nil
+}
+
+// Find returns what is known of a call. An error of kind Missing means that the
+// call is not known, or that it is another account's.
+func (l *Ledger) Find(now time.Time, id berylid.ID, account string) (Record, error) {
+	e, err := l.find(now, id, account)
+	if err != nil {
+		return Record{}, err
+	}
+	if e == nil {
+		return Record{}, missing(id)
+	}
+	return e.record, nil
+}
+
+func missing(id berylid.ID) error {
+	return berylerror.Missing.Errorf("no call %s of this client account", id)
+}
+
+// find returns the entry of a call, or nil if the id is new and may be used.
+func (l *Ledger) find(now time.Time, id berylid.ID, account string) (*entry, error) {
+	epoch := l.Epoch(now)
+	if id.Agent != l.agent || id.Incarnation != l.incarnation {
+		return nil, berylerror.Unknown.Errorf("call %s is for another incarnation than %s of %s", id, l.incarnation, l.agent)
+	}
+	if id.Epoch > epoch {
+		return nil, berylerror.Invalid.Errorf("call %s has an epoch above the current %d", id, epoch)
+	}
+	e := l.entries[id.Epoch][id.Unique]
+	if e != nil && e.account != account {
+		return nil, missing(id)
+	}
+	if e == nil && id.Epoch < epoch-1 {
+		return nil, berylerror.Unknown.Errorf("call %s has epoch %d, which was forgotten in epoch %d", id, id.Epoch, epoch)
+	}
+	return e, nil
+}
--- a/berylmessage/message.go
+++ b/berylmessage/message.go
@@ -154,6 +154,11 @@
 // Run asks an agent to run a call.
 type Run struct {
 	Call berylcall.Call `cbor:"c"`
+	// First is set if the sender made the id and has not sent it before. An
+	// agent that cannot tell whether the id ran, because it is another
+	// incarnation or has forgotten the epoch, then answers notrun and
+	// otherwise unknown.
+	First bool `cbor:"f,omitempty"`
 }
 
 // RunReply carries the answer.
--- /dev/null
+++ b/berylstandrunner/server_test.go
@@ -0,0 +1,59 @@
+package berylstandrunner
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"berylglade/berylduration"
+)
+
+// Guards against a ledger that misses a run, and against faults that last
+// longer than their count.
+func TestLedgerAndFaults(t *testing.T) {
+	is := is.New(t)
+	srv := httptest.NewServer(New(Settings{Slots: 2, Service: berylduration.Duration(20 * time.Millisecond)}))
+	defer srv.Close()
+	resp, err := http.Post(srv.URL+"/faults", "application/json", strings.NewReader(`{"fail": 500, "count": 1}`))
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusNoContent)
+	resp.Body.Close()
+
+	var wg sync.WaitGroup
+	statuses := make(chan int, 4)
+	for range 4 {
+		wg.Go(func() {
+			req, _ := http.NewRequest(http.MethodPost, srv.URL+"/work", strings.NewReader("x"))
+			req.Header.Set("X-Request-Id", "a")
+			resp, err := http.DefaultClient.Do(req)
+			if err != nil {
+				return
+			}
+			resp.Body.Close()
+			statuses <- resp.StatusCode
+		})
+	}
+	wg.Wait()
+	close(statuses)
+	failed := 0
+	for status := range statuses {
+		if status == http.StatusInternalServerError {
+			failed++
+		}
+	}
+	is.Equal(failed, 1)
+
+	resp, err = http.Get(srv.URL + "/ledger")
+	is.NoErr(err)
+	defer resp.Body.Close()
+	var l Ledger
+	is.NoErr(json.NewDecoder(resp.Body).Decode(&l))
+	is.Equal(l.Counts, map[string]int{"a": 4})
+	is.Equal(l.Running, 0)
+}
