--- /dev/null
+++ b/berylcli/dev.go
@@ -0,0 +1,289 @@
+package berylcli
+
+import (
+	"context"
+	_ "embed"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"berylglade/berylapi"
+	"berylglade/berylclient"
+	"berylglade/berylclock"
+	"berylglade/berylerror"
+	"berylglade/berylsettings"
+)
+
+// _devConfig is the configuration that dev publishes.
+//
+//go:embed dev.hujson
+var _devConfig string
+
+// _startLimit bounds the wait until the system serves.
+const _startLimit = 20 * time.Second
+
+type devCmd struct {
+	Port  int    `name:"port" default:"${devport}" help:"First of ${devports} ports on 127.0.0.1; 0 chooses free ones (default ${default})."`
+	Demo  bool   `name:"demo" help:"Send one call and one job, print what happens, and exit."`
+	Write string `name:"write" placeholder:"DIR" help:"Write the settings of every process to a directory instead of starting them."`
+}
+
+// Run runs the system until ctx ends, or until the demonstration has ended.
+func (c *devCmd) Run(ctx context.Context, o *output) error {
+	port, err := c.firstPort()
+	if err != nil {
+		return err
+	}
+	f := newFleet(port, fleetDomains())
+	if c.Write != "" {
+		files, err := f.write(c.Write)
+		if err != nil {
+			return err
+		}
+		return o.show(files, func(w io.Writer) {
+			for _, file := range files {
+				_, _ = fmt.Fprintln(w, file)
+			}
+		})
+	}
+	return f.run(ctx, func(ctx context.Context) error {
+		clock := berylclock.System()
+		began := clock()
+		if err := f.publish(ctx); err != nil {
+			return err
+		}
+		if err := f.print(o, clock().Sub(began)); err != nil {
+			return err
+		}
+		if c.Demo {
+			return f.demo(ctx, o)
+		}
+		<-ctx.Done()
+		return nil
+	})
+}
+
+func (c *devCmd) firstPort() (int, error) {
+	if c.Port == 0 {
+		return freeBlock()
+	}
+	if c.Port < 1 || c.Port+_fleetPorts > 65536 {
+		return 0, berylerror.Invalid.Errorf("--port %d is not 0 or between 1 and %d", c.Port, 65536-_fleetPorts)
+	}
+	return c.Port, nil
+}
+
+// run starts every process, calls use, and stops the processes when use returns
+// or one of them fails. Entries stop first, then agents, then the stand-ins, so
+// that work in progress can end.
+func (f *fleet) run(ctx context.Context, use func(ctx context.Context) error) error {
+	using, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	var stages [3]stage
+	for i := range stages {
+		stages[i].ctx, stages[i].stop = context.WithCancel(context.WithoutCancel(ctx))
+		defer stages[i].stop()
+	}
+	var err error
+	for _, n := range f.all() {
+		if err = stages[stageOf(n.settings.Role)].start(n, cancel); err != nil {
+			break
+		}
+	}
+	if err == nil {
+		err = use(using)
+		if cause := context.Cause(using); cause != nil && ctx.Err() == nil {
+			err = cause
+		}
+	}
+	for i := range stages {
+		stages[i].stop()
+		err = errors.Join(err, stages[i].wait())
+	}
+	return err
+}
+
+// stage is a set of processes that stop together.
+type stage struct {
+	ctx  context.Context
+	stop context.CancelFunc
+	wg   sync.WaitGroup
+	mu   sync.Mutex
+	err  error
+}
+
+func stageOf(r berylsettings.Role) int {
+	switch r {
+	case berylsettings.RoleEntry:
+		return 0
+	case berylsettings.RoleAgent:
+		return 1
+	default:
+		return 2
+	}
+}
+
+// start starts a process; failed is called if it ends before it was stopped.
+func (s *stage) start(n named, failed context.CancelCauseFunc) error {
+	p, err := newProcess(n.settings)
+	if err != nil {
+		return berylerror.Of(err).Wrap(err, "start "+n.name)
+	}
+	s.wg.Go(func() {
+		err := p.serve(s.ctx)
+		if s.ctx.Err() == nil {
+			if err == nil {
+				err = berylerror.Internal.Errorf("ended by itself")
+			}
+			failed(berylerror.Of(err).Wrap(err, n.name))
+			return
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.err = errors.Join(s.err, err)
+	})
+	return nil
+}
+
+func (s *stage) wait() error {
+	s.wg.Wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.err
+}
+
+func (f *fleet) operator(i int) *berylclient.Client {
+	return &berylclient.Client{
+		Base:  base(f.entries[i].Entry.HTTP),
+		Token: _operatorToken,
+		HTTP:  &http.Client{Timeout: _startLimit},
+	}
+}
+
+func (f *fleet) caller(i int) *berylclient.Client {
+	c := f.operator(i)
+	c.Account, c.Token = "demo", _demoToken
+	return c
+}
+
+// publish waits until the processes are ready, publishes the configuration and
+// waits until every agent has it.
+func (f *fleet) publish(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, _startLimit)
+	defer cancel()
+	for _, n := range f.all() {
+		if err := waitReady(ctx, n); err != nil {
+			return err
+		}
+	}
+	set, err := berylsettings.ParseConfig("dev.hujson", []byte(_devConfig))
+	if err != nil {
+		return err
+	}
+	client := f.operator(0)
+	base := int64(0)
+	offset, err := client.Publish(ctx, berylapi.Change{Base: &base, By: "dev", Set: set})
+	if err != nil {
+		return berylerror.Of(err).Wrap(err, "publish configuration")
+	}
+	for i := range f.entries {
+		if err := f.waitAgents(ctx, i, offset); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// waitReady polls a process until it can serve.
+func waitReady(ctx context.Context, n named) error {
+	url := base(n.settings.Dump) + "/readyz"
+	for {
+		_, err := get(ctx, url)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-time.After(_pollInterval / 5):
+		case <-ctx.Done():
+			return berylerror.Unavailable.Wrap(err, n.name+" is not ready")
+		}
+	}
+}
+
+// waitAgents polls an entry until it and all agents have a configuration.
+func (f *fleet) waitAgents(ctx context.Context, entry int, offset int64) error {
+	client := f.operator(entry)
+	for {
+		agents, err := client.Agents(ctx)
+		cfg, err2 := client.Config(ctx)
+		if err == nil && err2 == nil && cfg.Offset >= offset && current(agents, offset) == len(f.agents) {
+			return nil
+		}
+		select {
+		case <-time.After(_pollInterval / 5):
+		case <-ctx.Done():
+			return berylerror.Unavailable.Errorf("entry-%d sees %d of %d agents with version %d: %v", entry+1, current(agents, offset), len(f.agents), offset, errors.Join(err, err2))
+		}
+	}
+}
+
+// current counts the agents that have a configuration.
+func current(agents []berylapi.Agent, offset int64) int {
+	n := 0
+	for i := range agents {
+		if agents[i].Offset >= offset {
+			n++
+		}
+	}
+	return n
+}
+
+// printedProcess is one process in the output of dev.
+type printedProcess struct {
+	Name string `json:"name"`
+	Role string `json:"role"`
+	Dump string `json:"dump"`
+	HTTP string `json:"http,omitempty"`
+}
+
+// printedFleet is the output of dev.
+type printedFleet struct {
+	Ready     string           `json:"ready"`
+	Processes []printedProcess `json:"processes"`
+	Account   string           `json:"account"`
+	Token     string           `json:"token"`
+	Operator  string           `json:"operator"`
+}
+
+func (f *fleet) print(o *output, took time.Duration) error {
+	p := printedFleet{
+		Ready:    took.Round(time.Millisecond).String(),
+		Account:  "demo",
+		Token:    _demoToken,
+		Operator: _operatorToken,
+	}
+	for _, n := range f.all() {
+		line := printedProcess{Name: n.name, Role: n.settings.Role.String(), Dump: n.settings.Dump.String()}
+		if n.settings.Entry != nil {
+			line.HTTP = n.settings.Entry.HTTP.String()
+		}
+		p.Processes = append(p.Processes, line)
+	}
+	return o.show(p, func(w io.Writer) {
+		_, _ = fmt.Fprintf(w, "ready after %s with %s entries and %s hosts on 127.0.0.1\n",
+			p.Ready, strconv.Itoa(len(f.entries)), strconv.Itoa(len(f.agents)))
+		for _, line := range p.Processes {
+			_, _ = fmt.Fprintf(w, "  %-9s dump %s", line.Name, line.Dump)
+			if line.HTTP != "" {
+				_, _ = fmt.Fprintf(w, "  callers and operators %s", line.HTTP)
+			}
+			_, _ = fmt.Fprintln(w)
+		}
+		_, _ = fmt.Fprintf(w, "client account %s with token %s; operators' token %s\n", p.Account, p.Token, p.Operator)
+	})
+}
--- /dev/null
+++ b/berylcli/process.go
@@ -0,0 +1,212 @@
+package berylcli
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
+
+	"berylglade/berylagent"
+	"berylglade/berylclock"
+	"berylglade/beryldump"
+	"berylglade/berylentry"
+	"berylglade/berylerror"
+	"berylglade/berylsettings"
+	"berylglade/berylstandlog"
+	"berylglade/berylstandrunner"
+)
+
+// Times of the stand-ins.
+const (
+	_headerTimeout = 5 * time.Second
+	// _standinStop is how long a stand-in waits for requests in progress.
+	_standinStop = 10 * time.Second
+)
+
+// process is one role together with its dump listener.
+type process struct {
+	role     berylsettings.Role
+	dump     netip.AddrPort
+	registry *prometheus.Registry
+	// run serves until its context ends and then shuts down gracefully.
+	run func(ctx context.Context) error
+	// state returns the state for the dump.
+	state func(ctx context.Context) (any, error)
+	// ready returns the reason why the process can't serve yet.
+	ready func() error
+}
+
+// newProcess builds the process that the settings describe.
+func newProcess(s *berylsettings.Settings) (*process, error) {
+	p := &process{role: s.Role, dump: s.Dump, registry: beryldump.NewRegistry()}
+	var err error
+	switch s.Role {
+	case berylsettings.RoleEntry:
+		err = p.entry(s.Entry)
+	case berylsettings.RoleAgent:
+		err = p.agent(s.Agent)
+	case berylsettings.RoleLog:
+		err = p.log(s.Log)
+	case berylsettings.RoleWorker:
+		err = p.worker(s.Worker)
+	case berylsettings.RoleRunner:
+		p.runner(s.Runner)
+	default:
+		err = berylerror.Internal.Errorf("role %d has no process", s.Role)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return p, nil
+}
+
+// serve runs the process until ctx ends. The dump listener goes on until the
+// graceful shutdown has ended, since that is when operators look at it.
+func (p *process) serve(ctx context.Context) error {
+	lis, err := net.Listen("tcp", p.dump.String())
+	if err != nil {
+		return berylerror.Unavailable.Wrap(err, "listen for dump and metrics")
+	}
+	l := &beryldump.Listener{Registry: p.registry, State: p.state, Ready: p.ready}
+	dumping, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	running, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var g errgroup.Group
+	g.Go(func() error {
+		defer cancel()
+		return l.Serve(dumping, lis)
+	})
+	g.Go(func() error {
+		defer stop()
+		return p.run(running)
+	})
+	err = g.Wait()
+	if err != nil && berylerror.Of(err) == berylerror.Internal {
+		return berylerror.Internal.Wrap(err, "run "+p.role.String())
+	}
+	return err
+}
+
+func base(addr netip.AddrPort) string { return "http://" + addr.String() }
+
+func texts(addrs []netip.AddrPort, except netip.AddrPort) []string {
+	list := make([]string, 0, len(addrs))
+	for _, a := range addrs {
+		if a != except {
+			list = append(list, a.String())
+		}
+	}
+	return list
+}
+
+func (p *process) entry(s *berylsettings.Entry) error {
+	e, err := berylentry.New(berylentry.Settings{
+		Name:      s.Name,
+		Domain:    s.Domain,
+		HTTP:      s.HTTP.String(),
+		Peer:      s.Bind.String(),
+		Entries:   texts(s.Entries, s.Bind),
+		Log:       base(s.Log),
+		Operator:  s.Operator,
+		Retention: s.Retention,
+		Drain:     s.Drain,
+		Latency:   s.Latency,
+	}, berylclock.System())
+	if err != nil {
+		return err
+	}
+	p.run = e.Run
+	return nil
+}
+
+func (p *process) agent(s *berylsettings.Agent) error {
+	settings := berylagent.Settings{
+		Name:    s.Name,
+		Domain:  s.Domain,
+		Rack:    s.Rack,
+		Listen:  s.Bind.String(),
+		Entries: texts(s.Entries, netip.AddrPort{}),
+		Drain:   s.Drain,
+	}
+	if s.Runner != nil {
+		settings.Runner = base(s.Runner.Addr)
+		settings.Slots = s.Runner.Slots
+	}
+	if s.Worker != nil {
+		settings.Worker = base(s.Worker.Addr)
+		settings.Total = s.Worker.Shape
+	}
+	a, err := berylagent.New(settings, berylclock.System(), nil, p.registry)
+	if err != nil {
+		return err
+	}
+	p.run = a.Run
+	return nil
+}
+
+func (p *process) log(s *berylsettings.Log) error {
+	l, err := berylstandlog.New(berylstandlog.Settings{
+		Listen:    s.Bind.String(),
+		Retention: s.Retention,
+		Rate:      s.Rate,
+	}, berylclock.System())
+	if err != nil {
+		return err
+	}
+	p.standin(s.Bind, l.Serve)
+	return nil
+}
+
+func (p *process) runner(s *berylsettings.Runner) {
+	server := berylstandrunner.New(berylstandrunner.Settings{Slots: s.Slots, Service: s.Delay})
+	p.standin(s.Bind, handle(server))
+	p.state = func(context.Context) (any, error) { return server.Ledger(), nil }
+}
+
+// standin lets the process serve on an address. A stand-in is ready as soon as
+// it runs.
+func (p *process) standin(addr netip.AddrPort, serve func(ctx context.Context, lis net.Listener) error) {
+	p.ready = func() error { return nil }
+	p.state = func(context.Context) (any, error) { return struct{}{}, nil }
+	p.run = func(ctx context.Context) error {
+		lis, err := net.Listen("tcp", addr.String())
+		if err != nil {
+			return berylerror.Unavailable.Wrap(err, "listen")
+		}
+		klog.InfoS("stand-in serves", "role", p.role, "addr", addr)
+		defer klog.InfoS("stand-in stopped", "role", p.role, "addr", addr)
+		return serve(ctx, lis)
+	}
+}
+
+// handle serves an HTTP handler until the context ends.
+func handle(h http.Handler) func(ctx context.Context, lis net.Listener) error {
+	return func(ctx context.Context, lis net.Listener) error {
+		srv := &http.Server{Handler: h, ReadHeaderTimeout: _headerTimeout}
+		stopped := make(chan error, 1)
+		stop := context.AfterFunc(ctx, func() {
+			end, cancel := context.WithTimeout(context.WithoutCancel(ctx), _standinStop)
+			defer cancel()
+			stopped <- srv.Shutdown(end)
+		})
+		err := srv.Serve(lis)
+		if stop() || !errors.Is(err, http.ErrServerClosed) {
+			return berylerror.Internal.Wrap(err, "serve")
+		}
+		if err := <-stopped; err != nil {
+			return berylerror.Unavailable.Wrap(err, "requests in progress did not end")
+		}
+		return nil
+	}
+}
+
+func (p *process) worker(s *berylsettings.Worker) error {
+	return berylerror.Unavailable.Errorf("worker stand-in at %s is not part of this build", s.Bind)
+}
--- a/berylsettings/check.go
+++ b/berylsettings/check.go
@@ -1,12 +1,12 @@
 package berylsettings
 
 import (
-	"encoding/hex"
 	"fmt"
 	"net/netip"
 	"regexp"
 	"slices"
 
+	"berylglade/berylduration"
 	"berylglade/berylshape"
 )
 
@@ -82,7 +82,7 @@
 		present("entry.log", e.Log),
 		listed("entry.entries", e.Entries),
 		contains("entry.entries", e.Entries, e.Bind),
-		digests("entry.operators", e.Operators),
+		timed("entry.retention", e.Retention),
 	)
 }
 
@@ -113,7 +113,6 @@
 	return first(
 		present("agent.runner.addr", a.Runner.Addr),
 		atLeast("agent.runner.slots", a.Runner.Slots, 1),
-		atLeast("agent.runner.connections", a.Runner.Connections, 0),
 	)
 }
 
@@ -126,11 +125,7 @@
 }
 
 func (r *Runner) check() *fault {
-	return first(
-		present("runner.bind", r.Bind),
-		atLeast("runner.slots", r.Slots, 1),
-		atLeast("runner.connections", r.Connections, 0),
-	)
+	return first(present("runner.bind", r.Bind), atLeast("runner.slots", r.Slots, 1))
 }
 
 func present(key string, addr netip.AddrPort) *fault {
@@ -171,13 +166,11 @@
 	return &fault{key: key, text: "does not list this entry's own address " + own.String()}
 }
 
-func digests(key string, m map[string]string) *fault {
-	for name, digest := range m {
-		if b, err := hex.DecodeString(digest); err != nil || len(b) != 32 {
-			return &fault{key: key + "." + name, text: "is not a SHA-256 in hexadecimal"}
-		}
+func timed(key string, d berylduration.Duration) *fault {
+	if d > 0 {
+		return nil
 	}
-	return nil
+	return &fault{key: key, text: `is missing; use a duration above zero such as "24h"`}
 }
 
 func shaped(key string, s berylshape.Shape) *fault {
--- a/berylsettings/settings.go
+++ b/berylsettings/settings.go
@@ -14,7 +14,6 @@
 	"berylglade/berylduration"
 	"berylglade/berylerror"
 	"berylglade/berylshape"
-	"berylglade/berylsize"
 )
 
 // Settings are the settings of one process.
@@ -49,11 +48,16 @@
 	Entries []netip.AddrPort `json:"entries"`
 	// Log is the address of the platform's log.
 	Log netip.AddrPort `json:"log"`
-	// Operators has the SHA-256 of the bearer token of each operator, in
-	// hexadecimal, by the operator's name.
-	Operators map[string]string `json:"operators"`
+	// Operator is the bearer token of the operators; without one the entry
+	// refuses operators' functions.
+	Operator string `json:"operator,omitempty"`
 	// Retention is the time for which the log keeps records.
-	Retention berylduration.Duration `json:"retention,omitempty"`
+	Retention berylduration.Duration `json:"retention"`
+	// Drain is the longest time that a planned stop waits for calls in
+	// progress; zero means 30 s.
+	Drain berylduration.Duration `json:"drain,omitempty"`
+	// Latency is the one-way delay from this entry to each failure domain.
+	Latency map[string]berylduration.Duration `json:"latency,omitempty"`
 }
 
 // Agent are the settings of an agent. At least one of Worker and Runner is set.
@@ -68,6 +72,9 @@
 	Bind netip.AddrPort `json:"bind"`
 	// Entries are the Bind addresses of all entries.
 	Entries []netip.AddrPort `json:"entries"`
+	// Drain is how long running gangs may go on after the agent was asked to
+	// stop.
+	Drain berylduration.Duration `json:"drain,omitempty"`
 	// Worker is the worker beside the agent.
 	Worker *Host `json:"worker,omitempty"`
 	// Runner is the backend server beside the agent.
@@ -86,8 +93,6 @@
 	Addr netip.AddrPort `json:"addr"`
 	// Slots is the number of calls that run at the same time.
 	Slots int `json:"slots"`
-	// Connections is the largest number of open connections; zero means 60.
-	Connections int `json:"connections,omitempty"`
 }
 
 // Log are the settings of the stand-in of the platform's log.
@@ -111,12 +116,8 @@
 	Bind netip.AddrPort `json:"bind"`
 	// Slots is the number of calls that run at the same time.
 	Slots int `json:"slots"`
-	// Connections is the largest number of open connections; zero means 60.
-	Connections int `json:"connections,omitempty"`
 	// Delay is the time that each call takes.
 	Delay berylduration.Duration `json:"delay,omitempty"`
-	// Body is the largest body of a call; zero means 16 MB.
-	Body berylsize.Size `json:"body,omitempty"`
 }
 
 // Load reads the settings in a file.
