--- /dev/null
+++ b/cmd/berylglade/main.go
@@ -0,0 +1,11 @@
+// Command berylglade runs the processes of the scheduler and the client of its
+// HTTP API.
+package main
+
+import (
+	"os"
+
+	"berylglade/berylcli"
+)
+
+func main() { os.Exit(berylcli.Main()) }
