--- a/berylcli/cli.go
+++ b/berylcli/cli.go
@@ -54,6 +54,8 @@
 	Agents agentsCmd `cmd:"" group:"operators" help:"List the agents."`
 	Dump   dumpCmd   `cmd:"" group:"operators" help:"Print the state of one process."`
 	Bench  benchCmd  `cmd:"" group:"operators" help:"Measure added latency and idle cost on loopback."`
+
+	Measure measureCmd `cmd:"" group:"operators" help:"Measure the scheduling decisions in virtual time against baselines."`
 }
 
 const _description = `Scheduler for multi-accelerator jobs and router for short calls.
--- a/berylcontrol/loop.go
+++ b/berylcontrol/loop.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
@@ -27,7 +28,7 @@
 // handled, so that it need not read a clock.
 func New[M any](clock berylclock.Clock, handle func(now time.Time, msg M)) *Loop[M] {
 	l := &Loop[M]{
-		system: actor.NewActorSystem(),
+		system: actor.NewActorSystem(actor.WithLoggerFactory(discard)),
 		clock:  clock,
 		done:   make(chan struct{}),
 	}
@@ -43,6 +44,12 @@
 	return l
 }
 
+// discard keeps the actor library from writing log lines of its own format; the
+// processes log changes of state themselves.
+func discard(*actor.ActorSystem) *slog.Logger {
+	return slog.New(slog.DiscardHandler)
+}
+
 type envelope[M any] struct {
 	msg M
 }
--- a/berylmeasure/measure.go
+++ b/berylmeasure/measure.go
@@ -46,8 +46,6 @@
 	w      *berylworkload.Workload
 	policy Policy
 	clock  berylclock.Clock
-	// check reports whether every guarantee can be reclaimed; nil if unknown.
-	check func() error
 
 	now      time.Time
 	deadline time.Time
@@ -58,6 +56,10 @@
 	jobs     map[string]*jobRun
 	outSince map[string]time.Time
 	free     freeAccelerators
+	// promises are the guarantees in the order of the check; checked is the
+	// time of the last one.
+	promises []promise
+	checked  time.Time
 	demand   int
 	capacity int
 	inUse    int
@@ -114,10 +116,10 @@
 	useful   bool
 }
 
-// New prepares a run. Check is called after each decision; it may be nil.
-func New(w *berylworkload.Workload, policy Policy, clock berylclock.Clock, check func() error) *Run {
+// New prepares a run. The clock only times the decisions.
+func New(w *berylworkload.Workload, policy Policy, clock berylclock.Clock) *Run {
 	r := &Run{
-		w: w, policy: policy, clock: clock, check: check,
+		w: w, policy: policy, clock: clock, promises: promises(w.Config),
 		now: w.Start, cfg: w.Config.Clone(),
 		hosts: map[string]*host{}, jobs: map[string]*jobRun{}, outSince: map[string]time.Time{},
 	}
@@ -174,9 +176,7 @@
 			break
 		}
 	}
-	if r.check != nil && r.check() != nil {
-		r.result.Violations.Guarantee++
-	}
+	r.checkGuarantees()
 }
 
 func (r *Run) act(action berylscheduler.Action) {
--- a/berylsuite/plot.go
+++ b/berylsuite/plot.go
@@ -145,5 +145,8 @@
 }
 
 func save(p *plot.Plot, dir, name string) error {
-	return errors.Wrap(p.Save(_plotWidth, _plotHeight, filepath.Join(dir, name)), "save plot")
+	if err := p.Save(_plotWidth, _plotHeight, filepath.Join(dir, name)); err != nil {
+		return errors.Wrap(err, "save plot")
+	}
+	return nil
 }
--- a/berylsuite/report.go
+++ b/berylsuite/report.go
@@ -125,7 +125,10 @@
 			return errors.Wrap(err, "write table")
 		}
 	}
-	return errors.Wrap(tw.Flush(), "write table")
+	if err := tw.Flush(); err != nil {
+		return errors.Wrap(err, "write table")
+	}
+	return nil
 }
 
 // WriteCSV writes the rows as CSV.
@@ -140,12 +143,18 @@
 		}
 	}
 	cw.Flush()
-	return errors.Wrap(cw.Error(), "write CSV")
+	if err := cw.Error(); err != nil {
+		return errors.Wrap(err, "write CSV")
+	}
+	return nil
 }
 
 // WriteJSON writes the full results.
 func WriteJSON(w io.Writer, results []berylmeasure.Result) error {
 	enc := json.NewEncoder(w)
 	enc.SetIndent("", "  ")
-	return errors.Wrap(enc.Encode(results), "write JSON")
+	if err := enc.Encode(results); err != nil {
+		return errors.Wrap(err, "write JSON")
+	}
+	return nil
 }
--- a/berylsuite/suite.go
+++ b/berylsuite/suite.go
@@ -17,9 +17,8 @@
 // Contender is a scheduling policy under measurement.
 type Contender struct {
 	Name string
-	// New returns a fresh policy and a check of the guarantees, which may be
-	// nil.
-	New func(seed uint64) (berylmeasure.Policy, func() error)
+	// New returns a fresh policy.
+	New func() berylmeasure.Policy
 }
 
 // Suite is a set of runs: every workload and seed with every contender.
@@ -82,8 +81,7 @@
 }
 
 func (s *Suite) play(c *Contender, w *berylworkload.Workload) berylmeasure.Result {
-	policy, check := c.New(w.Seed)
-	result := berylmeasure.New(w, policy, s.Clock, check).Run()
+	result := berylmeasure.New(w, c.New(), s.Clock).Run()
 	result.Policy = c.Name
 	return result
 }
