berylagent: run parts of gangs under leases

Jobs need an agent that starts its part of a gang only together with all other parts, keeps the leases of the tasks and ends them when another part has ended.

Adds berylgang, the state machine of a member and of the anchor; berylhost, the account of what gangs hold on a host; berylworker, the client of a worker; berylstandworker, the stand-in; and in the agent Reserve, Start, Stop, Gang, rebuilding from the worker's tasks, draining and a state dump. berylmessage gets Gang.Checkpoint and GangReply.Checkpoint, because otherwise a part that hears the stop from the anchor first would lose its progress, and Beat.Usage.

--- a/berylagent/agent.go
+++ b/berylagent/agent.go
@@ -1,16 +1,18 @@
 // Package berylagent is the process next to each backend server and worker.
 //
 // An [Agent] has two parts. Calls are handled in goroutines that share a ledger
-// under a lock, the file calls.go. Everything else, which is configuration,
-// gangs and what is in use on the host, is the state of one control actor, the
-// file control.go; its effects run in goroutines and report back by messages.
-// The gate in gate.go is what both ask immediately before they start anything.
+// under a lock (calls.go). Everything else, which is configuration, gangs and
+// what is in use on the host, is the state of one control actor (control.go,
+// gangs.go); its effects run in goroutines and report back by messages
+// (tasks.go). Both parts ask the gate (gate.go) immediately before they start
+// anything.
 package berylagent
 
 import (
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/oklog/ulid/v2"
@@ -21,17 +23,25 @@
 	"berylglade/berylconfig"
 	"berylglade/berylcontrol"
 	"berylglade/berylerror"
+	"berylglade/berylgang"
 	"berylglade/berylmessage"
 	"berylglade/berylrpc"
 	"berylglade/berylrunner"
+	"berylglade/berylworker"
 )
 
 const (
 	_beatInterval = time.Second
+	// _tickInterval adds to the delay of everything that gangs wait for, as a
+	// start within 1.6 s.
+	_tickInterval = 100 * time.Millisecond
 	// _beatTimeout lets a heartbeat to a slow entry end before the entry
 	// regards the agent as dead, which is after 4 s.
 	_beatTimeout = 2 * time.Second
-	// _idlePoll is how often a draining agent looks whether it is idle.
+	// _stopTime is how long a process that stops waits for the end of gangs
+	// that it has stopped.
+	_stopTime = berylgang.Certain
+	// _idlePoll is how often a process that stops looks whether it is idle.
 	_idlePoll = 20 * time.Millisecond
 	// _linger is how long the listener stays open after the last reply was
 	// handed to it, so that the reply reaches its reader.
@@ -50,13 +60,22 @@
 	lis      net.Listener
 	client   *berylrpc.Client
 	runner   *berylrunner.Client
+	worker   *berylworker.Client
 	gate     *gate
 	calls    *calls
 	metrics  *metrics
 	loop     *berylcontrol.Loop[message]
+	// live ends when the process stops carrying out effects.
+	live context.Context
+	stop context.CancelFunc
+	// effects are the goroutines of the control actor's effects.
+	effects sync.WaitGroup
+	// active is set by the control actor while a part has tasks.
+	active atomic.Bool
 }
 
-// New returns an agent that listens already; Run closes the listener.
+// New returns an agent that listens already. Run has to be called, and closes
+// the listener.
 func New(settings Settings, clock berylclock.Clock, fresh Freshness, reg prometheus.Registerer) (*Agent, error) {
 	if err := settings.check(); err != nil {
 		return nil, err
@@ -85,42 +104,56 @@
 		a.runner = berylrunner.New(settings.Runner, settings.Slots)
 		runner = a.runner
 	}
+	if settings.Worker != "" {
+		a.worker = berylworker.New(settings.Worker)
+	}
 	a.calls = newCalls(&a.settings, a.Incarnation, clock, a.gate, runner, m)
+	a.live, a.stop = context.WithCancel(context.Background())
+	a.loop = berylcontrol.New(clock, newControl(a.live, a).handle)
 	return a, nil
 }
 
-// Run serves until ctx ends and then shuts down gracefully.
+// Run serves until ctx ends and then shuts down gracefully. Requests and
+// heartbeats go on during the shutdown.
 func (a *Agent) Run(ctx context.Context) error {
-	c := newControl(a)
-	a.loop = berylcontrol.New(a.clock, c.handle)
-	defer a.loop.Stop()
-
-	// Requests and heartbeats go on during the shutdown.
-	live, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var wg sync.WaitGroup
 	served := make(chan error, 1)
-	go func() { served <- a.server().Serve(live, a.lis) }()
+	go func() { served <- a.server().Serve(a.live, a.lis) }()
 	for _, entry := range a.settings.Entries {
-		wg.Go(func() { a.beatEvery(live, entry) })
+		wg.Go(func() { a.beatEvery(a.live, entry) })
 	}
+	if a.worker != nil {
+		wg.Go(func() { a.watchWorker(a.live) })
+	}
+	wg.Go(func() { a.loop.Every(a.live, _tickInterval, func() message { return tick{} }) })
 	klog.InfoS("agent started", "agent", a.settings.Name, "incarnation", a.Incarnation, "addr", a.Addr)
 
 	var err error
 	select {
 	case <-ctx.Done():
-		a.shutDown(live)
-		stop()
+		a.shutDown(a.live)
+		a.stop()
 		err = <-served
 	case err = <-served:
-		stop()
+		a.stop()
 	}
 	wg.Wait()
+	a.loop.Stop()
+	a.effects.Wait()
+	a.close()
+	klog.InfoS("agent stopped", "agent", a.settings.Name, "incarnation", a.Incarnation)
+	return err
+}
+
+// close closes the idle connections.
+func (a *Agent) close() {
 	if a.runner != nil {
 		a.runner.Close()
 	}
+	if a.worker != nil {
+		a.worker.Close()
+	}
 	_ = a.client.Close()
-	klog.InfoS("agent stopped", "agent", a.settings.Name, "incarnation", a.Incarnation)
-	return err
 }
 
 func (a *Agent) server() *berylrpc.Server {
@@ -129,20 +162,32 @@
 	berylrpc.Handle(&s, berylmessage.MethodFind, a.calls.find)
 	berylrpc.Handle(&s, berylmessage.MethodTombstone, a.calls.tombstone)
 	berylrpc.Handle(&s, berylmessage.MethodConfig, a.serveConfig)
+	berylrpc.Handle(&s, berylmessage.MethodReserve, serveBy(a, (*control).reserve))
+	berylrpc.Handle(&s, berylmessage.MethodStart, serveBy(a, (*control).start))
+	berylrpc.Handle(&s, berylmessage.MethodStop, serveBy(a, (*control).stop))
+	berylrpc.Handle(&s, berylmessage.MethodGang, serveBy(a, (*control).gang))
 	return &s
 }
 
-// Drain makes the agent refuse new work, or accept it again.
+// Drain makes the agent refuse new work, or accept it again. Work in progress
+// goes on.
 func (a *Agent) Drain(on bool) {
-	a.loop.Tell(drainSet{on: on})
+	a.gate.draining.Store(on)
+	klog.InfoS("draining was requested", "agent", a.settings.Name, "on", on)
 }
 
 // shutDown announces that the agent drains, lets the work in progress end and
 // announces that the agent leaves.
 func (a *Agent) shutDown(ctx context.Context) {
-	a.gate.draining.Store(true)
-	klog.InfoS("agent drains", "agent", a.settings.Name)
+	a.Drain(true)
 	a.beatAll(ctx)
+	if !a.settle(ctx, a.settings.Drain.Std()) {
+		a.loop.Tell(stopAll{})
+		if !a.settle(ctx, _stopTime) {
+			klog.InfoS("agent leaves with gangs that have not ended", "agent", a.settings.Name)
+		}
+	}
+	// Calls in progress are limited by the run time of their class.
 	for !a.calls.idle() {
 		time.Sleep(_idlePoll)
 	}
@@ -150,3 +195,22 @@
 	a.beatAll(ctx)
 	time.Sleep(_linger)
 }
+
+// settle waits until no gang needs this process, for at most the given time.
+func (a *Agent) settle(ctx context.Context, limit time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	for {
+		settled, err := berylcontrol.Ask(ctx, a.loop, func(reply func(bool)) message {
+			return settledAsked{reply: reply}
+		})
+		if err == nil && settled {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(_idlePoll):
+		}
+	}
+}
--- a/berylagent/control.go
+++ b/berylagent/control.go
@@ -1,19 +1,30 @@
 package berylagent
 
 import (
+	"context"
 	"time"
 
 	"k8s.io/klog/v2"
 
 	"berylglade/berylconfig"
+	"berylglade/berylhost"
 	"berylglade/berylmessage"
+	"berylglade/berylshape"
 )
 
 // control is the state of the control actor.
 type control struct {
-	agent   *Agent
-	term    int64
-	leaving bool
+	agent *Agent
+	// live ends when the process stops carrying out effects.
+	live  context.Context
+	host  *berylhost.Host
+	parts map[berylhost.Key]*gangPart
+	// rebuilt is set once the tasks of the worker are known.
+	rebuilt bool
+	// answered is when the worker last answered.
+	answered time.Time
+	usage    berylshape.Shape
+	leaving  bool
 }
 
 // message is what the control actor handles. The variants are the types of this
@@ -22,8 +33,14 @@
 	apply(now time.Time, c *control)
 }
 
-func newControl(a *Agent) *control {
-	return &control{agent: a}
+func newControl(live context.Context, a *Agent) *control {
+	return &control{
+		agent:   a,
+		live:    live,
+		host:    berylhost.New(a.settings.Total),
+		parts:   map[berylhost.Key]*gangPart{},
+		rebuilt: a.worker == nil,
+	}
 }
 
 func (c *control) handle(now time.Time, msg message) { msg.apply(now, c) }
@@ -33,25 +50,32 @@
 	reply func(*berylmessage.Beat)
 }
 
-func (m beatWanted) apply(_ time.Time, c *control) { m.reply(c.beat()) }
+func (m beatWanted) apply(now time.Time, c *control) { m.reply(c.beat(now)) }
 
-func (c *control) beat() *berylmessage.Beat {
+func (c *control) beat(now time.Time) *berylmessage.Beat {
 	a := c.agent
-	return &berylmessage.Beat{
+	b := &berylmessage.Beat{
 		Agent:       a.settings.Name,
 		Incarnation: a.Incarnation,
 		Addr:        a.Addr,
 		Epoch:       a.calls.epoch(),
 		Domain:      a.settings.Domain,
 		Rack:        a.settings.Rack,
-		Term:        c.term,
+		Term:        c.host.Term(),
 		Draining:    a.gate.draining.Load(),
 		Leaving:     c.leaving,
 		Slots:       a.settings.Slots,
 		Busy:        len(a.calls.slots),
-		Total:       a.settings.Total,
 		Offset:      a.gate.cfg.Load().Offset,
 	}
+	if a.worker != nil && c.ready(now) == nil {
+		b.Total = a.settings.Total
+		b.Usage = c.usage
+	}
+	for _, p := range c.parts {
+		b.Gangs = append(b.Gangs, p.Report(now))
+	}
+	return b
 }
 
 // beatAnswered is an entry's reply to a heartbeat that was sent at a time.
@@ -61,7 +85,9 @@
 }
 
 func (m beatAnswered) apply(now time.Time, c *control) {
-	c.term = max(c.term, m.reply.Term)
+	// An entry that is behind reports a lower term, which changes nothing.
+	_ = c.host.Observe(m.reply.Term)
+	c.forget(m.reply.Forget)
 	c.adopt(m.reply.Config)
 	c.agent.gate.confirm(now, m.sent, m.reply.Confirmation)
 }
@@ -86,13 +112,6 @@
 	}
 }
 
-// drainSet starts or ends draining.
-type drainSet struct {
-	on bool
-}
-
-func (m drainSet) apply(_ time.Time, c *control) { c.agent.gate.draining.Store(m.on) }
-
 // leave marks the following heartbeats as the last ones.
 type leave struct{}
 
--- a/berylagent/metrics.go
+++ b/berylagent/metrics.go
@@ -56,6 +56,10 @@
 
 func (m *metrics) beat(err error) { m.beats.WithLabelValues(result(err)).Inc() }
 
+func (m *metrics) task(request string, err error) {
+	m.tasks.WithLabelValues(request, result(err)).Inc()
+}
+
 // result returns the label value of an outcome.
 func result(err error) string {
 	if err == nil {
--- /dev/null
+++ b/berylagent/tasks.go
@@ -0,0 +1,357 @@
+package berylagent
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
+
+	"berylglade/berylduration"
+	"berylglade/berylerror"
+	"berylglade/berylgang"
+	"berylglade/berylhost"
+	"berylglade/beryljob"
+	"berylglade/berylmessage"
+	"berylglade/berylrpc"
+	"berylglade/berylworker"
+)
+
+const (
+	// _taskPoll is how often the worker's tasks are listed while some run.
+	_taskPoll = 500 * time.Millisecond
+	// _usagePoll is how often usage is read; it also shows that the worker is
+	// there.
+	_usagePoll = 2 * time.Second
+	// _workerSilence is the silence after which a worker takes no new work.
+	_workerSilence = 3 * _usagePoll
+	// _gangTimeout limits a heartbeat to the anchor; the next one is then due.
+	_gangTimeout = time.Second
+	// _parallel is the number of requests to the worker at once.
+	_parallel = 16
+	// _maxCheckpoint limits a checkpoint to half of the lease, because leases
+	// are not renewed while a part ends.
+	_maxCheckpoint = berylgang.Lease / 2
+)
+
+// Labels of a task, from which a restarted agent rebuilds its part of a gang.
+const (
+	_labelJob     = "job"
+	_labelAccount = "account"
+	_labelClass   = "class"
+	_labelAttempt = "attempt"
+	_labelIndex   = "index"
+	_labelTasks   = "tasks"
+	_labelMembers = "members"
+)
+
+// taskID returns the id of a task, which is the same whenever the start of the
+// task is repeated.
+func taskID(key berylhost.Key, index, task int) string {
+	return key.Job + "-" + strconv.Itoa(key.Attempt) + "-" + strconv.Itoa(index) + "-" + strconv.Itoa(task)
+}
+
+// tasks returns the tasks of a part.
+func (p *gangPart) tasks() ([]berylworker.Task, error) {
+	members, err := json.Marshal(p.Members)
+	if err != nil {
+		return nil, berylerror.Internal.Wrap(err, "encode members")
+	}
+	labels := map[string]string{
+		_labelJob:     p.Job,
+		_labelAccount: p.job.Account,
+		_labelClass:   p.job.Class,
+		_labelAttempt: strconv.Itoa(p.Attempt),
+		_labelIndex:   strconv.Itoa(p.Index),
+		_labelTasks:   strconv.Itoa(p.Tasks),
+		_labelMembers: string(members),
+	}
+	tasks := make([]berylworker.Task, 0, p.Tasks)
+	for i := range p.Tasks {
+		tasks = append(tasks, berylworker.Task{
+			ID:      taskID(p.key(), p.Index, i),
+			Labels:  labels,
+			Shape:   p.Shape,
+			Lease:   berylduration.Duration(berylgang.Lease),
+			Payload: p.job.Payload,
+		})
+	}
+	return tasks, nil
+}
+
+// ids returns the ids of the tasks that are not known to have ended.
+func (p *gangPart) ids() []string {
+	ids := make([]string, 0, p.Tasks)
+	for i := range p.Tasks {
+		if !p.done[i] {
+			ids = append(ids, taskID(p.key(), p.Index, i))
+		}
+	}
+	return ids
+}
+
+// launch starts the tasks. The deadline counts from the decision, so a process
+// that was paused in between starts nothing.
+func (c *control) launch(now time.Time, p *gangPart) {
+	ctx, cancel := context.WithDeadline(c.live, now.Add(berylgang.Bound))
+	p.cancel = cancel
+	tasks, err := p.tasks()
+	key, a := p.key(), c.agent
+	a.effects.Go(func() {
+		uncertain := false
+		if err == nil {
+			uncertain, err = a.startTasks(ctx, tasks)
+		}
+		event := berylgang.Launched{OK: err == nil}
+		if err != nil {
+			event.Reason = err.Error()
+			// Nothing was wrong with the worker if the agent refused.
+			event.Blame = ctx.Err() == nil && berylerror.Of(err) != berylerror.NotRun
+		}
+		a.loop.Tell(partEvent{key: key, event: event, uncertain: uncertain})
+	})
+}
+
+// startTasks starts tasks one after the other until one fails. The first result
+// is true if a task may run although its start failed.
+func (a *Agent) startTasks(ctx context.Context, tasks []berylworker.Task) (bool, error) {
+	for i := range tasks {
+		err := a.startTask(ctx, tasks[i])
+		if berylerror.Of(err) == berylerror.Unknown {
+			// The same id starts at most one task.
+			err = a.startTask(ctx, tasks[i])
+		}
+		if err != nil {
+			return berylerror.Of(err) == berylerror.Unknown, err
+		}
+	}
+	return false, nil
+}
+
+func (a *Agent) startTask(ctx context.Context, t berylworker.Task) error {
+	if err := a.gate.permit(a.clock()); err != nil {
+		return err
+	}
+	if err := ctx.Err(); err != nil {
+		return berylerror.NotRun.Wrap(err, "start of task "+t.ID)
+	}
+	ctx, cancel := context.WithTimeout(ctx, berylgang.RequestTime)
+	defer cancel()
+	err := a.worker.Start(ctx, t)
+	a.metrics.task("start", err)
+	return err
+}
+
+// renew renews the leases of the tasks that have not ended.
+func (c *control) renew(now time.Time, p *gangPart) {
+	ids, key, a := p.ids(), p.key(), c.agent
+	ctx, cancel := context.WithDeadline(c.live, now.Add(berylgang.RequestTime))
+	a.effects.Go(func() {
+		defer cancel()
+		err := each(ids, func(id string) error {
+			err := a.worker.Renew(ctx, id, berylgang.Lease)
+			a.metrics.task("renew", err)
+			// The list of tasks tells how the task ended.
+			if berylerror.Of(err) == berylerror.Missing {
+				return nil
+			}
+			return err
+		})
+		if err == nil {
+			a.loop.Tell(partEvent{key: key, event: berylgang.Renewed{Sent: now}})
+		}
+	})
+}
+
+// each runs f for every id, several at once, and returns the first error.
+func each(ids []string, f func(id string) error) error {
+	var g errgroup.Group
+	g.SetLimit(_parallel)
+	for _, id := range ids {
+		g.Go(func() error { return f(id) })
+	}
+	return g.Wait()
+}
+
+// halt stops the tasks, unless the last attempt is still under way.
+func (c *control) halt(now time.Time, p *gangPart, checkpoint bool) {
+	if p.halting {
+		return
+	}
+	p.halting = true
+	ids, key, a := p.ids(), p.key(), c.agent
+	limit := a.checkpointTime(p.job.Class)
+	a.effects.Go(func() {
+		if checkpoint {
+			ctx, cancel := context.WithDeadline(c.live, now.Add(limit))
+			// Tasks are stopped also if they could not be saved.
+			_ = each(ids, func(id string) error {
+				err := a.worker.Checkpoint(ctx, id)
+				a.metrics.task("checkpoint", err)
+				return nil
+			})
+			cancel()
+		}
+		a.loop.Tell(a.stopTasks(c.live, key, ids))
+	})
+}
+
+// checkpointTime returns how long a checkpoint of a class may take.
+func (a *Agent) checkpointTime(class string) time.Duration {
+	limit := a.gate.cfg.Load().Classes[class].Stop.Std()
+	if limit == 0 {
+		limit = berylgang.RequestTime
+	}
+	return min(limit, _maxCheckpoint)
+}
+
+func (a *Agent) stopTasks(ctx context.Context, key berylhost.Key, ids []string) halted {
+	ctx, cancel := context.WithTimeout(ctx, berylgang.RequestTime)
+	defer cancel()
+	var mu sync.Mutex
+	m := halted{key: key}
+	err := each(ids, func(id string) error {
+		err := a.worker.Stop(ctx, id)
+		a.metrics.task("stop", err)
+		if berylerror.Of(err) != berylerror.Missing {
+			return err
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		m.absent = true
+		return nil
+	})
+	m.stopped = err == nil
+	return m
+}
+
+// send sends a heartbeat to the anchor.
+func (c *control) send(p *gangPart, g berylmessage.Gang) {
+	addr, key, a := p.Members[0].Addr, p.key(), c.agent
+	ctx, cancel := context.WithTimeout(c.live, _gangTimeout)
+	a.effects.Go(func() {
+		defer cancel()
+		sent := a.clock()
+		reply, err := berylrpc.Call[berylmessage.Gang, berylmessage.GangReply](ctx, a.client, addr, berylmessage.MethodGang, &g)
+		if err == nil {
+			a.loop.Tell(partEvent{key: key, event: berylgang.Answered{Sent: sent, GangReply: *reply}})
+		}
+	})
+}
+
+// watchWorker rebuilds the state from the worker's tasks and then reports its
+// tasks and usage until ctx ends.
+func (a *Agent) watchWorker(ctx context.Context) {
+	tasks, err := backoff.Retry(ctx, func() ([]berylworker.Status, error) {
+		ctx, cancel := context.WithTimeout(ctx, berylgang.RequestTime)
+		defer cancel()
+		return a.worker.Tasks(ctx)
+	}, backoff.WithBackOff(backoff.NewConstantBackOff(_taskPoll)), backoff.WithMaxElapsedTime(0))
+	if err != nil {
+		return
+	}
+	a.loop.Tell(rebuilt{tasks: tasks})
+	var wg sync.WaitGroup
+	wg.Go(func() { every(ctx, _taskPoll, a.pollTasks) })
+	wg.Go(func() { every(ctx, _usagePoll, a.pollUsage) })
+	wg.Wait()
+}
+
+// every calls f at an interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, f func(ctx context.Context)) {
+	t := time.NewTicker(interval)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			f(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (a *Agent) pollTasks(ctx context.Context) {
+	if !a.active.Load() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, berylgang.RequestTime)
+	defer cancel()
+	sent := a.clock()
+	tasks, err := a.worker.Tasks(ctx)
+	a.metrics.task("list", err)
+	if err == nil {
+		a.loop.Tell(tasksListed{sent: sent, tasks: tasks})
+	}
+}
+
+func (a *Agent) pollUsage(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, berylgang.RequestTime)
+	defer cancel()
+	usage, err := a.worker.Usage(ctx)
+	a.metrics.task("usage", err)
+	if err == nil {
+		a.loop.Tell(usageReported{usage: usage})
+	}
+}
+
+// rebuilt is the first list of the worker's tasks after a start.
+type rebuilt struct {
+	tasks []berylworker.Status
+}
+
+func (m rebuilt) apply(now time.Time, c *control) {
+	c.rebuilt = true
+	c.answered = now
+	for i := range m.tasks {
+		if err := c.restore(now, &m.tasks[i]); err != nil {
+			klog.ErrorS(err, "task of the worker is not one of this agent", "task", m.tasks[i].ID)
+		}
+	}
+}
+
+// restore takes over the part of a task, unless another of its tasks has been
+// seen already.
+func (c *control) restore(now time.Time, t *berylworker.Status) error {
+	p, err := partOf(t)
+	if err != nil {
+		return err
+	}
+	p.Agent = c.agent.settings.Name
+	key := berylhost.Key{Job: p.Job, Attempt: p.Attempt}
+	if c.parts[key] != nil {
+		return nil
+	}
+	c.parts[key] = &gangPart{
+		Part:     berylgang.Restore(now, p),
+		job:      beryljob.Job{ID: p.Job, Account: t.Labels[_labelAccount], Class: t.Labels[_labelClass], Payload: t.Payload},
+		launched: now,
+		done:     map[int]bool{},
+	}
+	c.host.Restore(berylhost.Part{Key: key, Tasks: p.Tasks, Shape: p.Shape})
+	klog.InfoS("gang part restored", "job", p.Job, "attempt", p.Attempt, "index", p.Index)
+	return nil
+}
+
+// partOf reads a part from the labels of one of its tasks.
+func partOf(t *berylworker.Status) (berylgang.Part, error) {
+	p := berylgang.Part{Job: t.Labels[_labelJob], Shape: t.Shape}
+	for label, n := range map[string]*int{_labelAttempt: &p.Attempt, _labelIndex: &p.Index, _labelTasks: &p.Tasks} {
+		v, err := strconv.Atoi(t.Labels[label])
+		if err != nil {
+			return p, berylerror.Invalid.Wrap(err, "label "+label)
+		}
+		*n = v
+	}
+	if err := json.Unmarshal([]byte(t.Labels[_labelMembers]), &p.Members); err != nil {
+		return p, berylerror.Invalid.Wrap(err, "label "+_labelMembers)
+	}
+	if p.Index < 0 || p.Index >= len(p.Members) {
+		return p, berylerror.Invalid.Errorf("index %d of %d members", p.Index, len(p.Members))
+	}
+	return p, nil
+}
--- /dev/null
+++ b/berylgang/part_test.go
@@ -0,0 +1,216 @@
+package berylgang
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"berylglade/beryljob"
+	"berylglade/berylmessage"
+)
+
+// Guards against a part that runs while another one has ended, a go that is
+// taken back, a second launch, and a reported end that is not one, with lost
+// and late messages, cut links, paused and restarted processes and workers that
+// do not answer.
+func TestNeverPartial(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		node := func(t *rapid.T) int { return rapid.IntRange(0, len(w.nodes)-1).Draw(t, "node") }
+		run := func(t *rapid.T) {
+			for range rapid.IntRange(1, 80).Draw(t, "steps") {
+				w.t = t
+				w.advance()
+			}
+		}
+		end := func(state taskState) func(*rapid.T) {
+			return func(t *rapid.T) {
+				if n := w.nodes[node(t)]; n.tasks == tasksRun {
+					n.tasks = state
+				}
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"run":   run,
+			"run 2": run,
+			"run 3": run,
+			"cut or join link": func(t *rapid.T) {
+				i := node(t)
+				w.cut[[2]int{0, i}] = !w.cut[[2]int{0, i}]
+			},
+			"freeze or thaw": func(t *rapid.T) {
+				n := w.nodes[node(t)]
+				n.frozen = !n.frozen && !n.dead
+				w.rough = true
+			},
+			"crash": func(t *rapid.T) { w.crash(node(t)) },
+			"restart": func(t *rapid.T) {
+				if i := node(t); w.nodes[i].dead {
+					w.restart(i, w.members())
+				}
+			},
+			"worker": func(t *rapid.T) {
+				n := w.nodes[node(t)]
+				n.worker = !n.worker
+				w.rough = true
+			},
+			"tasks done":   end(tasksDone),
+			"tasks done 2": end(tasksDone),
+			"tasks fail":   end(tasksLost),
+			"stop": func(t *rapid.T) {
+				i := node(t)
+				if n := w.nodes[i]; !n.frozen && rapid.IntRange(0, 3).Draw(t, "rarely") == 0 {
+					w.t = t
+					w.handle(i, Stop{Reason: "cancelled"})
+				}
+			},
+		})
+		// Nothing heals: whatever still runs has to end by its own bounds.
+		w.t = t
+		for range 80 * time.Second / _step {
+			w.advance()
+		}
+	})
+}
+
+func twoMembers() []beryljob.Member {
+	return []beryljob.Member{{Agent: "a", Tasks: 1}, {Agent: "b", Tasks: 1}}
+}
+
+func armed(now time.Time, index int) *Part {
+	p := New(now, twoMembers()[index].Agent, berylmessage.Reserve{Job: "j", Attempt: 1, Tasks: 1, Hold: Bound})
+	p.Handle(now, Arm{Members: twoMembers(), Index: index})
+	return p
+}
+
+func has[E Effect](effects []Effect) bool {
+	for _, e := range effects {
+		if _, ok := e.(E); ok {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against transitions of a member other than those of the design.
+func TestMember(t *testing.T) {
+	goAt := func(d time.Duration) (time.Duration, Event) {
+		return d, Answered{GangReply: berylmessage.GangReply{Verdict: berylmessage.VerdictGo}}
+	}
+	type step struct {
+		at time.Duration
+		e  Event
+	}
+	at := func(d time.Duration, e Event) step { return step{at: d, e: e} }
+	first, verdict := goAt(time.Second)
+	tests := []struct {
+		name  string
+		give  []step
+		want  Phase
+		ok    bool
+		cause string
+	}{
+		{name: "armed", want: Armed},
+		{name: "no go in time", give: []step{at(Bound, Tick{})}, want: Ended, cause: "not all members were armed in time"},
+		{name: "go after the bound", give: []step{at(Bound, verdict)}, want: Ended, cause: "not all members were armed in time"},
+		{name: "go", give: []step{at(first, verdict)}, want: Running},
+		{
+			name: "stop while armed", give: []step{at(first, Answered{GangReply: berylmessage.GangReply{Verdict: berylmessage.VerdictStop, Reason: "x"}})},
+			want: Ended, cause: "x",
+		},
+		{
+			name: "anchor silent", give: []step{at(first, verdict), at(first, Launched{OK: true}), at(2*Bound, Tick{})},
+			want: Ending, cause: "anchor a was not heard",
+		},
+		{name: "paused before launch", give: []step{at(first, verdict), at(time.Hour, Launched{OK: true})}, want: Ending, cause: "anchor a was not heard"},
+		{name: "launch failed", give: []step{at(first, verdict), at(first, Launched{Reason: "x", Blame: true})}, want: Ending, cause: "x"},
+		{name: "done", give: []step{at(first, verdict), at(first, Launched{OK: true}), at(first, Finished{OK: true})}, want: Ended, ok: true},
+		{name: "task failed", give: []step{at(first, verdict), at(first, Launched{OK: true}), at(first, Finished{Reason: "x"})}, want: Ending, cause: "x"},
+		{
+			name: "halted", give: []step{at(first, verdict), at(first, Launched{OK: true}), at(first, Stop{Reason: "x"}), at(first, Halted{})},
+			want: Ended, cause: "x",
+		},
+		{
+			name: "worker silent", give: []step{
+				at(first, verdict), at(first, Launched{OK: true}), at(first, Stop{Reason: "x"}), at(time.Minute, Tick{}),
+			},
+			want: Ended, cause: "x",
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Now()
+			p := armed(now, 1)
+			for _, s := range tt.give {
+				e := s.e
+				if answer, ok := e.(Answered); ok {
+					answer.Sent = now.Add(s.at)
+					e = answer
+				}
+				p.Handle(now.Add(s.at), e)
+			}
+			is.Equal(p.Phase, tt.want)
+			is.Equal(p.OK, tt.ok)
+			is.Equal(p.Reason, tt.cause)
+		})
+	}
+}
+
+// Guards against an anchor that says go too early, takes it back, or reports
+// the end of the gang before it is certain.
+func TestAnchor(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	p := armed(now, 0)
+	hear := func(at time.Duration, phase berylmessage.GangPhase) berylmessage.Verdict {
+		effects := p.Handle(now.Add(at), Heard{Gang: berylmessage.Gang{Job: "j", Attempt: 1, Index: 1, Phase: phase}})
+		return effects[len(effects)-1].(Reply).Verdict
+	}
+	is.Equal(p.Phase, Armed)
+	is.Equal(hear(time.Second, berylmessage.GangArmed), berylmessage.VerdictGo)
+	is.Equal(hear(time.Second, berylmessage.GangArmed), berylmessage.VerdictGo)
+	p.Handle(now.Add(time.Second), Launched{OK: true})
+	is.True(!p.Report(now).Whole)
+	is.Equal(hear(2*time.Second, berylmessage.GangRunning), berylmessage.VerdictGo)
+	is.True(p.Report(now).Whole)
+	is.True(has[Renew](p.Handle(now.Add(5*time.Second), Tick{})))
+	lost := 2*time.Second + Bound + 1
+	is.True(has[Halt](p.Handle(now.Add(lost), Tick{})))
+	is.Equal(hear(lost, berylmessage.GangArmed), berylmessage.VerdictStop)
+	p.Handle(now.Add(lost), Halted{})
+	report := p.Report(now.Add(lost + Certain))
+	is.Equal(report.Phase, berylmessage.GangFailed)
+	is.Equal(report.Reason, "member b was not heard")
+	is.True(!report.Whole)
+	is.True(p.Report(now.Add(lost + Certain + 1)).Whole)
+}
+
+// Guards against leases that a restarted agent renews for a gang that ended
+// while it was away.
+func TestRestoredRenewsAfterContact(t *testing.T) {
+	for index := range 2 {
+		is := is.New(t)
+		now := time.Now()
+		p := Restore(now, Part{Job: "j", Attempt: 1, Agent: twoMembers()[index].Agent, Members: twoMembers(), Index: index})
+		is.True(!has[Renew](p.Handle(now, Tick{})))
+		effects := p.Handle(now, Answered{Sent: now, GangReply: berylmessage.GangReply{Verdict: berylmessage.VerdictGo}})
+		effects = append(effects, p.Handle(now, Heard{Gang: berylmessage.Gang{Index: 1, Phase: berylmessage.GangRunning}})...)
+		is.True(has[Renew](effects))
+	}
+}
+
+// Guards against a reservation that outlives its time and against a released
+// one that claims to be the gang's anchor.
+func TestReserved(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	p := New(now, "a", berylmessage.Reserve{Job: "j", Attempt: 1, Tasks: 1, Hold: Bound})
+	p.Extend(now.Add(time.Second), Bound)
+	is.Equal(len(p.Handle(now.Add(Bound), Tick{})), 0)
+	is.True(has[Free](p.Handle(now.Add(Bound+time.Second), Tick{})))
+	is.True(p.Closed)
+	is.True(!p.Report(now).Anchor)
+}
--- a/berylmessage/message.go
+++ b/berylmessage/message.go
@@ -69,7 +69,10 @@
 	Slots int `cbor:"s,omitempty"`
 	Busy  int `cbor:"b,omitempty"`
 	// Total is the whole worker beside the agent, empty if there is none.
+	// It is also empty while the worker does not answer.
 	Total berylshape.Shape `cbor:"w,omitzero"`
+	// Usage is the worker's lagging report of what its tasks use.
+	Usage berylshape.Shape `cbor:"u,omitzero"`
 	// Offset is the newest configuration that the agent has.
 	Offset int64 `cbor:"o"`
 	// Gangs are all gangs on this agent.
@@ -243,6 +246,9 @@
 	Phase   GangPhase `cbor:"p"`
 	Reason  string    `cbor:"r,omitempty"`
 	Blamed  string    `cbor:"b,omitempty"`
+	// Checkpoint is set if the member was stopped and asked to save progress
+	// first; the whole gang then does so.
+	Checkpoint bool `cbor:"k,omitempty"`
 }
 
 // Verdict is the anchor's decision for the whole gang.
@@ -261,4 +267,6 @@
 type GangReply struct {
 	Verdict Verdict `cbor:"v"`
 	Reason  string  `cbor:"r,omitempty"`
+	// Checkpoint asks to save progress before stopping.
+	Checkpoint bool `cbor:"k,omitempty"`
 }
--- /dev/null
+++ b/berylstandworker/server.go
@@ -0,0 +1,287 @@
+// Package berylstandworker is a stand-in for a worker.
+//
+// [Server] is an HTTP handler that runs pretended tasks under leases: a task
+// lasts as long as its payload says, ends when its lease is over and is stopped
+// when it passes its memory limit. Its ledger has the start and end of every
+// task. Faults are set at run time. The state is brought up to date whenever a
+// request arrives, so ends have exact times without timers.
+package berylstandworker
+
+import (
+	"cmp"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"berylglade/berylclock"
+	"berylglade/berylduration"
+	"berylglade/berylerror"
+	"berylglade/berylshape"
+	"berylglade/berylworker"
+)
+
+const (
+	_maxBody = 16 << 20
+	// _listTime is how long an ended task stays in the list of tasks.
+	_listTime = time.Minute
+)
+
+// Settings describe a worker.
+type Settings struct {
+	Total berylshape.Shape `json:"total"`
+	// Lag is the delay of usage reports, at most a minute.
+	Lag berylduration.Duration `json:"lag,omitempty"`
+}
+
+// Faults are what the worker does wrong.
+type Faults struct {
+	// Fail makes every task that is started fail shortly after.
+	Fail bool `json:"fail,omitempty"`
+	// Slow is the factor by which tasks that are started take longer.
+	Slow float64 `json:"slow,omitempty"`
+	// Delay is added to every request.
+	Delay berylduration.Duration `json:"delay,omitempty"`
+	// Down refuses every request but those for ledger and faults.
+	Down bool `json:"down,omitempty"`
+}
+
+// Record is one task in the ledger.
+type Record struct {
+	ID          string            `json:"id"`
+	Labels      map[string]string `json:"labels,omitempty"`
+	Start       time.Time         `json:"start"`
+	End         time.Time         `json:"end,omitzero"`
+	State       berylworker.State `json:"state"`
+	Checkpoints int               `json:"checkpoints,omitempty"`
+}
+
+// Server is the stand-in.
+type Server struct {
+	mux      http.ServeMux
+	settings Settings
+	clock    berylclock.Clock
+
+	mu     sync.Mutex
+	faults Faults
+	// tasks are those that run or ended less than _listTime ago.
+	tasks map[string]*task
+	// all has every task in the order of their starts.
+	all []*task
+}
+
+var _ http.Handler = (*Server)(nil)
+
+// New returns a worker without tasks and faults.
+func New(settings Settings, clock berylclock.Clock) *Server {
+	s := &Server{settings: settings, clock: clock, tasks: map[string]*task{}}
+	s.handle("POST /tasks", s.start)
+	s.handle("POST /tasks/{id}/renew", s.renew)
+	s.handle("POST /tasks/{id}/checkpoint", s.checkpoint)
+	s.handle("POST /tasks/{id}/throttle", s.throttle)
+	s.handle("POST /tasks/{id}/stop", s.stop)
+	s.handle("GET /tasks", s.list)
+	s.handle("GET /usage", s.usage)
+	s.mux.HandleFunc("GET /ledger", s.getLedger)
+	s.mux.HandleFunc("POST /faults", s.postFaults)
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+// SetFaults replaces the faults.
+func (s *Server) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Ledger returns the start and end of every task.
+func (s *Server) Ledger() []Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.settle(s.clock())
+	records := make([]Record, 0, len(s.all))
+	for _, t := range s.all {
+		records = append(records, Record{
+			ID:          t.ID,
+			Labels:      t.Labels,
+			Start:       t.started,
+			End:         t.ended,
+			State:       t.State,
+			Checkpoints: t.checkpoints,
+		})
+	}
+	return records
+}
+
+// handle registers a function that runs under the lock with the state up to
+// date, and is refused while the worker is down.
+func (s *Server) handle(pattern string, f func(now time.Time, r *http.Request) (any, error)) {
+	s.mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+		r.Body = http.MaxBytesReader(w, r.Body, _maxBody)
+		s.mu.Lock()
+		delay := s.faults.Delay.Std()
+		s.mu.Unlock()
+		time.Sleep(delay)
+
+		s.mu.Lock()
+		now := s.clock()
+		s.settle(now)
+		var reply any
+		err := berylerror.Unavailable.Errorf("worker is down")
+		if !s.faults.Down {
+			reply, err = f(now, r)
+		}
+		s.mu.Unlock()
+		write(w, reply, err)
+	})
+}
+
+func write(w http.ResponseWriter, reply any, err error) {
+	w.Header().Set("Content-Type", "application/json")
+	if err != nil {
+		kind := berylerror.Of(err)
+		w.WriteHeader(kind.Status())
+		reply = berylworker.Problem{Kind: kind.String(), Text: err.Error()}
+	}
+	_ = json.NewEncoder(w).Encode(reply)
+}
+
+// settle ends tasks whose end has passed and drops old ones from the list.
+func (s *Server) settle(now time.Time) {
+	for id, t := range s.tasks {
+		t.settle(now)
+		if !t.ended.IsZero() && now.Sub(t.ended) > _listTime {
+			delete(s.tasks, id)
+		}
+	}
+}
+
+func (s *Server) start(now time.Time, r *http.Request) (any, error) {
+	var give berylworker.Task
+	if err := json.NewDecoder(r.Body).Decode(&give); err != nil {
+		return nil, berylerror.Invalid.Wrap(err, "decode task")
+	}
+	if give.ID == "" || give.Lease <= 0 {
+		return nil, berylerror.Invalid.Errorf("task has no id or no lease")
+	}
+	if err := give.Shape.Check(); err != nil {
+		return nil, err
+	}
+	if old := s.tasks[give.ID]; old != nil {
+		if old.State == berylworker.Running {
+			return old.Status, nil
+		}
+		return nil, berylerror.Conflict.Errorf("task %s has ended", give.ID)
+	}
+	if used := s.reserved().Add(give.Shape); !used.Fits(s.settings.Total) {
+		return nil, berylerror.Conflict.Errorf("%v would be reserved of %v", used, s.settings.Total)
+	}
+	t, err := newTask(now, give, s.faults)
+	if err != nil {
+		return nil, err
+	}
+	s.tasks[t.ID] = t
+	s.all = append(s.all, t)
+	return t.Status, nil
+}
+
+// reserved returns the sum of the shapes of running tasks.
+func (s *Server) reserved() berylshape.Shape {
+	var sum berylshape.Shape
+	for _, t := range s.tasks {
+		if t.State == berylworker.Running {
+			sum = sum.Add(t.Shape)
+		}
+	}
+	return sum
+}
+
+// running returns the task that a request names.
+func (s *Server) running(r *http.Request) (*task, error) {
+	t := s.tasks[r.PathValue("id")]
+	if t == nil || t.State != berylworker.Running {
+		return nil, berylerror.Missing.Errorf("no task %s runs", r.PathValue("id"))
+	}
+	return t, nil
+}
+
+func (s *Server) renew(now time.Time, r *http.Request) (any, error) {
+	var give berylworker.Task
+	if err := json.NewDecoder(r.Body).Decode(&give); err != nil || give.Lease <= 0 {
+		return nil, berylerror.Invalid.Errorf("renewal has no lease")
+	}
+	t, err := s.running(r)
+	if err != nil {
+		return nil, err
+	}
+	t.expires = now.Add(give.Lease.Std())
+	return t.Status, nil
+}
+
+func (s *Server) checkpoint(_ time.Time, r *http.Request) (any, error) {
+	t, err := s.running(r)
+	if err != nil {
+		return nil, err
+	}
+	t.checkpoints++
+	return t.Status, nil
+}
+
+func (s *Server) throttle(now time.Time, r *http.Request) (any, error) {
+	t, err := s.running(r)
+	if err != nil {
+		return nil, err
+	}
+	t.throttle(now)
+	return t.Status, nil
+}
+
+func (s *Server) stop(now time.Time, r *http.Request) (any, error) {
+	t := s.tasks[r.PathValue("id")]
+	if t == nil {
+		return nil, berylerror.Missing.Errorf("task %s is not known", r.PathValue("id"))
+	}
+	if t.State == berylworker.Running {
+		t.end(now, berylworker.Stopped, "stopped by request")
+	}
+	return t.Status, nil
+}
+
+func (s *Server) list(time.Time, *http.Request) (any, error) {
+	l := berylworker.List{Tasks: make([]berylworker.Status, 0, len(s.tasks))}
+	for _, t := range s.tasks {
+		l.Tasks = append(l.Tasks, t.Status)
+	}
+	slices.SortFunc(l.Tasks, func(a, b berylworker.Status) int { return cmp.Compare(a.ID, b.ID) })
+	return l, nil
+}
+
+func (s *Server) usage(now time.Time, _ *http.Request) (any, error) {
+	at := now.Add(-s.settings.Lag.Std())
+	u := berylworker.Usage{Tasks: map[string]berylshape.Shape{}}
+	for id, t := range s.tasks {
+		if used := t.used(at); !used.Empty() {
+			u.Tasks[id] = used
+			u.Used = u.Used.Add(used)
+		}
+	}
+	return u, nil
+}
+
+func (s *Server) getLedger(w http.ResponseWriter, _ *http.Request) { write(w, s.Ledger(), nil) }
+
+func (s *Server) postFaults(w http.ResponseWriter, r *http.Request) {
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, _maxBody))
+	dec.DisallowUnknownFields()
+	var f Faults
+	if err := dec.Decode(&f); err != nil {
+		write(w, nil, berylerror.Invalid.Wrap(err, "decode faults"))
+		return
+	}
+	s.SetFaults(f)
+	write(w, f, nil)
+}
