--- a/berylbench/idle.go
+++ b/berylbench/idle.go
@@ -159,7 +159,7 @@
 	return counters{
 		cpu:    value("process_cpu_seconds_total"),
 		memory: value("process_resident_memory_bytes"),
-		bytes:  value("beryl_process_io_bytes_total"),
+		bytes:  value("berylglade_process_io_bytes_total"),
 		own:    float64(body.n),
 	}, nil
 }
--- a/berylcli/process.go
+++ b/berylcli/process.go
@@ -20,11 +20,15 @@
 	"berylglade/berylsettings"
 	"berylglade/berylstandlog"
 	"berylglade/berylstandrunner"
+	"berylglade/berylstandworker"
+	"berylglade/berylworker"
 )
 
-// Times of the stand-ins.
+// Times of the processes.
 const (
 	_headerTimeout = 5 * time.Second
+	// _stateTimeout bounds the wait for the control actor.
+	_stateTimeout = 2 * time.Second
 	// _standinStop is how long a stand-in waits for requests in progress.
 	_standinStop = 10 * time.Second
 )
@@ -54,7 +58,7 @@
 	case berylsettings.RoleLog:
 		err = p.log(s.Log)
 	case berylsettings.RoleWorker:
-		err = p.worker(s.Worker)
+		p.worker(s.Worker)
 	case berylsettings.RoleRunner:
 		p.runner(s.Runner)
 	default:
@@ -148,6 +152,22 @@
 		return err
 	}
 	p.run = a.Run
+	p.state = func(ctx context.Context) (any, error) { return a.State(ctx) }
+	p.ready = func() error { return agentReady(a) }
+	return nil
+}
+
+// agentReady returns the reason why the agent starts nothing now.
+func agentReady(a *berylagent.Agent) error {
+	ctx, cancel := context.WithTimeout(context.Background(), _stateTimeout)
+	defer cancel()
+	state, err := a.State(ctx)
+	if err != nil {
+		return err
+	}
+	if state.Refusal != "" {
+		return berylerror.Unavailable.Errorf("%s", state.Refusal)
+	}
 	return nil
 }
 
@@ -207,6 +227,24 @@
 	}
 }
 
-func (p *process) worker(s *berylsettings.Worker) error {
-	return berylerror.Unavailable.Errorf("worker stand-in at %s is not part of this build", s.Bind)
+// tasksState is the state of a worker stand-in.
+type tasksState struct {
+	// Running is the number of tasks that run.
+	Running int `json:"running"`
+	// Tasks are all tasks since the start.
+	Tasks []berylstandworker.Record `json:"tasks"`
+}
+
+func (p *process) worker(s *berylsettings.Worker) {
+	server := berylstandworker.New(berylstandworker.Settings{Total: s.Shape}, berylclock.System())
+	p.standin(s.Bind, handle(server))
+	p.state = func(context.Context) (any, error) {
+		state := tasksState{Tasks: server.Ledger()}
+		for _, t := range state.Tasks {
+			if t.State == berylworker.Running {
+				state.Running++
+			}
+		}
+		return state, nil
+	}
 }
--- a/beryldump/dump.go
+++ b/beryldump/dump.go
@@ -52,7 +52,7 @@
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
-			Name: "beryl_process_io_bytes_total",
+			Name: "berylglade_process_io_bytes_total",
 			Help: "Bytes read and written by system calls of this process, on files and connections.",
 		}, ioBytes),
 	)
