berylagent: send the leaving heartbeat last and fetch a missing configuration

A periodic heartbeat could overtake the last one, and an entry would have taken the agent for alive until its timeout. An entry that announces a newer configuration without sending it left the agent unable to confirm it.

The periodic heartbeats end before the last one is sent, the agent fetches a configuration that it lacks, an ended member stops looking for its anchor after 10 minutes, and a command for another index of a gang is refused. The length of the queue for slots is a setting.

--- a/berylagent/agent.go
+++ b/berylagent/agent.go
@@ -68,6 +68,9 @@
 	// live ends when the process stops carrying out effects.
 	live context.Context
 	stop context.CancelFunc
+	// beats are the goroutines that send heartbeats until beatStop.
+	beats    sync.WaitGroup
+	beatStop context.CancelFunc
 	// effects are the goroutines of the control actor's effects.
 	effects sync.WaitGroup
 	// active is set by the control actor while a part has tasks.
@@ -119,8 +122,10 @@
 	var wg sync.WaitGroup
 	served := make(chan error, 1)
 	go func() { served <- a.server().Serve(a.live, a.lis) }()
+	beating, beatStop := context.WithCancel(a.live)
+	a.beatStop = beatStop
 	for _, entry := range a.settings.Entries {
-		wg.Go(func() { a.beatEvery(a.live, entry) })
+		a.beats.Go(func() { a.beatEvery(beating, entry) })
 	}
 	if a.worker != nil {
 		wg.Go(func() { a.watchWorker(a.live) })
@@ -138,6 +143,7 @@
 		a.stop()
 	}
 	wg.Wait()
+	a.beats.Wait()
 	a.loop.Stop()
 	a.effects.Wait()
 	a.close()
@@ -191,6 +197,9 @@
 	for !a.calls.idle() {
 		time.Sleep(_idlePoll)
 	}
+	// The last heartbeat must not be overtaken by an earlier one.
+	a.beatStop()
+	a.beats.Wait()
 	a.loop.Tell(leave{})
 	a.beatAll(ctx)
 	time.Sleep(_linger)
--- a/berylagent/agent_test.go
+++ b/berylagent/agent_test.go
@@ -44,10 +44,11 @@
 type testEntry struct {
 	addr string
 
-	mu     sync.Mutex
-	beats  []*berylmessage.Beat
-	reply  berylmessage.BeatReply
-	config *berylconfig.Config
+	mu    sync.Mutex
+	beats []*berylmessage.Beat
+	reply berylmessage.BeatReply
+	// config is what an agent sent, and newer what it gets.
+	config, newer *berylconfig.Config
 }
 
 func newTestEntry(t *testing.T) *testEntry {
@@ -88,7 +89,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.config = req.Config
-	return &berylmessage.ConfigReply{}, nil
+	return &berylmessage.ConfigReply{Config: e.newer}, nil
 }
 
 func (e *testEntry) set(f func(r *berylmessage.BeatReply)) {
@@ -350,7 +351,12 @@
 	_, err = berylrpc.Call[berylmessage.ConfigRequest, berylmessage.ConfigReply](context.Background(), b.client, b.agent.Addr,
 		berylmessage.MethodConfig, &berylmessage.ConfigRequest{Offset: 5, Config: &berylconfig.Config{Offset: 5}})
 	is.NoErr(err)
-	b.agent.loop.Tell(configLearned{config: &berylconfig.Config{Offset: 8}})
+	// The entry does not send the newer configuration with its reply.
+	b.entry.set(func(r *berylmessage.BeatReply) {
+		b.entry.newer = &berylconfig.Config{Offset: 8}
+		r.Offset = 8
+		r.Want = false
+	})
 	eventually(t, "newer configuration is adopted", func() bool { return b.entry.last().Offset == 8 })
 	_, err = b.run(b.id(), "", time.Second)
 	is.NoErr(err)
--- a/berylagent/beat.go
+++ b/berylagent/beat.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"berylglade/berylconfig"
 	"berylglade/berylcontrol"
 	"berylglade/berylmessage"
 	"berylglade/berylrpc"
@@ -50,14 +51,20 @@
 		return
 	}
 	a.loop.Tell(beatAnswered{sent: sent, reply: reply})
-	if reply.Want {
-		a.sendConfig(ctx, entry, reply.Offset)
+	own := a.gate.cfg.Load()
+	behind := reply.Config == nil && reply.Offset > own.Offset
+	if reply.Want || behind {
+		a.exchangeConfig(ctx, entry, own, reply.Want)
 	}
 }
 
-// sendConfig sends the agent's configuration to an entry that is behind.
-func (a *Agent) sendConfig(ctx context.Context, entry string, offset int64) {
-	req := &berylmessage.ConfigRequest{Offset: offset, Config: a.gate.cfg.Load()}
+// exchangeConfig fetches an entry's configuration if it is newer, and sends the
+// own one if the entry wants it.
+func (a *Agent) exchangeConfig(ctx context.Context, entry string, own *berylconfig.Config, wanted bool) {
+	req := &berylmessage.ConfigRequest{Offset: own.Offset}
+	if wanted {
+		req.Config = own
+	}
 	reply, err := berylrpc.Call[berylmessage.ConfigRequest, berylmessage.ConfigReply](ctx, a.client, entry, berylmessage.MethodConfig, req)
 	if err == nil && reply.Config != nil {
 		a.loop.Tell(configLearned{config: reply.Config})
--- a/berylagent/calls.go
+++ b/berylagent/calls.go
@@ -1,6 +1,7 @@
 package berylagent
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"sync/atomic"
@@ -17,7 +18,7 @@
 )
 
 const (
-	// _queuePerSlot bounds the calls that wait for a slot. Entries see the
+	// _queuePerSlot is the default bound of calls that wait for a slot. Entries see the
 	// number of busy slots once a second, so a short queue absorbs what they
 	// send in between; a longer one only adds latency.
 	_queuePerSlot = 4
@@ -33,6 +34,8 @@
 	metrics *metrics
 	// slots has one element for each call at the backend server.
 	slots chan struct{}
+	// queue is the number of calls that may wait for a slot.
+	queue int64
 	// queued is the number of calls that wait for a slot.
 	queued atomic.Int64
 
@@ -60,6 +63,7 @@
 		runner:  r,
 		metrics: m,
 		slots:   make(chan struct{}, s.Slots),
+		queue:   int64(cmp.Or(s.Queue, _queuePerSlot*s.Slots)),
 		ledger:  berylledger.New(s.Name, incarnation, 0, clock()),
 		pending: map[berylid.ID]*pending{},
 	}
@@ -174,7 +178,7 @@
 		return nil
 	default:
 	}
-	if c.queued.Add(1) > int64(_queuePerSlot*cap(c.slots)) {
+	if c.queued.Add(1) > c.queue {
 		c.queued.Add(-1)
 		return berylerror.NotRun.Errorf("all slots and the queue of the agent are in use")
 	}
--- a/berylagent/gangs.go
+++ b/berylagent/gangs.go
@@ -129,6 +129,8 @@
 	switch {
 	case p == nil:
 		return nil, berylerror.NotRun.Errorf("attempt %d of job %s has no reservation", key.Attempt, key.Job)
+	case p.Phase != berylgang.Reserved && p.Index != req.Index:
+		return nil, berylerror.Invalid.Errorf("agent has index %d of the gang and not %d", p.Index, req.Index)
 	case p.Phase == berylgang.Ended && !p.OK:
 		return nil, berylerror.NotRun.Errorf("attempt %d of job %s has ended: %s", key.Attempt, key.Job, p.Reason)
 	case p.Phase != berylgang.Reserved:
--- /dev/null
+++ b/berylagent/main_test.go
@@ -0,0 +1,12 @@
+package berylagent
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+// Guards against goroutines that outlive an agent.
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
--- a/berylagent/settings.go
+++ b/berylagent/settings.go
@@ -25,6 +25,9 @@
 	Runner string `json:"runner,omitempty"`
 	// Slots is the number of calls that the backend server runs at once.
 	Slots int `json:"slots,omitempty"`
+	// Queue is the number of calls that may wait for a slot; zero means four
+	// for each slot.
+	Queue int `json:"queue,omitempty"`
 	// Worker is the base URL of the worker; empty if there is none.
 	Worker string `json:"worker,omitempty"`
 	// Total is the whole worker.
@@ -42,6 +45,8 @@
 		return berylerror.Invalid.Errorf("agent %s has no failure domain", s.Name)
 	case s.Runner != "" && s.Slots < 1:
 		return berylerror.Invalid.Errorf("agent %s has a backend server without slots", s.Name)
+	case s.Queue < 0:
+		return berylerror.Invalid.Errorf("agent %s has a queue below zero", s.Name)
 	case s.Worker != "":
 		return s.Total.Check()
 	default:
--- a/berylgang/part.go
+++ b/berylgang/part.go
@@ -38,7 +38,9 @@
 	_armedBeat   = 200 * time.Millisecond
 	_runningBeat = time.Second
 	// _endedBeat repeats the end for an anchor that was restarted.
-	_endedBeat  = 2 * time.Second
+	_endedBeat = 2 * time.Second
+	// _giveUp is when an ended part stops looking for its anchor.
+	_giveUp     = 10 * time.Minute
 	_renewEvery = Lease / 3
 	_haltEvery  = time.Second
 )
@@ -236,6 +238,7 @@
 			p.end(now, false)
 		}
 	case Ended:
+		p.Closed = p.Closed || (p.Index != 0 && now.Sub(p.endedAt) > _giveUp)
 	}
 	if p.verdict == berylmessage.VerdictGo {
 		p.missMembers(now)
--- a/berylgang/world_test.go
+++ b/berylgang/world_test.go
@@ -58,8 +58,9 @@
 	nodes   []*node
 	cut     map[[2]int]bool
 	parcels []parcel
-	// rough is set once a process was paused or killed or a worker was cut off.
-	rough bool
+	// rough is set once a process was paused or a worker was cut off, crashed
+	// once a process was killed.
+	rough, crashed bool
 	// broken is when the first part ended without success.
 	broken time.Time
 	whole  bool
@@ -228,7 +229,7 @@
 	n := w.nodes[i]
 	n.part, n.dead, n.frozen, n.gone = nil, true, false, false
 	n.process++
-	w.rough = true
+	w.crashed = true
 }
 
 // restart starts a process that lists the tasks of its worker.
@@ -260,6 +261,11 @@
 	}
 	limit := 2*Bound + _slack
 	if w.rough {
+		// The anchor may say go for Bound after the end. A paused member may
+		// then start tasks as late as the time Certain allows for.
+		limit = Bound + Certain + _slack
+	}
+	if w.crashed {
 		// A restarted anchor may say go until its own leases are over, and a
 		// paused member's leases last as long after that.
 		limit = 2*(Bound+RequestTime+Lease) + _slack
