--- a/berylagent/gate.go
+++ b/berylagent/gate.go
@@ -23,7 +23,7 @@
 // control actor use it.
 type gate struct {
 	domain string
-	// draining is set by the control actor.
+	// draining is set by Drain and by the shutdown.
 	draining atomic.Bool
 	// cfg is replaced by the control actor, before the confirmation that
 	// belongs to it, and never changed.
