berylcontrol: end the process when a handler panics

Cause: an agent whose freshness port was nil panicked in its control actor; the actor library restarted the actor without a trace, and every later request waited for ever.

--- a/berylcontrol/loop.go
+++ b/berylcontrol/loop.go
@@ -7,7 +7,9 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
+	"runtime/debug"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
@@ -35,6 +37,7 @@
 	props := actor.PropsFromFunc(func(ctx actor.Context) {
 		switch msg := ctx.Message().(type) {
 		case envelope[M]:
+			defer crash()
 			handle(l.clock(), msg.msg)
 		case *actor.Stopped:
 			close(l.done)
@@ -44,6 +47,16 @@
 	return l
 }
 
+// crash ends the process if a handler panics. The actor library would restart
+// the actor instead, which would go on with state that is half changed and leave
+// the message without a reply.
+func crash() {
+	if r := recover(); r != nil {
+		stack := debug.Stack()
+		go func() { panic(fmt.Sprintf("control actor: %v\n%s", r, stack)) }()
+	}
+}
+
 // discard keeps the actor library from writing log lines of its own format; the
 // processes log changes of state themselves.
 func discard(*actor.ActorSystem) *slog.Logger {
