berylrecord: renewals and handovers say who leads since when

A reader that starts behind the log's retention has not read the claim of the current term, so it could not know the leader's name and address.

--- a/berylconfig/config.go
+++ b/berylconfig/config.go
@@ -9,6 +9,7 @@
 	"bytes"
 	"encoding/json"
 	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -120,6 +121,22 @@
 	return maps.Clone(m)
 }
 
+// Keys returns the keys that are set, in order.
+func (c *Config) Keys() []string {
+	keys := make([]string, 0, len(c.Classes)+len(c.Accounts)+len(c.Domains))
+	for name := range c.Classes {
+		keys = append(keys, _classPrefix+name)
+	}
+	for name := range c.Accounts {
+		keys = append(keys, _accountPrefix+name)
+	}
+	for name := range c.Domains {
+		keys = append(keys, _domainPrefix+name)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
 // Set changes one key, such as "domains/ware-east", to a JSON value. A null
 // value removes the key. On an error c is unchanged.
 func (c *Config) Set(key string, value json.RawMessage) error {
--- a/berylrecord/record.go
+++ b/berylrecord/record.go
@@ -58,14 +58,26 @@
 	Addr string `json:"addr"`
 }
 
-// Renewal shows that the leader of a term is alive.
+// Renewal shows that the leader of a term is alive. It repeats who leads, as the
+// claim itself may be behind retention.
 type Renewal struct {
 	Term int64 `json:"term"`
+	Lead
 }
 
 // Handover ends a term before its lease.
 type Handover struct {
 	Term int64 `json:"term"`
+	Lead
+}
+
+// Lead says who leads since when.
+type Lead struct {
+	// By and Addr are those of the valid claim.
+	By   string `json:"by,omitempty"`
+	Addr string `json:"addr,omitempty"`
+	// Since is the offset of the valid claim.
+	Since int64 `json:"since,omitempty"`
 }
 
 // JobState is the whole state of a job. With Term zero it submits a new job and
