berylintent: valid intent of each idempotency key

Entries that read different parts of stream calls must not dispatch two calls for one key. An intent that cannot be judged, because its base is behind retention, makes its key uncertain until it is settled or dropped.

--- /dev/null
+++ b/berylintent/index.go
@@ -0,0 +1,149 @@
+// Package berylintent keeps the state of stream calls: the valid intent of each
+// idempotency key.
+//
+// An [Index] applies intents in offset order; every reader that applies the same
+// records finds the same valid intent. Keys are kept for the log's retention:
+// [Index.Gap] forgets intents that the log has dropped. It is called before the
+// records of the same read are applied, so that a reader has always forgotten
+// at least what the writer of a record had.
+//
+// A reader that starts behind retention cannot know the intents that were
+// dropped. It relies on the writer, who checks the key in all records up to the
+// record's base: if everything after the base is known, the intent is valid
+// when no other one for the key lies between. Otherwise the key is uncertain
+// until a later intent settles it or the log drops it.
+package berylintent
+
+import (
+	"crypto/sha256"
+
+	"berylglade/berylrecord"
+)
+
+// Verdict says what an intent did.
+type Verdict uint8
+
+const (
+	// Rejected means that another intent for the key is valid.
+	Rejected Verdict = iota + 1
+	// Accepted means that the intent is the valid one of its key.
+	Accepted
+	// Uncertain means that it is not known whether the intent is valid.
+	Uncertain
+)
+
+// Found is what is known of a key.
+type Found struct {
+	// Call is the call id of the valid intent, and Sum the checksum of its
+	// request.
+	Call string
+	Sum  string
+	// Offset is that of the intent.
+	Offset int64
+	// Uncertain is set if it is not known which intent is valid. A call with
+	// this key must neither be dispatched nor be refused as not run before.
+	Uncertain bool
+}
+
+// Index is the state of stream calls. The zero value has read nothing.
+type Index struct {
+	intents map[key]Found
+	// order has the key of each kept intent, to forget them by offset.
+	order []kept
+	first int64
+	upto  int64
+}
+
+// key is the shortened hash of account and key, as callers choose keys of any
+// length.
+type key [16]byte
+
+type kept struct {
+	key    key
+	offset int64
+}
+
+// Gap tells the first offset that the log keeps.
+func (x *Index) Gap(first int64) {
+	x.first = max(x.first, first)
+	x.upto = max(x.upto, first-1)
+	n := 0
+	for n < len(x.order) && x.order[n].offset < first {
+		k := x.order[n]
+		if x.intents[k.key].Offset == k.offset {
+			delete(x.intents, k.key)
+		}
+		n++
+	}
+	x.order = x.order[n:]
+}
+
+// Apply applies the record at an offset. Offsets grow from call to call; an
+// offset that was applied before has no effect.
+func (x *Index) Apply(offset int64, r berylrecord.Record) Verdict {
+	body, ok := r.Body.(berylrecord.Intent)
+	if !ok || offset <= x.upto {
+		return Rejected
+	}
+	x.upto = offset
+	if body.Key == "" || body.Call == "" || r.Base < 0 || r.Base >= offset {
+		return Rejected
+	}
+	k := keyOf(body.Account, body.Key)
+	v := x.judge(k, r.Base, body)
+	if v == Rejected {
+		return v
+	}
+	if x.intents == nil {
+		x.intents = map[key]Found{}
+	}
+	x.intents[k] = Found{Call: body.Call, Sum: body.Sum, Offset: offset, Uncertain: v == Uncertain}
+	x.order = append(x.order, kept{key: k, offset: offset})
+	return v
+}
+
+func (x *Index) judge(k key, base int64, body berylrecord.Intent) Verdict {
+	cur, known := x.intents[k]
+	switch {
+	case known && !cur.Uncertain:
+		if body.Prev != cur.Call {
+			return Rejected
+		}
+		return Accepted
+	case known && base < cur.Offset:
+		return Uncertain
+	case known:
+		return Accepted
+	case base < x.first-1:
+		return Uncertain
+	case x.first <= 1 && body.Prev != "":
+		return Rejected
+	default:
+		return Accepted
+	}
+}
+
+// Confirm tells the last offset that was read, counting records that were
+// dropped by the reader.
+func (x *Index) Confirm(upto int64) { x.upto = max(x.upto, upto) }
+
+// Find returns what is known of a client account's key.
+func (x *Index) Find(account, name string) (Found, bool) {
+	f, ok := x.intents[keyOf(account, name)]
+	return f, ok
+}
+
+// Intent returns a record with the intent to run a call for a key that is not
+// known, or whose known call has a confirmed tombstone.
+func (x *Index) Intent(account, name, sum, call string) berylrecord.Record {
+	prev := x.intents[keyOf(account, name)].Call
+	return berylrecord.New(x.upto, berylrecord.Intent{Key: name, Account: account, Sum: sum, Call: call, Prev: prev})
+}
+
+// Len returns the number of keys.
+func (x *Index) Len() int { return len(x.intents) }
+
+func keyOf(account, name string) key {
+	sum := sha256.Sum256([]byte(account + "\x00" + name))
+	return key(sum[:len(key{})])
+}
--- /dev/null
+++ b/berylintent/index_test.go
@@ -0,0 +1,170 @@
+package berylintent
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"berylglade/berylrecord"
+)
+
+func intent(base int64, key, call, prev string) berylrecord.Record {
+	return berylrecord.Record{Base: base, Body: berylrecord.Intent{Key: key, Account: "acc", Call: call, Prev: prev}}
+}
+
+// Guards against two calls that are both taken for the valid one of a key.
+func TestApply(t *testing.T) {
+	tests := []struct {
+		name  string
+		first int64
+		give  []berylrecord.Record
+		want  []Verdict
+		call  string
+		blind bool
+	}{
+		{name: "first", give: []berylrecord.Record{intent(0, "k", "c1", "")}, want: []Verdict{Accepted}, call: "c1"},
+		{name: "two at once", give: []berylrecord.Record{intent(0, "k", "c1", ""), intent(0, "k", "c2", "")}, want: []Verdict{Accepted, Rejected}, call: "c1"},
+		{name: "repeated", give: []berylrecord.Record{intent(0, "k", "c1", ""), intent(0, "k", "c1", "")}, want: []Verdict{Accepted, Rejected}, call: "c1"},
+		{name: "next attempt", give: []berylrecord.Record{intent(0, "k", "c1", ""), intent(1, "k", "c2", "c1")}, want: []Verdict{Accepted, Accepted}, call: "c2"},
+		{
+			name: "two next attempts",
+			give: []berylrecord.Record{intent(0, "k", "c1", ""), intent(1, "k", "c2", "c1"), intent(1, "k", "c3", "c1")},
+			want: []Verdict{Accepted, Accepted, Rejected}, call: "c2",
+		},
+		{name: "unknown predecessor", give: []berylrecord.Record{intent(0, "k", "c2", "c1")}, want: []Verdict{Rejected}},
+		{name: "no key", give: []berylrecord.Record{intent(0, "", "c1", "")}, want: []Verdict{Rejected}},
+		{name: "base in the future", give: []berylrecord.Record{intent(1, "k", "c1", "")}, want: []Verdict{Rejected}},
+		{name: "other record", give: []berylrecord.Record{{Body: berylrecord.Renewal{Term: 1}}}, want: []Verdict{Rejected}},
+		{name: "behind retention", first: 50, give: []berylrecord.Record{intent(49, "k", "c2", "c1")}, want: []Verdict{Accepted}, call: "c2"},
+		{
+			name: "behind retention, earlier one may be dropped", first: 50,
+			give: []berylrecord.Record{intent(48, "k", "c2", "")}, want: []Verdict{Uncertain}, call: "c2", blind: true,
+		},
+		{
+			name: "behind retention, settled by the next attempt", first: 50,
+			give: []berylrecord.Record{intent(48, "k", "c2", ""), intent(50, "k", "c3", "c2")}, want: []Verdict{Uncertain, Accepted}, call: "c3",
+		},
+		{
+			name: "behind retention, two that can't be judged", first: 50,
+			give: []berylrecord.Record{intent(48, "k", "c2", ""), intent(49, "k", "c3", "")}, want: []Verdict{Uncertain, Uncertain}, call: "c3", blind: true,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			var x Index
+			first := max(tt.first, 1)
+			x.Gap(first)
+			var got []Verdict
+			for i, r := range tt.give {
+				got = append(got, x.Apply(first+int64(i), r))
+			}
+			is.Equal(got, tt.want)
+			f, ok := x.Find("acc", "k")
+			is.Equal(ok, tt.call != "")
+			is.Equal(f.Call, tt.call)
+			is.Equal(f.Uncertain, tt.blind)
+			_, ok = x.Find("other", "k")
+			is.True(!ok)
+		})
+	}
+}
+
+// Guards against keys that are kept for ever, and a newer intent that is
+// forgotten with an older one.
+func TestGap(t *testing.T) {
+	is := is.New(t)
+	var x Index
+	x.Apply(1, intent(0, "a", "c1", ""))
+	x.Apply(2, intent(1, "b", "c2", ""))
+	x.Apply(3, intent(2, "a", "c3", "c1"))
+	x.Gap(3)
+	is.Equal(x.Len(), 1)
+	is.Equal(len(x.order), 1)
+	f, _ := x.Find("acc", "a")
+	is.Equal(f.Call, "c3")
+	is.Equal(x.Intent("acc", "a", "s", "c4").Body, berylrecord.Intent{Key: "a", Account: "acc", Sum: "s", Call: "c4", Prev: "c3"})
+	is.Equal(x.Intent("acc", "b", "s", "c5").Base, int64(3))
+	x.Gap(4)
+	is.Equal(x.Len()+len(x.order), 0)
+}
+
+// reader is an entry that reads the stream at its own pace.
+type reader struct {
+	Index
+	known map[string]bool
+}
+
+func (r *reader) read(log []berylrecord.Record, first int64, n int) {
+	r.Gap(first)
+	for ; n > 0 && r.upto < int64(len(log)); n-- {
+		rec := log[r.upto]
+		if r.known[rec.ID] {
+			r.Confirm(r.upto + 1)
+			continue
+		}
+		r.known[rec.ID] = true
+		r.Apply(r.upto+1, rec)
+	}
+}
+
+// Guards against two entries that dispatch different calls for one key,
+// wherever they started to read, whatever repetitions they saw and however late
+// the intents took effect.
+func TestReadersAgree(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		pick := func(label string, n int) int { return rapid.IntRange(0, n-1).Draw(rt, label) }
+		var log, flight []berylrecord.Record
+		first := int64(1)
+		readers := []*reader{{}, {}, {}}
+		for i := range readers {
+			readers[i].known = map[string]bool{}
+		}
+		for i := range rapid.IntRange(0, 100).Draw(rt, "steps") {
+			r := readers[pick("reader", len(readers))]
+			switch pick("step", 7) {
+			case 0:
+				r.read(log, first, pick("n", 5))
+			case 1:
+				r.read(log, first, len(log))
+			case 2:
+				key := fmt.Sprint("k", pick("key", 2))
+				if f, _ := r.Find("acc", key); !f.Uncertain {
+					rec := r.Intent("acc", key, "", fmt.Sprint("c", i))
+					rec.ID = fmt.Sprint("r", i)
+					flight = append(flight, rec)
+				}
+			case 3, 4:
+				if len(flight) > 0 {
+					j := pick("flight", len(flight))
+					log = append(log, flight[j])
+					if pick("again", 4) > 0 {
+						flight = append(flight[:j], flight[j+1:]...)
+					}
+				}
+			case 5:
+				first += int64(pick("trim", int(int64(len(log))+2-first)))
+			default:
+				*r = reader{known: map[string]bool{}}
+			}
+		}
+		for _, r := range readers {
+			r.read(log, first, len(log))
+		}
+		for _, key := range []string{"k0", "k1"} {
+			call := ""
+			for _, r := range readers {
+				f, ok := r.Find("acc", key)
+				if !ok || f.Uncertain {
+					continue
+				}
+				if call != "" && call != f.Call {
+					rt.Fatalf("key %s: calls %s and %s", key, call, f.Call)
+				}
+				call = f.Call
+			}
+		}
+	})
+}
