--- /dev/null
+++ b/berylfreshness/freshness.go
@@ -0,0 +1,94 @@
+// Package berylfreshness decides whether anything may start: only if the
+// process knows a configuration that was confirmed as the newest a short time
+// ago.
+//
+// An entry confirms with [Freshness.Confirm] when it has read the end of stream
+// config, or with [Freshness.Outage] when every entry reports that it cannot
+// read the log. It relays [Freshness.Confirmation] to agents, which confirm in
+// turn. Ages are durations, counted from the moment at which a process sent the
+// request, so that no clocks are compared and a pause only makes a confirmation
+// look older.
+package berylfreshness
+
+import (
+	"time"
+
+	"berylglade/berylerror"
+	"berylglade/berylmessage"
+)
+
+// Limit is the oldest confirmation with which anything starts. It leaves room
+// for one long poll of half a second, one heartbeat and a lost message within
+// the few seconds in which a failure domain that is out must get no starts.
+const Limit = 3 * time.Second
+
+// Freshness is what one process knows. The zero value allows no start.
+type Freshness struct {
+	// at is when the configuration was last known as the newest.
+	at time.Time
+	// own is the offset of the process's configuration.
+	own int64
+	// seen is the highest offset that anyone has reported.
+	seen int64
+}
+
+// Confirm takes in a confirmation. Sent is when its request was sent, and own is
+// the offset of the configuration that this process has now. An entry that has
+// read the end of the stream passes the time at which the read began and a
+// valid confirmation of age zero.
+func (f *Freshness) Confirm(now, sent time.Time, c berylmessage.Confirmation, own int64) {
+	f.own = max(f.own, own)
+	f.seen = max(f.seen, c.Offset, own)
+	if !c.Valid || c.Age < 0 || sent.After(now) || f.own < c.Offset {
+		return
+	}
+	if at := sent.Add(-c.Age); at.After(f.at) {
+		f.at = at
+	}
+}
+
+// Outage takes in the replies of the entries to Peek requests sent at a time,
+// this process's own among them, by the address in the settings. If every
+// listed entry has confirmed its configuration before and now cannot read the
+// log, no change can have been accepted since, and the newest of their
+// configurations counts as confirmed. An entry that has restarted during the
+// outage may have forgotten an accepted change, so an entry sets Valid in its
+// reply only after it has read the log itself since its start. Outage reports
+// whether the condition holds.
+func (f *Freshness) Outage(now, sent time.Time, listed []string, replies map[string]berylmessage.PeekReply, own int64) bool {
+	newest := int64(0)
+	for _, entry := range listed {
+		r, ok := replies[entry]
+		if !ok || r.Reachable || !r.Valid {
+			return false
+		}
+		newest = max(newest, r.Offset)
+	}
+	if len(listed) == 0 {
+		return false
+	}
+	f.Confirm(now, sent, berylmessage.Confirmation{Offset: newest, Valid: true}, own)
+	return own >= newest
+}
+
+// Check returns an error of kind notrun if nothing may start now.
+func (f *Freshness) Check(now time.Time) error {
+	switch {
+	case f.at.IsZero():
+		return berylerror.NotRun.Errorf("the configuration has not been confirmed yet")
+	case f.own < f.seen:
+		return berylerror.NotRun.Errorf("the configuration of offset %d is behind offset %d", f.own, f.seen)
+	case now.Sub(f.at) > Limit:
+		return berylerror.NotRun.Errorf("the configuration was last confirmed %v ago, limit is %v", now.Sub(f.at).Round(time.Millisecond), Limit)
+	default:
+		return nil
+	}
+}
+
+// Confirmation returns what this process relays.
+func (f *Freshness) Confirmation(now time.Time) berylmessage.Confirmation {
+	if f.at.IsZero() {
+		return berylmessage.Confirmation{Offset: f.own}
+	}
+	return berylmessage.Confirmation{Offset: f.own, Age: max(now.Sub(f.at), 0), Valid: true}
+}
