--- a/berylestimator/estimator.go
+++ b/berylestimator/estimator.go
@@ -49,6 +49,8 @@
 	// learned stays set while decay leaves at least a few observations, so that
 	// a quiet night does not bring back the declared values.
 	learned bool
+	// run is the quantile, computed once for each observation.
+	run time.Duration
 }
 
 // Observe records the run time of a gang that ended well.
@@ -71,6 +73,7 @@
 	_ = h.hist.RecordValues(ms, _weight) // within the range by the line above
 	total := h.hist.TotalCount()
 	h.learned = total >= _enough*_weight || h.learned && total >= _few*_weight
+	h.run = time.Duration(h.hist.ValueAtQuantile(_quantile)) * time.Millisecond
 }
 
 func newHist() *hdrhistogram.Histogram {
@@ -96,7 +99,7 @@
 // Run returns the expected run time of a job.
 func (e *Estimator) Run(class, account string, declared time.Duration) time.Duration {
 	if h := e.history(class, account); h != nil {
-		return time.Duration(h.hist.ValueAtQuantile(_quantile)) * time.Millisecond
+		return h.run
 	}
 	if declared <= 0 {
 		return _unknown
--- /dev/null
+++ b/berylestimator/estimator_test.go
@@ -0,0 +1,74 @@
+package berylestimator_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"berylglade/berylestimator"
+)
+
+func between(got, low, high time.Duration) bool { return got >= low && got <= high }
+
+// TestRun guards against trusting declared values that are ten times off, and against
+// trusting a few observations.
+func TestRun(t *testing.T) {
+	tests := []struct {
+		name     string
+		give     berylestimator.Estimator
+		observed []time.Duration
+		account  string
+		declared time.Duration
+		low      time.Duration
+		high     time.Duration
+	}{
+		{name: "nothing known", declared: time.Minute, low: time.Minute, high: time.Minute},
+		{name: "nothing declared", low: time.Hour, high: time.Hour},
+		{name: "too few", observed: many(7, time.Hour), declared: time.Minute, low: time.Minute, high: time.Minute},
+		{name: "enough", observed: many(8, time.Hour), account: "x", declared: 6 * time.Minute, low: 55 * time.Minute, high: 70 * time.Minute},
+		{name: "other account of the class", observed: many(8, time.Hour), account: "y", declared: 6 * time.Minute, low: 55 * time.Minute, high: 70 * time.Minute},
+		{name: "high quantile", observed: append(many(80, time.Minute), many(20, time.Hour)...), account: "x", low: 55 * time.Minute, high: 70 * time.Minute},
+		{name: "rare long runs", observed: append(many(98, time.Minute), many(2, time.Hour)...), account: "x", low: 50 * time.Second, high: 70 * time.Second},
+		{name: "off", give: berylestimator.Estimator{Off: true}, observed: many(8, time.Hour), declared: time.Minute, low: time.Minute, high: time.Minute},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(0, 0)
+			for _, d := range tt.observed {
+				tt.give.Observe(now, "c", "x", d)
+			}
+			got := tt.give.Run("c", tt.account, tt.declared)
+			is.True(between(got, tt.low, tt.high))
+		})
+	}
+}
+
+func many(n int, d time.Duration) []time.Duration {
+	out := make([]time.Duration, n)
+	for i := range out {
+		out[i] = d
+	}
+	return out
+}
+
+// TestDecay guards against an estimate that keeps old behaviour for ever, and against
+// one that a quiet night resets to the declared value.
+func TestDecay(t *testing.T) {
+	is := is.New(t)
+	e := &berylestimator.Estimator{}
+	now := time.Unix(0, 0)
+	for range 100 {
+		e.Observe(now, "c", "x", 10*time.Hour)
+	}
+	now = now.Add(12 * time.Hour)
+	e.Observe(now, "c", "x", time.Minute)
+	is.True(between(e.Run("c", "x", time.Second), 9*time.Hour, 11*time.Hour)) // a quarter of 100 is still most
+	now = now.Add(18 * time.Hour)
+	for range 40 {
+		e.Observe(now, "c", "x", time.Minute)
+	}
+	is.True(between(e.Run("c", "x", time.Second), 50*time.Second, 70*time.Second))
+	is.True(e.Known("c", "x"))
+}
