berylplacement: stop a search at enough harmless workers

Cause: a search at 11,000 workers sorted all candidates; p99 of a decision was 23.8 ms. Change: a heap instead of a sort, an end at 64 harmless candidates, searches limited to a failure domain, and a count of workers looked at.

--- a/berylplacement/find.go
+++ b/berylplacement/find.go
@@ -2,8 +2,8 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"math"
-	"slices"
 
 	"berylglade/beryladjacency"
 	"berylglade/berylshape"
@@ -19,6 +19,10 @@
 	harms map[harmKey]float64
 	units map[rackKey]int
 	pool  []candidate
+	// harmless counts the tasks, and harmlessWorkers the workers, of candidates
+	// in pool without cost and harm.
+	harmless        int
+	harmlessWorkers int
 }
 
 type rackKey struct {
@@ -69,6 +73,7 @@
 
 // candidate looks at one worker for up to n tasks.
 func (f *finder) candidate(i, n int) (candidate, bool) {
+	f.Looked++
 	have := f.capacity(i)
 	k := min(f.Shape.Count(have), n)
 	if k == 0 || f.Avoid != nil && f.Avoid(i) {
@@ -148,11 +153,31 @@
 	return n
 }
 
-// scan adds the candidates of a group's racks to the pool.
-func (f *finder) scan(g *group) {
+// _harmless is the number of workers at no cost and harm, beyond those needed,
+// after which a search stops looking for better ones.
+const _harmless = 64
+
+// groups returns the failure domains to search.
+func (f *finder) groups() []*group {
+	if f.Domain == "" {
+		return f.order
+	}
+	if d, ok := f.domains[f.Domain]; ok {
+		return []*group{d}
+	}
+	return nil
+}
+
+// scan adds the candidates of a group's racks to the pool and reports whether
+// enough of them are harmless.
+func (f *finder) scan(g *group) bool {
 	for _, r := range g.racks {
 		f.scanRack(r)
+		if f.harmless >= f.Tasks && f.harmlessWorkers >= _harmless {
+			return true
+		}
 	}
+	return false
 }
 
 func (f *finder) scanRack(r *group) {
@@ -160,8 +185,14 @@
 		return
 	}
 	for _, i := range r.members {
-		if c, ok := f.candidate(i, f.Tasks); ok {
-			f.pool = append(f.pool, c)
+		c, ok := f.candidate(i, f.Tasks)
+		if !ok {
+			continue
+		}
+		f.pool = append(f.pool, c)
+		if c.cost == 0 && c.harm == 0 {
+			f.harmless += c.tasks
+			f.harmlessWorkers++
 		}
 	}
 }
@@ -169,7 +200,7 @@
 // onWorker puts the whole gang on one worker.
 func (f *finder) onWorker() ([]Part, bool) {
 	best, found := candidate{}, false
-	for _, d := range f.order {
+	for _, d := range f.groups() {
 		if f.bound(d) < f.Tasks {
 			continue
 		}
@@ -185,7 +216,10 @@
 				if !found || better(c, best) < 0 {
 					best, found = c, true
 				}
-				if f.FirstFit || best.cost == 0 && best.harm == 0 && best.rest == 0 {
+				if c.cost == 0 && c.harm == 0 {
+					f.harmlessWorkers++
+				}
+				if f.FirstFit || f.harmlessWorkers >= _harmless || best.cost == 0 && best.harm == 0 && best.rest == 0 {
 					return []Part{{Worker: best.worker, Tasks: f.Tasks}}, true
 				}
 			}
@@ -197,7 +231,7 @@
 // inRack puts the gang in the rack where it does the least harm.
 func (f *finder) inRack() ([]Part, bool) {
 	best, found := choice{}, false
-	for _, d := range f.order {
+	for _, d := range f.groups() {
 		if f.bound(d) < f.Tasks {
 			continue
 		}
@@ -205,7 +239,7 @@
 			if f.bound(r) < f.Tasks {
 				continue
 			}
-			f.pool = f.pool[:0]
+			f.clear()
 			f.scanRack(r)
 			c, ok := f.take()
 			if !ok {
@@ -224,11 +258,11 @@
 
 func (f *finder) inDomain() ([]Part, bool) {
 	best, found := choice{}, false
-	for _, d := range f.order {
+	for _, d := range f.groups() {
 		if f.bound(d) < f.Tasks {
 			continue
 		}
-		f.pool = f.pool[:0]
+		f.clear()
 		f.scan(d)
 		c, ok := f.take()
 		if ok && (!found || c.less(best)) {
@@ -239,13 +273,20 @@
 }
 
 func (f *finder) anywhere() ([]Part, bool) {
-	for _, d := range f.order {
-		f.scan(d)
+	for _, d := range f.groups() {
+		if f.scan(d) {
+			break
+		}
 	}
 	c, ok := f.take()
 	return c.parts, ok
 }
 
+func (f *finder) clear() {
+	f.pool = f.pool[:0]
+	f.harmless, f.harmlessWorkers = 0, 0
+}
+
 // choice is a complete set of parts.
 type choice struct {
 	parts []Part
@@ -272,12 +313,11 @@
 	if have < f.Tasks {
 		return choice{}, false
 	}
-	if !f.FirstFit {
-		slices.SortFunc(f.pool, better)
-	}
+	next := f.inOrder()
 	out := choice{}
 	need := f.Tasks
-	for _, c := range f.pool {
+	for {
+		c := next()
 		if c.tasks > need {
 			c = f.shrink(c, need)
 		}
@@ -293,6 +333,39 @@
 	return out, true
 }
 
+// inOrder returns a function that takes the best candidate from the pool. A heap is
+// enough, as most gangs use few of the candidates.
+func (f *finder) inOrder() func() candidate {
+	if f.FirstFit {
+		k := -1
+		return func() candidate {
+			k++
+			return f.pool[k]
+		}
+	}
+	h := (*byCost)(&f.pool)
+	heap.Init(h)
+	return func() candidate { return heap.Pop(h).(candidate) }
+}
+
+// byCost is a heap of candidates.
+type byCost []candidate
+
+func (h byCost) Len() int           { return len(h) }
+func (h byCost) Less(i, k int) bool { return better(h[i], h[k]) < 0 }
+func (h byCost) Swap(i, k int)      { h[i], h[k] = h[k], h[i] }
+
+// Push is for container/heap.
+func (h *byCost) Push(x any) { *h = append(*h, x.(candidate)) }
+
+// Pop is for container/heap.
+func (h *byCost) Pop() any {
+	old := *h
+	x := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return x
+}
+
 // shrink recomputes a candidate for fewer tasks.
 func (f *finder) shrink(c candidate, n int) candidate {
 	if f.FirstFit {
--- a/berylplacement/placement.go
+++ b/berylplacement/placement.go
@@ -46,6 +46,8 @@
 	Tasks    int
 	Adjacent beryladjacency.Adjacency
 	Mode     Mode
+	// Domain limits the search to one failure domain; empty means all.
+	Domain string
 	// Avoid excludes workers; nil excludes none.
 	Avoid func(worker int) bool
 	// Bonus is capacity that is not counted as committed for this request.
@@ -85,6 +87,9 @@
 	Protect []Protected
 	// FirstFit turns the choice by harm off.
 	FirstFit bool
+	// Looked counts the workers that searches looked at, as a measure of time
+	// that does not depend on a clock.
+	Looked int
 
 	workers []Worker
 	byName  map[string]int
@@ -282,20 +287,12 @@
 	}
 }
 
-// Most returns the number of tasks of a shape that the usable workers can hold
-// in the given mode, up to limit.
-func (p *Placement) Most(s berylshape.Shape, m Mode, limit int) int {
-	n := 0
-	for i := range p.workers {
-		if w := &p.workers[i]; !w.Known || w.rack == nil {
-			continue
-		}
-		n += s.Count(p.Available(i, m))
-		if n >= limit {
-			return limit
-		}
+// FreeIn returns the sum of free capacity in a failure domain.
+func (p *Placement) FreeIn(domain string) berylshape.Shape {
+	if d, ok := p.domains[domain]; ok {
+		return d.free
 	}
-	return n
+	return berylshape.Shape{}
 }
 
 // bound returns how many tasks a group can hold at most.
