--- a/berylguarantee/backup.go
+++ b/berylguarantee/backup.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"berylglade/beryladjacency"
 	"berylglade/berylplacement"
 	"berylglade/berylshape"
 )
@@ -97,26 +98,49 @@
 	if want == 0 {
 		return true
 	}
-	parts, ok := g.Placement.Find(berylplacement.Request{
+	shared := func(w int) berylshape.Shape {
+		m := g.backups[w]
+		return most(m).Sub(m[domain])
+	}
+	r := berylplacement.Request{
 		Shape:    p.Shape,
-		Tasks:    want,
 		Adjacent: p.Adjacent,
 		Mode:     berylplacement.Evict,
 		Avoid:    func(w int) bool { return g.Placement.Worker(w).Domain == domain },
-		Bonus: func(w int) berylshape.Shape {
-			m := g.backups[w]
-			return most(m).Sub(m[domain])
+		Bonus:    shared,
+		Cost: func(w int) float64 {
+			if p.Shape.Fits(shared(w)) {
+				return 0
+			}
+			return 1
 		},
-	})
-	if !ok {
-		return false
-	}
-	workers := make([]int, 0, want)
-	for _, part := range parts {
-		for range part.Tasks {
-			workers = append(workers, part.Worker)
+	}
+	workers := g.someBackups(p, domain, r, want)
+	return len(workers) == want
+}
+
+// someBackups finds and sets up to want backup places; a set that has to stay
+// together gets all or none.
+func (g *Guarantee) someBackups(p *promise, domain string, r berylplacement.Request, want int) []int {
+	var workers []int
+	for n := want; n > 0 && len(workers) < want; {
+		r.Tasks = min(n, want-len(workers))
+		parts, ok := g.Placement.Find(r)
+		if !ok && p.Adjacent != beryladjacency.Anywhere {
+			break
+		}
+		if !ok {
+			n = r.Tasks / 2
+			continue
+		}
+		all := slices.Clone(workers)
+		for _, part := range parts {
+			for range part.Tasks {
+				all = append(all, part.Worker)
+			}
 		}
+		workers = all
+		g.setBackups(p, domain, workers)
 	}
-	g.setBackups(p, domain, workers)
-	return true
+	return workers
 }
--- a/berylguarantee/claim.go
+++ b/berylguarantee/claim.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"berylglade/beryladjacency"
 	"berylglade/berylplacement"
@@ -259,6 +260,7 @@
 		g.addBusy(u.worker, p.Shape, -1)
 		if !g.good(u.worker) {
 			p.unsettled = true
+			p.due = time.Time{}
 		}
 	}
 }
--- a/berylguarantee/guarantee.go
+++ b/berylguarantee/guarantee.go
@@ -253,6 +253,11 @@
 // FirmOn returns the firm work on a worker.
 func (g *Guarantee) FirmOn(worker int) berylshape.Shape { return g.firm[worker] }
 
+// Planned returns what units and their backups take on a worker.
+func (g *Guarantee) Planned(worker int) berylshape.Shape {
+	return g.Placement.Worker(worker).Committed.Sub(g.firm[worker]).Sub(g.reserved[worker])
+}
+
 // Changed says that a worker's size, place or usability changed.
 func (g *Guarantee) Changed(worker int) {
 	g.recheck(worker)
@@ -422,9 +427,30 @@
 	if debt {
 		r.Bonus = func(w int) berylshape.Shape { return g.firm[w] }
 	}
+	if p.Spare && p.Adjacent == beryladjacency.Anywhere {
+		units = g.balance(p, units, r)
+	}
 	if p.Adjacent != beryladjacency.Anywhere && len(units) < p.Count {
 		r.Avoid = g.outside(p)
 	}
+	g.fill(p, units, r)
+}
+
+// balance spreads single units evenly over the failure domains, because the largest
+// share of a domain is what the others have to spare.
+func (g *Guarantee) balance(p *promise, units []int, r berylplacement.Request) []int {
+	for _, d := range g.domains {
+		share := (p.Count+len(g.domains)-1)/len(g.domains) - p.in(g, d)
+		n := min(max(share, 0), len(units))
+		r.Domain = d
+		rest := g.fill(p, units[:n], r)
+		units = append(slices.Clone(rest), units[n:]...)
+	}
+	return units
+}
+
+// fill places as many of the units as it finds places for and returns the others.
+func (g *Guarantee) fill(p *promise, units []int, r berylplacement.Request) []int {
 	for n := len(units); n > 0 && len(units) > 0; {
 		r.Tasks = min(n, len(units))
 		parts, ok := g.Placement.Find(r)
@@ -433,10 +459,11 @@
 			continue
 		}
 		if p.Adjacent != beryladjacency.Anywhere {
-			return
+			break
 		}
 		n = r.Tasks / 2
 	}
+	return units
 }
 
 // trade places units where free units of other promises are, and those elsewhere.
@@ -642,18 +669,31 @@
 			})
 			continue
 		}
-		for _, d := range g.domains {
-			if want := p.in(g, d); p.Spare && len(p.backup[d]) < want {
-				out = append(out, Unmet{
-					Account: p.account, Index: p.index, Units: want - len(p.backup[d]),
-					Reason: fmt.Sprintf("%d units of %v have no place without failure domain %s", want-len(p.backup[d]), p.Shape, d),
-				})
-			}
+		if d, n := g.exposed(p); n > 0 {
+			out = append(out, Unmet{
+				Account: p.account, Index: p.index, Units: n,
+				Reason: fmt.Sprintf("%d of %d units of %v have no place without failure domain %s", n, p.Count, p.Shape, d),
+			})
 		}
 	}
 	return out
 }
 
+// exposed returns the failure domain whose loss takes the most units that have no
+// backup.
+func (g *Guarantee) exposed(p *promise) (string, int) {
+	domain, most := "", 0
+	if !p.Spare {
+		return domain, most
+	}
+	for _, d := range g.domains {
+		if n := p.in(g, d) - len(p.backup[d]); n > most {
+			domain, most = d, n
+		}
+	}
+	return domain, most
+}
+
 // in returns the number of units in a failure domain.
 func (p *promise) in(g *Guarantee, domain string) int {
 	n := 0
