berylquarantine: keep the evidence of jobs that ended well

Cause: a job that failed on a bad worker and then ended well elsewhere took its evidence along, so the worker was never quarantined. Change: Forget keeps failures against workers; the window removes them. Conclusion: three jobs are enough to find a bad worker.

--- a/berylquarantine/quarantine.go
+++ b/berylquarantine/quarantine.go
@@ -176,14 +176,9 @@
 	delete(q.bad, worker)
 }
 
-// Forget drops a job that has ended.
-func (q *Quarantine) Forget(job string) {
-	q.init()
-	for w := range q.jobs[job] {
-		q.remove(job, w)
-	}
-	delete(q.jobs, job)
-}
+// Forget drops a job that has ended. Its failures still count against workers; most
+// jobs that a bad worker failed end well elsewhere.
+func (q *Quarantine) Forget(job string) { delete(q.jobs, job) }
 
 // ForgetWorker drops a worker that was replaced or is gone.
 func (q *Quarantine) ForgetWorker(worker string) {
--- /dev/null
+++ b/berylquarantine/quarantine_test.go
@@ -0,0 +1,133 @@
+package berylquarantine_test
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"berylglade/berylquarantine"
+)
+
+// event is a failure of a job on a worker, or a success if the job is empty.
+type event struct{ job, worker string }
+
+// TestBlame guards against blaming a worker for a bad job, or a job for a bad worker.
+func TestBlame(t *testing.T) {
+	tests := []struct {
+		name    string
+		give    []event
+		workers []string
+		jobs    []string
+	}{
+		{name: "one job on one worker", give: []event{{"a", "1"}, {"a", "1"}, {"a", "1"}, {"a", "1"}}},
+		{name: "several jobs on one worker", give: []event{{"a", "1"}, {"b", "1"}, {"c", "1"}}, workers: []string{"1"}},
+		{name: "one job on several workers", give: []event{{"a", "1"}, {"a", "2"}, {"a", "3"}}, jobs: []string{"a"}},
+		{
+			name:    "a job that met two bad workers is not ended by them",
+			give:    []event{{"a", "1"}, {"b", "1"}, {"c", "1"}, {"d", "2"}, {"e", "2"}, {"f", "2"}, {"a", "3"}, {"a", "4"}},
+			workers: []string{"1", "2"},
+		},
+		{
+			name: "bad jobs do not take a worker that runs others well",
+			give: []event{{"a", "1"}, {"", "1"}, {"b", "1"}, {"", "1"}, {"c", "1"}, {"", "1"}, {"a", "2"}, {"", "2"}, {"a", "3"}},
+			jobs: []string{"a"},
+		},
+		{
+			name:    "two bad workers are told apart although the same jobs met both",
+			give:    []event{{"a", "1"}, {"a", "2"}, {"b", "1"}, {"b", "2"}, {"c", "1"}, {"c", "2"}, {"d", "1"}},
+			workers: []string{"1", "2"},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			q := &berylquarantine.Quarantine{}
+			var jobs []string
+			for _, e := range tt.give {
+				if e.job == "" {
+					q.Succeed(e.worker)
+					continue
+				}
+				if _, end := q.Fail(time.Unix(0, 0), e.job, e.worker); end {
+					jobs = append(jobs, e.job)
+				}
+			}
+			is.Equal(q.Workers(), tt.workers)
+			is.Equal(jobs, tt.jobs)
+		})
+	}
+}
+
+// TestProbe guards against a worker that stays in quarantine for ever, and against
+// probes that keep failing at the first rate.
+func TestProbe(t *testing.T) {
+	is := is.New(t)
+	q := &berylquarantine.Quarantine{}
+	now := time.Unix(0, 0)
+	for _, j := range []string{"a", "b", "c"} {
+		q.Fail(now, j, "1")
+	}
+	is.Equal(len(q.Probes(now)), 0)
+	now = now.Add(time.Minute)
+	is.Equal(q.Probes(now), []string{"1"})
+	is.Equal(len(q.Probes(now)), 0) // one at a time
+	q.Fail(now, "d", "1")
+	is.Equal(len(q.Probes(now.Add(time.Minute))), 0)
+	now = now.Add(2 * time.Minute)
+	is.Equal(q.Probes(now), []string{"1"})
+	q.Succeed("1")
+	is.True(!q.Quarantined("1"))
+}
+
+// TestWindow guards against failures that add up over weeks.
+func TestWindow(t *testing.T) {
+	is := is.New(t)
+	q := &berylquarantine.Quarantine{}
+	now := time.Unix(0, 0)
+	for i := range 20 {
+		q.Fail(now, strconv.Itoa(i), "1")
+		now = now.Add(31 * time.Minute)
+	}
+	is.Equal(len(q.Workers()), 0)
+}
+
+// TestNeitherBlamesTheOther runs bad workers, which fail everything, and bad jobs,
+// which fail everywhere, among good ones in random order. There are two bad jobs: a
+// third that fails first on a worker without a success since looks exactly like a bad
+// worker, and then the worker is probed rather than the jobs ended.
+func TestNeitherBlamesTheOther(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		q := &berylquarantine.Quarantine{}
+		now := time.Unix(0, 0)
+		n := rapid.IntRange(50, 300).Draw(rt, "runs")
+		for i := range n {
+			now = now.Add(time.Second)
+			w := rapid.IntRange(0, 9).Draw(rt, "worker")
+			bad := rapid.IntRange(0, 9).Draw(rt, "bad") == 0
+			worker := strconv.Itoa(w)
+			job := fmt.Sprint("good", i)
+			if bad {
+				job = fmt.Sprint("bad", i%2)
+			}
+			if q.Quarantined(worker) {
+				continue
+			}
+			if !bad && w > 1 {
+				q.Succeed(worker)
+				continue
+			}
+			if _, end := q.Fail(now, job, worker); end && !bad {
+				rt.Fatalf("%s was ended", job)
+			}
+			for _, w := range q.Workers() {
+				if w > "1" {
+					rt.Fatalf("worker %s was quarantined", w)
+				}
+			}
+		}
+	})
+}
