--- a/berylscheduler/beside.go
+++ b/berylscheduler/beside.go
@@ -14,17 +14,17 @@
 }
 
 // besideGuarantees returns why a job can never run because other accounts hold
-// guarantees, or nothing. It is asked only for work that has waited for long, as it
-// plans all guarantees afresh.
+// guarantees, or nothing. It plans all guarantees afresh, which is too slow for a large
+// cluster; there such a job waits and is reported late.
 func (s *Scheduler) besideGuarantees(j *job) string {
-	if s.opts.NoGuarantee || s.class(j).Checkpoint {
+	if s.opts.NoGuarantee || s.class(j).Checkpoint || s.guarantee.Promises()*s.place.Len() > _repackMost {
 		return ""
 	}
 	if s.empty == nil {
 		s.empty = s.newScratch()
 	}
 	for _, domain := range s.choices(j) {
-		if s.empty.takes(s, j, domain) {
+		if s.empty.takes(j, domain) {
 			return ""
 		}
 	}
@@ -49,7 +49,7 @@
 	return out
 }
 
-func (c *scratch) takes(s *Scheduler, j *job, domain string) bool {
+func (c *scratch) takes(j *job, domain string) bool {
 	if grant := c.guarantee.Claim(berylguarantee.Gang{
 		Account: j.Account, Shape: j.Shape, Tasks: j.Tasks, Adjacent: j.Adjacent,
 	}, true); grant != nil {
@@ -58,7 +58,7 @@
 	}
 	r := berylplacement.Request{
 		Shape: j.Shape, Tasks: j.Tasks, Adjacent: j.Adjacent, Mode: berylplacement.Firm,
-		Avoid: func(i int) bool { return domain != "" && s.workers[i].Domain != domain },
+		Domain: domain,
 	}
 	if _, ok := c.place.Find(r); ok {
 		return true
--- a/berylscheduler/compact.go
+++ b/berylscheduler/compact.go
@@ -62,12 +62,19 @@
 	return out
 }
 
+// movableOn is the guaranteed capacity on a worker that would be free if its gangs
+// moved; nothing if one of them can't.
 func (s *Scheduler) movableOn(i int) berylshape.Shape {
-	sum := berylshape.Shape{}
-	for _, j := range s.movable(i) {
-		sum = sum.Add(j.Shape.Times(j.on(i)))
+	granted := 0
+	for _, j := range s.workers[i].gangs {
+		if j.kind == _granted {
+			granted++
+		}
+	}
+	if granted > len(s.movable(i)) {
+		return berylshape.Shape{}
 	}
-	return sum
+	return s.guarantee.Planned(i)
 }
 
 // inTheWay returns the movable gangs on the parts where units do not fit.
--- a/berylscheduler/decide.go
+++ b/berylscheduler/decide.go
@@ -17,10 +17,12 @@
 )
 
 const (
-	// _mostPlaced and _mostFailed bound one call of Decide: the number of gangs
-	// placed, and the number of searches that find nothing.
-	_mostPlaced = 128
-	_mostFailed = 24
+	// _mostLooked bounds one call of Decide by the number of workers that its
+	// searches look at, each of which takes about 100 ns.
+	_mostLooked = 30_000
+	// _front is the number of jobs with least slack that every call looks at
+	// first, also when the one before it ran out of time further back.
+	_front = 4
 	// _repackMost is the number of guarantees times workers up to which units may
 	// be planned afresh; above it a decision would take more than 10 ms.
 	_repackMost = 20_000
@@ -118,9 +120,10 @@
 func (s *Scheduler) start(j *job) Place {
 	j.step = _placed
 	j.attempt++
-	j.placed, j.started = s.now, s.now
+	j.started = s.now
 	j.moved = false
 	s.counts.Placed++
+	j.number = s.counts.Placed
 	act := Place{Job: j.ID, Attempt: j.attempt}
 	for _, p := range j.parts {
 		w := &s.workers[p.Worker].Worker
@@ -134,8 +137,8 @@
 // walk tries the waiting jobs, least slack first.
 func (s *Scheduler) walk() []Action {
 	var out []Action
-	placed, failed := 0, 0
 	var blocked *job
+	looked := s.place.Looked
 	resume := s.cursor
 	s.cursor = ""
 	skip := resume != "" && s.queue.Has(resume)
@@ -146,27 +149,16 @@
 		front++
 		// After a walk that ran out of time, the first few jobs get their
 		// chance again and the others go on where it stopped.
-		if skip && it.ID != resume && front > _mostFailed/4 {
+		if skip && it.ID != resume && front > _front {
 			return true
 		}
 		skip = skip && it.ID != resume
 		acts, res := s.try(j)
 		out = append(out, acts...)
-		switch res {
-		case _done:
-			placed++
-		case _nothingFits:
-			failed++
-			if blocked == nil && s.large(j) {
-				blocked = j
-			}
-		case _knownNotToFit:
-			if blocked == nil && s.large(j) {
-				blocked = j
-			}
-		case _notNow:
+		if blocked == nil && res == _nothingFits && s.large(j) {
+			blocked = j
 		}
-		if placed >= _mostPlaced || failed >= _mostFailed {
+		if s.place.Looked-looked > _mostLooked {
 			s.cursor = it.ID
 			return false
 		}
@@ -182,10 +174,8 @@
 const (
 	// done means placed, booked or rejected.
 	_done result = iota + 1
-	// nothingFits means that a search found no place.
+	// nothingFits means that there is no place.
 	_nothingFits
-	// knownNotToFit means that a search would find no place.
-	_knownNotToFit
 	// notNow means that a rule of the account or the job holds it back.
 	_notNow
 )
@@ -196,7 +186,7 @@
 		return s.tryReject(j)
 	}
 	if j.tried == s.grown && s.now.Sub(j.looked) < s.lookAgain(j) {
-		return nil, _knownNotToFit
+		return nil, _nothingFits
 	}
 	j.looked = s.now
 	holder := s.hold != nil && s.hold.job == j
@@ -216,7 +206,7 @@
 		if acts, res := s.tryReject(j); res == _done {
 			return acts, res
 		}
-		return nil, _knownNotToFit
+		return nil, _nothingFits
 	}
 	if victims, ok := s.tryEvict(j, holder); ok {
 		return s.book(j, victims), _done
@@ -270,7 +260,7 @@
 	if q := s.cfg.Accounts[j.Account].Quota; exceeds(whole, q) {
 		return fmt.Sprintf("the job needs %v; the quota of account %s is %v", whole, j.Account, q)
 	}
-	if s.now.Sub(s.began) < s.opts.Away || s.now.Sub(j.Accepted) < s.opts.Away {
+	if s.now.Sub(s.began) < s.opts.Away {
 		return ""
 	}
 	k := s.failedAs(j)
@@ -279,9 +269,6 @@
 		reason = s.neverFits(j)
 		s.never[k] = reason
 	}
-	if len(s.lost) > 0 {
-		return ""
-	}
 	return reason
 }
 
@@ -309,20 +296,14 @@
 // avoids returns the workers that a job must not use now: those that refused it,
 // those on which it failed, and quarantined workers unless it can be the probe.
 func (s *Scheduler) avoids(j *job) func(int) bool {
-	if len(j.avoid) == 0 && len(j.Blamed) == 0 && len(s.probing) == 0 {
+	if len(j.avoid) == 0 && len(s.probing) == 0 {
 		return nil
 	}
-	blamed := map[int]bool{}
-	for _, name := range j.Blamed {
-		if i, ok := s.place.Index(name); ok {
-			blamed[i] = true
-		}
-	}
 	return func(i int) bool {
 		if s.probing[i] && (j.Tasks > 1 || len(s.workers[i].gangs) > 0) {
 			return true
 		}
-		return blamed[i] || s.now.Before(j.avoid[i])
+		return s.now.Before(j.avoid[i])
 	}
 }
 
@@ -360,7 +341,7 @@
 	for _, domain := range s.choices(j) {
 		r := s.request(j, berylplacement.Free)
 		r.Cost = func(i int) float64 { return s.unitsLost(i, j.Shape) }
-		r.Avoid = s.avoidsAlso(r.Avoid, domain)
+		r.Domain, r.Avoid = domain, s.avoidsReserved(r.Avoid)
 		parts, ok := s.place.Find(r)
 		if ok && s.displace(j, parts) {
 			j.kind, j.parts = _firm, parts
@@ -390,11 +371,8 @@
 	return out
 }
 
-// avoidsAlso limits a search to a failure domain and leaves out reserved workers.
-func (s *Scheduler) avoidsAlso(avoid func(int) bool, domain string) func(int) bool {
-	return func(i int) bool {
-		return domain != "" && s.workers[i].Domain != domain || s.reservedOn(i) || avoid != nil && avoid(i)
-	}
+func (s *Scheduler) avoidsReserved(avoid func(int) bool) func(int) bool {
+	return func(i int) bool { return s.reservedOn(i) || avoid != nil && avoid(i) }
 }
 
 // unitsLost is one if a task on the worker needs guaranteed units to move.
@@ -490,10 +468,9 @@
 // lateAt is when the target is missed if the job's step does not change. A declared
 // run time says too little to call a waiting job late.
 func (s *Scheduler) lateAt(j *job) (time.Time, bool) {
-	c := s.class(j)
-	d, ok := c.Target.Deadline(j.Accepted)
+	c, d := s.class(j), j.deadline
 	switch {
-	case !ok || c.Target.Start > 0 && j.step >= _running:
+	case d.IsZero() || c.Target.Start > 0 && j.step >= _running:
 		return time.Time{}, false
 	case c.Target.Start == 0 && j.step == _waiting && s.estimator.Known(j.Class, j.Account):
 		return d.Add(-s.run(j)), true
--- a/berylscheduler/domain.go
+++ b/berylscheduler/domain.go
@@ -34,7 +34,10 @@
 	ramping bool
 }
 
-func (s *Scheduler) joinDomain(i int, name string) {
+func (s *Scheduler) joinDomain(i int, old, name string) {
+	if d, ok := s.domains[old]; ok && old != name {
+		d.workers = slices.DeleteFunc(d.workers, func(k int) bool { return k == i })
+	}
 	d, ok := s.domains[name]
 	if !ok {
 		d = &domain{out: s.cfg.Domains[name].Out, since: s.now}
@@ -97,9 +100,11 @@
 // reorder recomputes the order of the queue after targets changed.
 func (s *Scheduler) reorder() {
 	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
-		if j := s.jobs[id]; j.step == _waiting {
+		j := s.jobs[id]
+		s.aim(j)
+		s.watch(j)
+		if j.step == _waiting {
 			s.queue.Put(s.item(j))
-			s.watch(j)
 		}
 	}
 }
--- a/berylscheduler/handle.go
+++ b/berylscheduler/handle.go
@@ -47,6 +47,7 @@
 	if j.Accepted.IsZero() {
 		j.Accepted = s.now
 	}
+	s.aim(j)
 	return j
 }
 
@@ -54,10 +55,23 @@
 	j.step = _waiting
 	j.again = false
 	j.tried = -1
+	for _, name := range j.Blamed {
+		if i, ok := s.place.Index(name); ok {
+			j.shun(i, s.now.Add(_blamed))
+		}
+	}
 	s.queue.Put(s.item(j))
 	s.watch(j)
 }
 
+// shun keeps a job off a worker for some time.
+func (j *job) shun(worker int, until time.Time) {
+	if j.avoid == nil {
+		j.avoid = map[int]time.Time{}
+	}
+	j.avoid[worker] = until
+}
+
 func (s *Scheduler) jobRestored(st beryljob.State) {
 	if st.Phase != beryljob.Decided {
 		return
@@ -79,7 +93,7 @@
 	s.acquire(j)
 	s.restore = append(s.restore, j)
 	j.step = _placed
-	j.placed, j.started = s.now, s.now
+	j.started = s.now
 	for _, p := range j.parts {
 		s.countForeign(p.Worker)
 	}
@@ -212,6 +226,7 @@
 	if i, ok := s.place.Index(name); ok {
 		delete(s.probing, i)
 		s.refresh(i)
+		j.shun(i, s.now.Add(_blamed))
 	}
 	if end {
 		j.rejected = true
@@ -225,10 +240,7 @@
 		return
 	}
 	if i, ok := s.place.Index(ev.Worker); ok {
-		if j.avoid == nil {
-			j.avoid = map[int]time.Time{}
-		}
-		j.avoid[i] = s.now.Add(_refused)
+		j.shun(i, s.now.Add(_refused))
 		delete(s.probing, i)
 		s.refresh(i)
 	}
@@ -250,7 +262,7 @@
 		s.guarantee.Changed(i)
 		s.grown++
 		s.refit()
-		s.joinDomain(i, w.Domain)
+		s.joinDomain(i, old.Domain, w.Domain)
 	}
 	s.workers[i].Worker = w
 	s.countForeign(i)
--- a/berylscheduler/preempt.go
+++ b/berylscheduler/preempt.go
@@ -18,6 +18,10 @@
 	// _advantage is how much more slack a gang needs to be stopped for another
 	// job, so that two jobs don't stop each other in turn.
 	_advantage = 10 * time.Minute
+	// _searchEvery and _searchUrgent are the times between searches of all workers
+	// for gangs to stop; the second is for targets of start.
+	_searchEvery  = time.Second
+	_searchUrgent = 200 * time.Millisecond
 	// _searches bounds the searches around workers whose gangs may not be
 	// stopped.
 	_searches = 3
@@ -76,21 +80,23 @@
 	return slack <= max(s.run(j)/_pressingShare, _pressingLeast)
 }
 
-// yields reports whether a gang may be stopped for a job that no guarantee
-// covers.
-func (s *Scheduler) yields(v, j *job, holder bool) bool {
-	if v.kind != _borrowed {
-		return false
-	}
-	if holder && !v.placed.Before(s.hold.since) {
-		return true
-	}
-	if !s.pressing(j) {
-		return false
-	}
-	theirs, timed := s.slack(v)
+// yielding returns whether a gang may be stopped for a job that no guarantee covers.
+func (s *Scheduler) yielding(j *job, holder bool) func(v *job) bool {
+	pressing := s.pressing(j)
 	ours, _ := s.slack(j)
-	return !timed || theirs > ours+_advantage
+	return func(v *job) bool {
+		if v.kind != _borrowed {
+			return false
+		}
+		if holder && v.number > s.hold.number {
+			return true
+		}
+		if !pressing {
+			return false
+		}
+		theirs, timed := s.slack(v)
+		return !timed || theirs > ours+_advantage
+	}
 }
 
 // tryEvict finds places that reclaimable gangs hold now, and the gangs to stop.
@@ -115,16 +121,28 @@
 	if s.class(j).Checkpoint {
 		j.kind = _borrowed
 	}
-	allowed := func(v *job) bool { return s.yields(v, j, holder) }
+	allowed := s.yielding(j, holder)
 	if holder && s.usable(s.hold.parts) && (s.stillRoom(j, s.hold.parts) || s.displace(j, s.hold.parts)) {
 		if victims, ok := s.victims(j, s.hold.parts, allowed); ok {
 			j.parts = s.hold.parts
 			return victims, true
 		}
 	}
+	if s.now.Sub(j.searched) < s.searchAgain(j) {
+		return nil, false
+	}
+	j.searched = s.now
 	return s.searchEvict(j, allowed)
 }
 
+// searchAgain is the time between searches of all workers for gangs to stop.
+func (s *Scheduler) searchAgain(j *job) time.Duration {
+	if s.class(j).Target.Start > 0 {
+		return _searchUrgent
+	}
+	return _searchEvery
+}
+
 // stillRoom reports whether no firm work or guarantee is in the way on reserved
 // workers. Borrowed work needs no room.
 func (s *Scheduler) stillRoom(j *job, parts []berylplacement.Part) bool {
--- a/berylscheduler/reserve.go
+++ b/berylscheduler/reserve.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -10,6 +11,14 @@
 	"berylglade/berylshape"
 )
 
+const (
+	// _holdEvery is the time between searches for a reservation.
+	_holdEvery = time.Second
+	// _holdSearch is the number of workers up to which such a search looks at all
+	// of them; above it, at one failure domain after the other.
+	_holdSearch = 2000
+)
+
 // _switch is how much less slack another gang needs to take the reservation over.
 // The capacity gathered so far is lost by that.
 const _switch = 10 * time.Minute
@@ -21,7 +30,8 @@
 type reservation struct {
 	job   *job
 	parts []berylplacement.Part
-	since time.Time
+	// number is that of the last gang placed before.
+	number int
 	// on has the workers of parts.
 	on map[int]bool
 }
@@ -67,14 +77,15 @@
 	if s.hold != nil {
 		s.unreserve()
 	}
-	if first == nil {
+	if first == nil || s.now.Sub(s.held) < _holdEvery {
 		return
 	}
+	s.held = s.now
 	parts, ok := s.firstFree(first)
 	if !ok {
 		return
 	}
-	s.hold = &reservation{job: first, parts: parts, since: s.now, on: map[int]bool{}}
+	s.hold = &reservation{job: first, parts: parts, number: s.counts.Placed, on: map[int]bool{}}
 	for _, p := range parts {
 		s.hold.on[p.Worker] = true
 	}
@@ -120,11 +131,35 @@
 		return !s.place.Worker(i).Usable || avoid != nil && avoid(i)
 	}
 	r.Cost = func(i int) float64 { return s.freeAfter(i, j).Seconds() }
-	if parts, ok := s.place.Find(r); ok || r.Mode == berylplacement.Total {
+	if parts, ok := s.findByDomain(r); ok || r.Mode == berylplacement.Total {
 		return parts, ok
 	}
 	// Guaranteed units are in the way; they are moved when the rest is free.
 	r.Mode, r.Bonus = berylplacement.Total, nil
+	return s.findByDomain(r)
+}
+
+// findByDomain searches a large cluster one failure domain after the other, the
+// one with the most free capacity first, because a search with a cost has to look at
+// every worker.
+func (s *Scheduler) findByDomain(r berylplacement.Request) ([]berylplacement.Part, bool) {
+	if s.place.Len() <= _holdSearch {
+		return s.place.Find(r)
+	}
+	names := slices.Sorted(maps.Keys(s.domains))
+	slices.SortStableFunc(names, func(a, b string) int {
+		return cmp.Compare(r.Shape.Count(s.place.FreeIn(b)), r.Shape.Count(s.place.FreeIn(a)))
+	})
+	for _, name := range names {
+		r.Domain = name
+		if parts, ok := s.place.Find(r); ok {
+			return parts, true
+		}
+	}
+	if r.Adjacent != beryladjacency.Anywhere {
+		return nil, false
+	}
+	r.Domain = ""
 	return s.place.Find(r)
 }
 
@@ -218,7 +253,7 @@
 }
 
 func (f *fails) add(s *Scheduler, j *job) {
-	if f.at == s.grown && len(j.Blamed) == 0 && len(j.avoid) == 0 {
+	if f.at == s.grown && len(j.avoid) == 0 {
 		f.list = append(f.list, s.failedAs(j))
 	}
 }
--- a/berylscheduler/scheduler.go
+++ b/berylscheduler/scheduler.go
@@ -19,6 +19,9 @@
 	_away = 5 * time.Minute
 	// _refused is how long a worker that refused a job is avoided for it.
 	_refused = 5 * time.Second
+	// _blamed is how long a worker on which a job failed is avoided for it. It is
+	// not avoided for ever, as a rack may have no other worker.
+	_blamed = 2 * time.Minute
 	// _protected is the number of guaranteed shapes that placement protects;
 	// each costs time for each worker looked at.
 	_protected = 6
@@ -72,6 +75,8 @@
 	restore []*job
 	late    lateHeap
 	hold    *reservation
+	// held is the time of the last search for a reservation.
+	held    time.Time
 	rejects []Reject
 	fails   fails
 	// moving are gangs stopped in domains that are out.
@@ -127,14 +132,17 @@
 // job is a job that has not ended.
 type job struct {
 	beryljob.State
-	step    step
-	kind    kind
-	attempt int
-	parts   []berylplacement.Part
-	grant   *berylguarantee.Grant
-	// placed and started are times of the current attempt.
-	placed  time.Time
+	step step
+	kind kind
+	// deadline is the target's, or the zero time.
+	deadline time.Time
+	attempt  int
+	parts    []berylplacement.Part
+	grant    *berylguarantee.Grant
+	// started is the time of the placement, then of the start.
 	started time.Time
+	// number counts placements; backfill has a higher one than the reservation.
+	number int
 	// waits is the number of gangs that have to end before a booked job starts.
 	waits int
 	// waiters are the booked jobs that wait for this one to end.
@@ -154,6 +162,8 @@
 	tried int
 	// looked is the time of the last attempt to place.
 	looked time.Time
+	// searched is the time of the last search for gangs to stop.
+	searched time.Time
 	// compacted is set if the gang was stopped for a guarantee's sake.
 	compacted bool
 	avoid     map[int]time.Time
@@ -244,17 +254,18 @@
 
 // item returns the queue item of a job.
 func (s *Scheduler) item(j *job) berylqueue.Item {
-	it := berylqueue.Item{ID: j.ID, Since: j.Accepted}
-	c := s.class(j)
-	if d, ok := c.Target.Deadline(j.Accepted); ok {
-		it.Deadline = d
-		if c.Target.Start == 0 {
-			it.Run = s.run(j)
-		}
+	it := berylqueue.Item{ID: j.ID, Since: j.Accepted, Deadline: j.deadline}
+	if !j.deadline.IsZero() && s.class(j).Target.Start == 0 {
+		it.Run = s.run(j)
 	}
 	return it
 }
 
+// aim computes the deadline of a job, which is slow for a time of day.
+func (s *Scheduler) aim(j *job) {
+	j.deadline, _ = s.class(j).Target.Deadline(j.Accepted)
+}
+
 // slack is the time that a job may still wait, and false for best effort.
 func (s *Scheduler) slack(j *job) (time.Duration, bool) {
 	it := s.item(j)
