--- a/berylcatalog/catalog_test.go
+++ b/berylcatalog/catalog_test.go
@@ -76,6 +76,15 @@
 			name: "behind retention, late state of a deposed leader", first: 50,
 			give: []entry{{40, state(1, "j", beryljob.Done, 1)}, {49, renewal(2, "b", 45)}},
 		},
+		{
+			name: "behind retention, late repetition of a state before the end", first: 50,
+			give: []entry{{40, state(1, "j", beryljob.Decided, 1)}},
+		},
+		{
+			name: "behind retention, next leader knows of a void state", first: 50,
+			give: []entry{{49, state(1, "j", beryljob.Decided, 1)}, {50, berylrecord.Claim{Term: 2, By: "b"}}, {51, state(2, "j", beryljob.Queued, 0)}},
+			want: beryljob.Queued,
+		},
 		{
 			name: "behind retention, void state after submission", first: 50,
 			give: []entry{{49, state(0, "j", beryljob.Queued, 0)}, {40, state(1, "j", beryljob.Done, 1)}, {50, renewal(2, "b", 45)}},
@@ -106,6 +115,8 @@
 
 // Guards against two jobs for one idempotency key.
 func TestKeys(t *testing.T) {
+	ended := keyed(1, "j1", "k")
+	ended.State.Phase = beryljob.Done
 	tests := []struct {
 		name  string
 		first int64
@@ -115,6 +126,10 @@
 		{name: "first submission wins", give: []entry{{0, keyed(0, "j1", "k")}, {0, keyed(0, "j2", "k")}}, want: "j1"},
 		{name: "other key", give: []entry{{0, keyed(0, "j1", "x")}, {0, keyed(0, "j2", "k")}}, want: "j2"},
 		{name: "earlier submission may be behind retention", first: 50, give: []entry{{40, keyed(0, "j2", "k")}}},
+		{
+			name: "late repetition of an end does not bind the key", first: 50,
+			give: []entry{{40, ended}, {49, keyed(0, "j2", "k")}}, want: "j2",
+		},
 		{
 			name: "leader knows the earlier one", first: 50,
 			give: []entry{{49, keyed(0, "j2", "k")}, {49, keyed(7, "j1", "k")}}, want: "j1",
