--- a/berylmeasure/guarantee.go
+++ b/berylmeasure/guarantee.go
@@ -117,17 +117,17 @@
 		groups[name] = append(groups[name], rm)
 	}
 	// The tightest group that fits leaves most to the others.
-	best, bestRoom := "", 0
+	best, bestRoom, found := "", 0, false
 	for _, name := range names {
 		n := 0
 		for _, rm := range groups[name] {
 			n += rm.units(p)
 		}
-		if n >= p.Count && (best == "" || n < bestRoom) {
-			best, bestRoom = name, n
+		if n >= p.Count && (!found || n < bestRoom) {
+			best, bestRoom, found = name, n, true
 		}
 	}
-	if best == "" {
+	if !found {
 		return false
 	}
 	take(groups[best], p)
--- a/berylworkload/site.go
+++ b/berylworkload/site.go
@@ -52,6 +52,7 @@
 		})
 	}
 	b.routine("research", 260, 25*time.Minute, span)
+	b.exports("research", 40, span)
 	b.routine("growers", 120, 15*time.Minute, span)
 	b.small("rota", "assign", 80, 40*time.Second, span)
 	b.small("rota", "urgent", 24, 30*time.Second, span)
@@ -103,6 +104,7 @@
 		})
 	}
 	b.routine("agency", 260, 25*time.Minute, span)
+	b.exports("agency", 40, span)
 	b.small("cooperatives", "sorting", 80, 60*time.Second, span)
 	b.small("cooperatives", "urgent", 24, 30*time.Second, span)
 	b.faults(start, "velike-lasce", "sodrazica-0001")
@@ -203,6 +205,22 @@
 	}
 }
 
+// exports adds jobs that can be neither checkpointed nor preempted without loss,
+// so they must never hold capacity that is guaranteed to others.
+func (b *builder) exports(account string, n int, span time.Duration) {
+	b.w.Config.Classes["export"] = berylconfig.Class{Idempotent: true}
+	for range n {
+		accelerators := 2 << b.rnd.IntN(3)
+		b.add(b.between(b.w.Start, b.w.Start.Add(span*3/4)), b.lognormal(40*time.Minute, 0.5), beryljob.Job{
+			Account: account, Class: "export", Tasks: 1,
+			Shape: berylshape.Shape{
+				Accelerators: accelerators, Cores: 4 * accelerators,
+				Memory: berylsize.Size(8*accelerators) * berylsize.GB,
+			},
+		})
+	}
+}
+
 // small adds short jobs of one accelerator or none.
 func (b *builder) small(account, class string, n int, median, span time.Duration) {
 	for range n {
