berylplacement: count room before costs

Cause: a search with a cost looked up the cost of every worker of a failure domain that has no room for the gang. Change: the room of a domain is counted first. Conclusion: only domains that can hold the gang pay for costs.

--- a/berylplacement/find.go
+++ b/berylplacement/find.go
@@ -262,6 +262,9 @@
 		if f.bound(d) < f.Tasks {
 			continue
 		}
+		if f.Cost != nil && !f.roomIn(d) {
+			continue
+		}
 		f.clear()
 		f.scan(d)
 		c, ok := f.take()
@@ -272,6 +275,29 @@
 	return best.parts, found
 }
 
+// roomIn reports whether a failure domain has room for the gang, without the costs,
+// which can take much longer.
+func (f *finder) roomIn(d *group) bool {
+	n := 0
+	for _, r := range d.racks {
+		if f.bound(r) == 0 {
+			continue
+		}
+		for _, i := range r.members {
+			f.Looked++
+			k := f.Shape.Count(f.capacity(i))
+			if k == 0 || f.Avoid != nil && f.Avoid(i) {
+				continue
+			}
+			n += k
+			if n >= f.Tasks {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func (f *finder) anywhere() ([]Part, bool) {
 	for _, d := range f.groups() {
 		if f.scan(d) {
