berylscheduler: bound a decision with a long queue

Cause: with 10,000 waiting gangs at 11,000 workers one decision took 13.7 ms in the median, because every waiting job was visited. Change: visits count towards the bound; a walk that ran out of time gives half of the next to the jobs with least slack and half to those where it stopped.

--- a/berylscheduler/bench_test.go
+++ b/berylscheduler/bench_test.go
@@ -103,6 +103,20 @@
 	}
 }
 
+// backlog queues gangs of whole workers, for which a nearly full cluster has no room.
+func (c *crowd) backlog(n int) {
+	for i := range n {
+		c.s.Handle(c.now, berylscheduler.JobQueued{State: beryljob.State{Phase: beryljob.Queued, Job: beryljob.Job{
+			ID: fmt.Sprintf("b%05d", i), Account: fmt.Sprintf("t%d", i%150), Class: []string{"batch", "routine"}[i%2],
+			Tasks: 200 + i%300, Shape: gpus(8), Adjacent: beryladjacency.Domain, Accepted: c.now,
+		}}})
+	}
+	for range 100 {
+		c.now = c.now.Add(time.Second)
+		c.decide()
+	}
+}
+
 func (c *crowd) apply(a berylscheduler.Action) {
 	switch a := a.(type) {
 	case berylscheduler.Place:
@@ -135,12 +149,17 @@
 // BenchmarkDecide measures one decision in a nearly full cluster: one gang ends, one
 // job arrives, and Decide is called once. It reports the 50th and 99th percentile.
 func BenchmarkDecide(b *testing.B) {
-	tests := []struct{ workers, tasks int }{
-		{workers: 10, tasks: 190}, {workers: 100, tasks: 1900}, {workers: 1000, tasks: 19000}, {workers: 11000, tasks: 210000},
+	tests := []struct{ workers, tasks, waiting int }{
+		{workers: 10, tasks: 190},
+		{workers: 100, tasks: 1900},
+		{workers: 1000, tasks: 19000},
+		{workers: 11000, tasks: 210000},
+		{workers: 11000, tasks: 210000, waiting: 10000},
 	}
 	for _, tt := range tests {
-		b.Run(fmt.Sprintf("workers=%d", tt.workers), func(b *testing.B) {
+		b.Run(fmt.Sprintf("workers=%d/waiting=%d", tt.workers, tt.waiting), func(b *testing.B) {
 			c := newCrowd(tt.workers, tt.tasks)
+			c.backlog(tt.waiting)
 			took := make([]time.Duration, 0, b.N)
 			for b.Loop() {
 				c.now = c.now.Add(100 * time.Millisecond)
--- a/berylscheduler/decide.go
+++ b/berylscheduler/decide.go
@@ -19,10 +19,10 @@
 const (
 	// _mostLooked bounds one call of Decide by the number of workers that its
 	// searches look at, each of which takes about 100 ns.
-	_mostLooked = 30_000
-	// _front is the number of jobs with least slack that every call looks at
-	// first, also when the one before it ran out of time further back.
-	_front = 4
+	_mostLooked = 10_000
+	// _visit is the cost of a waiting job that is known not to fit, in workers
+	// looked at.
+	_visit = 10
 	// _repackMost is the number of guarantees times workers up to which units may
 	// be planned afresh; above it a decision would take more than 10 ms.
 	_repackMost = 20_000
@@ -141,18 +141,17 @@
 	looked := s.place.Looked
 	resume := s.cursor
 	s.cursor = ""
+	// After a walk that ran out of time, half of the time goes to the jobs with
+	// least slack again and half to those where it stopped.
 	skip := resume != "" && s.queue.Has(resume)
-	front := 0
 	s.fails.reset(s.grown)
 	s.queue.Walk(func(it berylqueue.Item) bool {
 		j := s.jobs[it.ID]
-		front++
-		// After a walk that ran out of time, the first few jobs get their
-		// chance again and the others go on where it stopped.
-		if skip && it.ID != resume && front > _front {
+		skip = skip && it.ID != resume
+		if skip && s.place.Looked-looked > _mostLooked/2 {
 			return true
 		}
-		skip = skip && it.ID != resume
+		looked -= _visit
 		acts, res := s.try(j)
 		out = append(out, acts...)
 		if blocked == nil && res == _nothingFits && s.large(j) {
