--- /dev/null
+++ b/berylagent/control.go
@@ -0,0 +1,118 @@
+package berylagent
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"berylglade/berylconfig"
+	"berylglade/berylhost"
+	"berylglade/berylmessage"
+	"berylglade/berylshape"
+)
+
+// control is the state of the control actor.
+type control struct {
+	agent *Agent
+	// live ends when the process stops carrying out effects.
+	live  context.Context
+	host  *berylhost.Host
+	parts map[berylhost.Key]*gangPart
+	// rebuilt is set once the tasks of the worker are known.
+	rebuilt bool
+	// answered is when the worker last answered.
+	answered time.Time
+	usage    berylshape.Shape
+	leaving  bool
+}
+
+// message is what the control actor handles. The variants are the types of this
+// package with an apply method.
+type message interface {
+	apply(now time.Time, c *control)
+}
+
+func newControl(live context.Context, a *Agent) *control {
+	return &control{
+		agent:   a,
+		live:    live,
+		host:    berylhost.New(a.settings.Total),
+		parts:   map[berylhost.Key]*gangPart{},
+		rebuilt: a.worker == nil,
+	}
+}
+
+func (c *control) handle(now time.Time, msg message) { msg.apply(now, c) }
+
+// beatWanted asks for the next heartbeat.
+type beatWanted struct {
+	reply func(*berylmessage.Beat)
+}
+
+func (m beatWanted) apply(now time.Time, c *control) { m.reply(c.beat(now)) }
+
+func (c *control) beat(now time.Time) *berylmessage.Beat {
+	a := c.agent
+	b := &berylmessage.Beat{
+		Agent:       a.settings.Name,
+		Incarnation: a.Incarnation,
+		Addr:        a.Addr,
+		Epoch:       a.calls.epoch(),
+		Domain:      a.settings.Domain,
+		Rack:        a.settings.Rack,
+		Term:        c.host.Term(),
+		Draining:    a.gate.draining.Load(),
+		Leaving:     c.leaving,
+		Slots:       a.settings.Slots,
+		Busy:        len(a.calls.slots),
+		Offset:      a.gate.cfg.Load().Offset,
+	}
+	if a.worker != nil && c.ready(now) == nil {
+		b.Total = a.settings.Total
+		b.Usage = c.usage
+	}
+	for _, p := range c.parts {
+		b.Gangs = append(b.Gangs, p.Report(now))
+	}
+	return b
+}
+
+// beatAnswered is an entry's reply to a heartbeat that was sent at a time.
+type beatAnswered struct {
+	sent  time.Time
+	reply *berylmessage.BeatReply
+}
+
+func (m beatAnswered) apply(now time.Time, c *control) {
+	// An entry that is behind reports a lower term, which changes nothing.
+	_ = c.host.Observe(m.reply.Term)
+	c.forget(m.reply.Forget)
+	c.adopt(m.reply.Config)
+	c.agent.gate.confirm(now, m.sent, m.reply.Confirmation)
+}
+
+// configLearned is a configuration of another process.
+type configLearned struct {
+	config *berylconfig.Config
+}
+
+func (m configLearned) apply(_ time.Time, c *control) { c.adopt(m.config) }
+
+// adopt takes over a configuration if it is newer than the own one.
+func (c *control) adopt(cfg *berylconfig.Config) {
+	g := c.agent.gate
+	own := g.cfg.Load()
+	if cfg == nil || cfg.Offset <= own.Offset {
+		return
+	}
+	g.cfg.Store(cfg)
+	if was, is := own.Domains[g.domain].Out, cfg.Domains[g.domain].Out; was != is {
+		klog.InfoS("failure domain changed", "domain", g.domain, "out", is, "offset", cfg.Offset)
+	}
+}
+
+// leave marks the following heartbeats as the last ones.
+type leave struct{}
+
+func (leave) apply(_ time.Time, c *control) { c.leaving = true }
--- a/berylcontrol/loop.go
+++ b/berylcontrol/loop.go
@@ -7,6 +7,9 @@
 
 import (
 	"context"
+	"fmt"
+	"log/slog"
+	"runtime/debug"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
@@ -27,13 +30,14 @@
 // handled, so that it need not read a clock.
 func New[M any](clock berylclock.Clock, handle func(now time.Time, msg M)) *Loop[M] {
 	l := &Loop[M]{
-		system: actor.NewActorSystem(),
+		system: actor.NewActorSystem(actor.WithLoggerFactory(discard)),
 		clock:  clock,
 		done:   make(chan struct{}),
 	}
 	props := actor.PropsFromFunc(func(ctx actor.Context) {
 		switch msg := ctx.Message().(type) {
 		case envelope[M]:
+			defer crash()
 			handle(l.clock(), msg.msg)
 		case *actor.Stopped:
 			close(l.done)
@@ -43,6 +47,22 @@
 	return l
 }
 
+// crash ends the process if a handler panics. The actor library would restart
+// the actor instead, which would go on with state that is half changed and leave
+// the message without a reply.
+func crash() {
+	if r := recover(); r != nil {
+		stack := debug.Stack()
+		go func() { panic(fmt.Sprintf("control actor: %v\n%s", r, stack)) }()
+	}
+}
+
+// discard keeps the actor library from writing log lines of its own format; the
+// processes log changes of state themselves.
+func discard(*actor.ActorSystem) *slog.Logger {
+	return slog.New(slog.DiscardHandler)
+}
+
 type envelope[M any] struct {
 	msg M
 }
