berylentry: calls with keys, jobs, publication and leadership

The parts that need the platform's log follow the thin call path. A keyed call that is not idempotent is bound to one call id by an intent that this entry has read back; a key gets another id only after the agent confirmed a tombstone. Jobs and changes of the configuration are answered once they have been read back.

--- a/berylapi/api.go
+++ b/berylapi/api.go
@@ -201,8 +201,7 @@
 			return
 		}
 		account, known := a.entry.Config().Accounts[name]
-		sum := sha256.Sum256([]byte(token))
-		if !known || account.Hash == "" || !equal(strings.ToLower(account.Hash), hex.EncodeToString(sum[:])) {
+		if !known || !matches(token, account.Hash) {
 			writeError(w, "", berylerror.Denied.Errorf("client account is not known or its token is wrong"))
 			return
 		}
@@ -213,7 +212,7 @@
 func (a *API) forOperator(h http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		token, ok := bearer(r)
-		if !ok || a.operator == "" || !equal(token, a.operator) {
+		if !ok || a.operator == "" || subtle.ConstantTimeCompare([]byte(token), []byte(a.operator)) != 1 {
 			writeError(w, "", berylerror.Denied.Errorf("this function needs the operator token"))
 			return
 		}
@@ -226,7 +225,12 @@
 	return token, ok && token != ""
 }
 
-func equal(a, b string) bool { return subtle.ConstantTimeCompare([]byte(a), []byte(b)) == 1 }
+// matches reports whether the SHA-256 of the token is hash. An empty hash
+// matches no token.
+func matches(token, hash string) bool {
+	sum := sha256.Sum256([]byte(token))
+	return subtle.ConstantTimeCompare([]byte(hex.EncodeToString(sum[:])), []byte(strings.ToLower(hash))) == 1
+}
 
 func writeJSON(w http.ResponseWriter, status int, v any) {
 	data, err := json.Marshal(v)
--- a/berylcli/process.go
+++ b/berylcli/process.go
@@ -17,6 +17,8 @@
 	"berylglade/beryldump"
 	"berylglade/berylentry"
 	"berylglade/berylerror"
+	"berylglade/berylleader"
+	"berylglade/berylscheduler"
 	"berylglade/berylsettings"
 	"berylglade/berylstandlog"
 	"berylglade/berylstandrunner"
@@ -122,11 +124,16 @@
 		Retention: s.Retention,
 		Drain:     s.Drain,
 		Latency:   s.Latency,
-	}, berylclock.System())
+	}, berylclock.System(), berylentry.Parts{
+		Leader:     berylleader.New(func() berylleader.Policy { return berylscheduler.New(berylscheduler.Options{}) }),
+		Registerer: p.registry,
+	})
 	if err != nil {
 		return err
 	}
 	p.run = e.Run
+	p.state = e.State
+	p.ready = e.Ready
 	return nil
 }
 
--- a/berylentry/api.go
+++ b/berylentry/api.go
@@ -2,60 +2,40 @@
 
 import (
 	"context"
-	"time"
+	"slices"
 
-	"berylglade/berylanswer"
 	"berylglade/berylapi"
 	"berylglade/berylconfig"
+	"berylglade/berylcontrol"
 	"berylglade/berylerror"
-	"berylglade/beryljob"
+	"berylglade/berylmessage"
+	"berylglade/berylrpc"
 )
 
 // Config implements berylapi.Entry.
 func (e *Entry) Config() *berylconfig.Config { return e.view.Load().config }
 
-// FindKey implements berylapi.Entry.
-func (e *Entry) FindKey(_ context.Context, _, _ string, _ time.Duration) (berylanswer.Answer, error) {
-	return berylanswer.Answer{}, berylerror.Unavailable.Errorf("log is not available")
-}
-
-// Submit implements berylapi.Entry.
-func (e *Entry) Submit(_ context.Context, _ beryljob.Job) (beryljob.State, error) {
-	return beryljob.State{}, berylerror.NotRun.Errorf("log is not available")
-}
-
-// Job implements berylapi.Entry.
-func (e *Entry) Job(_ context.Context, _, _ string) (beryljob.State, error) {
-	return beryljob.State{}, berylerror.Unavailable.Errorf("log is not available")
-}
-
-// Jobs implements berylapi.Entry.
-func (e *Entry) Jobs(_ context.Context, _ string) ([]beryljob.State, error) {
-	return nil, berylerror.Unavailable.Errorf("log is not available")
-}
-
-// Cancel implements berylapi.Entry.
-func (e *Entry) Cancel(_ context.Context, _, _ string) (beryljob.State, error) {
-	return beryljob.State{}, berylerror.Unavailable.Errorf("log is not available")
-}
-
-// Publish implements berylapi.Entry.
-func (e *Entry) Publish(_ context.Context, _ berylapi.Change) (int64, error) {
-	return 0, berylerror.Unavailable.Errorf("log is not available")
-}
-
-// SetDomain implements berylapi.Entry.
-func (e *Entry) SetDomain(_ context.Context, _ string, _ berylconfig.FailureDomain) (int64, error) {
-	return 0, berylerror.Unavailable.Errorf("log is not available")
-}
-
-// Drain implements berylapi.Entry.
-func (e *Entry) Drain(_ context.Context, _ string) error {
-	return berylerror.Unavailable.Errorf("not available")
+// Drain implements berylapi.Entry. The agent is told first, so that the other
+// entries learn it from its heartbeats.
+func (e *Entry) Drain(ctx context.Context, agent string) error {
+	for _, m := range e.view.Load().members {
+		if m.Agent != agent {
+			continue
+		}
+		_, err := berylrpc.Call[berylmessage.Drain, berylmessage.DrainReply](
+			ctx, e.client, m.Addr, berylmessage.MethodDrain, &berylmessage.Drain{Incarnation: m.Incarnation})
+		if err != nil {
+			return berylerror.Unavailable.Wrap(err, "drain agent "+agent)
+		}
+		_, err = berylcontrol.Ask(ctx, e.loop, func(reply func(bool)) message { return drain{agent: agent, reply: reply} })
+		return err
+	}
+	return berylerror.Missing.Errorf("agent %q is not known", agent)
 }
 
 // Agents implements berylapi.Entry.
 func (e *Entry) Agents(_ context.Context) ([]berylapi.Agent, error) {
+	ejected := e.router.Ejected(e.clock())
 	members := e.view.Load().members
 	agents := make([]berylapi.Agent, 0, len(members))
 	for i := range members {
@@ -68,6 +48,7 @@
 			Rack:        m.Rack,
 			State:       m.State.String(),
 			Draining:    m.Draining,
+			Ejected:     slices.Contains(ejected, m.Agent),
 			Slots:       m.Slots,
 			Busy:        m.Busy,
 			Total:       m.Total,
--- a/berylentry/call.go
+++ b/berylentry/call.go
@@ -48,6 +48,13 @@
 // Call implements berylapi.Entry.
 func (e *Entry) Call(ctx context.Context, call berylcall.Call) (berylanswer.Answer, error) {
 	now := e.clock()
+	answer, err := e.admitted(ctx, now, call)
+	e.metrics.called(err, e.clock().Sub(now))
+	return answer, err
+}
+
+// admitted runs a call once it has been admitted.
+func (e *Entry) admitted(ctx context.Context, now time.Time, call berylcall.Call) (berylanswer.Answer, error) {
 	r := &run{e: e, call: call, deadline: now.Add(call.Budget)}
 	ctx, cancel := context.WithTimeout(ctx, call.Budget)
 	defer cancel()
@@ -63,11 +70,18 @@
 		ctx, stop = context.WithTimeout(context.WithoutCancel(ctx), r.deadline.Sub(e.clock()))
 		defer stop()
 	}
-	answer, err := r.thin(ctx)
+	answer, err := r.answer(ctx)
 	e.admission.Leave(e.clock(), ticket, err == nil)
 	return answer, err
 }
 
+func (r *run) answer(ctx context.Context) (berylanswer.Answer, error) {
+	if r.call.Key != "" && !r.call.Idempotent {
+		return r.keyed(ctx)
+	}
+	return r.thin(ctx)
+}
+
 // enter waits until the call may be dispatched.
 func (e *Entry) enter(ctx context.Context, now time.Time, r *run) (*beryladmission.Ticket, error) {
 	cfg := e.view.Load().config
@@ -131,9 +145,10 @@
 			return berylanswer.Answer{}, err
 		}
 		id := berylid.New(pick.Agent, pick.Incarnation, pick.Epoch).String()
-		answer, err := r.dispatch(ctx, pick, id)
+		answer, err := r.dispatch(ctx, pick, id, true)
 		if err != nil && lost(err) && !r.call.Idempotent {
 			answer, err = r.resolve(ctx, pick.Addr, id)
+			r.e.metrics.resolved.WithLabelValues(result(err)).Inc()
 		}
 		answer.ID = id
 		switch {
@@ -171,12 +186,12 @@
 func (r *run) again(ctx context.Context, agent string) bool {
 	r.tried = append(r.tried, agent)
 	r.attempts++
-	return ctx.Err() == nil && r.attempts < _maxAttempts && r.e.budget.Spend(r.call.Account)
+	return r.spend(ctx)
 }
 
 // dispatch sends the call to an agent and checks that the answer is whole and
-// its own.
-func (r *run) dispatch(ctx context.Context, pick berylroute.Pick, id string) (berylanswer.Answer, error) {
+// its own. first says that no entry has sent the id before.
+func (r *run) dispatch(ctx context.Context, pick berylroute.Pick, id string, first bool) (berylanswer.Answer, error) {
 	call := r.call
 	call.ID = id
 	begin := r.e.clock()
@@ -187,7 +202,7 @@
 	}
 	ctx, cancel := r.e.graced(ctx, r.deadline)
 	defer cancel()
-	answer, err := invoke(ctx, r.e, pick.Addr, &berylmessage.Run{Call: call}, id, call.Account)
+	answer, err := invoke(ctx, r.e, pick.Addr, &berylmessage.Run{Call: call, First: first}, id, call.Account)
 	end := r.e.clock()
 	r.e.router.Done(end, pick, outcome(ctx, answer, err), end.Sub(begin))
 	return answer, err
@@ -254,18 +269,16 @@
 		if err == nil {
 			return answer, nil
 		}
-		switch berylerror.Of(err) {
-		case berylerror.Missing:
+		switch k := berylerror.Of(err); {
+		case k == berylerror.Missing:
 			if r.e.tombstone(ctx, addr, id, r.call.Account) {
 				return berylanswer.Answer{}, berylerror.NotRun.Errorf("call %s was not run: its request did not reach the agent", id)
 			}
-		case berylerror.Unknown, berylerror.Internal, berylerror.NotRun, berylerror.Unavailable:
-		default:
+		case k == berylerror.Internal, k == berylerror.Unavailable:
+		case berylrpc.Remote(err):
 			return berylanswer.Answer{}, err
 		}
-		select {
-		case <-time.After(pause.NextBackOff()):
-		case <-ctx.Done():
+		if !sleep(ctx, pause.NextBackOff()) {
 			return berylanswer.Answer{}, berylerror.Unknown.Errorf("outcome of call %s is not known", id)
 		}
 	}
--- a/berylentry/entry.go
+++ b/berylentry/entry.go
@@ -7,8 +7,18 @@
 //
 //	settings.go  settings
 //	entry.go     start, serving and graceful shutdown
-//	control.go   the control actor, its messages and the view
+//	control.go   the messages of the control actor
+//	handle.go    the control actor and the view
+//	stream.go    reading and writing the log
 //	call.go      the path of a call without the log
+//	keyed.go     the path of a non-idempotent call with a key
+//	job.go       submission, state and cancellation of jobs
+//	publish.go   publication of configuration changes
+//	election.go  leadership and the records that a leader repeats
+//	effects.go   what the leader wants done
+//	outage.go    questions among the entries and the unanimous outage report
+//	peers.go     requests to and from our other processes
+//	state.go     state dump
 package berylentry
 
 import (
@@ -20,6 +30,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/oklog/ulid/v2"
+	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
@@ -29,7 +41,8 @@
 	"berylglade/berylclock"
 	"berylglade/berylcontrol"
 	"berylglade/berylerror"
-	"berylglade/berylmessage"
+	"berylglade/beryllog"
+	"berylglade/berylrecord"
 	"berylglade/berylroute"
 	"berylglade/berylrpc"
 )
@@ -50,44 +63,80 @@
 	HTTPAddr string
 	PeerAddr string
 
-	settings  Settings
-	clock     berylclock.Clock
-	client    *berylrpc.Client
-	loop      *berylcontrol.Loop[message]
-	view      atomic.Pointer[view]
-	router    berylroute.Router
-	admission beryladmission.Admission
-	budget    berylbudget.Budget
-	httpLis   net.Listener
-	peerLis   net.Listener
+	settings Settings
+	// id is the unique name of this process in claims.
+	id      string
+	clock   berylclock.Clock
+	client  *berylrpc.Client
+	loop    *berylcontrol.Loop[message]
+	leader  Leader
+	metrics *metrics
+	streams map[string]*stream
+	// work ends after the calls in progress; background are the goroutines
+	// that it ends.
+	work       context.Context
+	cancel     context.CancelFunc
+	background sync.WaitGroup
+	view       atomic.Pointer[view]
+	router     berylroute.Router
+	admission  beryladmission.Admission
+	budget     berylbudget.Budget
+	httpLis    net.Listener
+	peerLis    net.Listener
 	// stopping is closed when a planned stop begins; it ends long waits.
 	stopping chan struct{}
-	once     sync.Once
 }
 
 var _ berylapi.Entry = (*Entry)(nil)
 
+// Parts are what an entry gets from its owner.
+type Parts struct {
+	// Log is the platform's log; nil means the HTTP client of Settings.Log.
+	Log beryllog.Log
+	// Leader is the control leader; nil means that this entry never claims the
+	// leadership.
+	Leader Leader
+	// Registerer gets the metrics; it may be nil.
+	Registerer prometheus.Registerer
+}
+
 // New returns an entry that listens but does not serve yet.
-func New(settings Settings, clock berylclock.Clock) (*Entry, error) {
+func New(settings Settings, clock berylclock.Clock, parts Parts) (*Entry, error) {
 	if err := settings.check(); err != nil {
 		return nil, err
 	}
+	m, err := newMetrics(parts.Registerer)
+	if err != nil {
+		return nil, err
+	}
 	e := &Entry{
 		settings: settings,
+		id:       settings.Name + "-" + ulid.Make().String(),
 		clock:    clock,
 		client:   berylrpc.NewClient(),
+		leader:   parts.Leader,
+		metrics:  m,
 		stopping: make(chan struct{}),
 	}
+	if err := e.listen(); err != nil {
+		return nil, err
+	}
 	e.admission.Entries = len(settings.Entries) + 1
 	e.router.Latency = map[string]time.Duration{}
 	for domain, d := range settings.Latency {
 		e.router.Latency[domain] = d.Std()
 	}
-	if err := e.listen(); err != nil {
-		return nil, err
+	log := parts.Log
+	if log == nil {
+		log = beryllog.NewClient(settings.Log, settings.Name)
 	}
-	c := newControl(e)
-	e.loop = berylcontrol.New(clock, c.handle)
+	e.streams = map[string]*stream{
+		berylrecord.StreamConfig:  newStream(e, log, berylrecord.StreamConfig, _configPoll),
+		berylrecord.StreamControl: newStream(e, log, berylrecord.StreamControl, _controlPoll),
+		berylrecord.StreamCalls:   newStream(e, log, berylrecord.StreamCalls, _callsPoll),
+	}
+	e.work, e.cancel = context.WithCancel(context.Background())
+	e.loop = berylcontrol.New(clock, newControl(e, clock()).handle)
 	return e, nil
 }
 
@@ -107,8 +156,8 @@
 	return nil
 }
 
-// Run serves until ctx ends and then shuts down: it stops accepting, finishes
-// the calls in progress and returns.
+// Run serves until ctx ends and then shuts down: it stops accepting, hands the
+// leadership over, finishes the calls in progress and returns.
 func (e *Entry) Run(ctx context.Context) error {
 	srv := &http.Server{
 		Handler:           berylapi.New(e, e.settings.Operator),
@@ -116,21 +165,25 @@
 		ReadTimeout:       _readTimeout,
 		IdleTimeout:       _idleTimeout,
 	}
-	// Background work outlives ctx until the calls in progress are finished.
-	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	defer cancel()
+	// The background work outlives ctx until the calls in progress are
+	// finished, since they need the log and the heartbeats.
+	defer e.cancel()
 	var g errgroup.Group
 	g.Go(func() error {
-		defer cancel()
-		return e.peers().Serve(work, e.peerLis)
+		defer e.cancel()
+		return e.peers().Serve(e.work, e.peerLis)
 	})
 	g.Go(func() error {
-		e.loop.Every(work, _tick, func() message { return tick{} })
+		e.loop.Every(e.work, _tick, func() message { return tick{} })
 		return nil
 	})
+	for _, s := range e.streams {
+		g.Go(func() error { return s.tail.Run(e.work) })
+		g.Go(func() error { return s.Run(e.work) })
+	}
 	g.Go(func() error {
 		if err := srv.Serve(e.httpLis); !errors.Is(err, http.ErrServerClosed) {
-			cancel()
+			e.cancel()
 			return errors.Wrap(err, "serve callers")
 		}
 		return nil
@@ -138,49 +191,31 @@
 	klog.InfoS("entry serves", "name", e.settings.Name, "http", e.HTTPAddr, "peer", e.PeerAddr)
 	select {
 	case <-ctx.Done():
-	case <-work.Done():
+	case <-e.work.Done():
 	}
 	err := e.shutdown(srv)
-	cancel()
+	e.cancel()
 	err = errors.Join(err, g.Wait())
 	e.loop.Stop()
+	e.background.Wait()
 	return errors.Join(err, e.client.Close())
 }
 
 func (e *Entry) shutdown(srv *http.Server) error {
-	e.once.Do(func() { close(e.stopping) })
+	klog.InfoS("entry stops", "name", e.settings.Name)
+	close(e.stopping)
 	drain := _defaultDrain
 	if e.settings.Drain > 0 {
 		drain = e.settings.Drain.Std()
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), drain)
 	defer cancel()
-	klog.InfoS("entry stops", "name", e.settings.Name)
-	if err := srv.Shutdown(ctx); err != nil {
+	var wg sync.WaitGroup
+	wg.Go(e.handOver)
+	err := srv.Shutdown(ctx)
+	wg.Wait()
+	if err != nil {
 		return errors.Wrap(err, "calls in progress did not finish")
 	}
 	return nil
 }
-
-// peers returns the server for our own processes.
-func (e *Entry) peers() *berylrpc.Server {
-	s := &berylrpc.Server{}
-	berylrpc.Handle(s, berylmessage.MethodBeat, e.onBeat)
-	berylrpc.Handle(s, berylmessage.MethodConfig, e.onConfig)
-	return s
-}
-
-func (e *Entry) onBeat(ctx context.Context, req *berylmessage.Beat) (*berylmessage.BeatReply, error) {
-	if req.Agent == "" || req.Incarnation == "" || req.Addr == "" {
-		return nil, berylerror.Invalid.Errorf("heartbeat without agent, incarnation or address")
-	}
-	return berylcontrol.Ask(ctx, e.loop, func(reply func(*berylmessage.BeatReply)) message {
-		return beat{beat: *req, reply: reply}
-	})
-}
-
-func (e *Entry) onConfig(ctx context.Context, req *berylmessage.ConfigRequest) (*berylmessage.ConfigReply, error) {
-	return berylcontrol.Ask(ctx, e.loop, func(reply func(*berylmessage.ConfigReply)) message {
-		return exchange{request: *req, reply: reply}
-	})
-}
--- /dev/null
+++ b/berylentry/job.go
@@ -0,0 +1,152 @@
+package berylentry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+
+	"berylglade/berylcontrol"
+	"berylglade/berylerror"
+	"berylglade/beryljob"
+	"berylglade/berylrecord"
+	"berylglade/berylshape"
+)
+
+// _appendTimeout bounds the wait for the log when a caller submits or cancels a
+// job or an operator publishes a change.
+const _appendTimeout = 10 * time.Second
+
+// Submit implements berylapi.Entry.
+func (e *Entry) Submit(ctx context.Context, job beryljob.Job) (beryljob.State, error) {
+	if err := e.possible(&job); err != nil {
+		return beryljob.State{}, err
+	}
+	// A caller who disconnects can find the job by its key or in the list.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), _appendTimeout)
+	defer cancel()
+	job.ID = jobID(&job)
+	job.Accepted = e.clock().UTC().Round(0)
+	found, err := e.findJob(ctx, job.ID)
+	if err != nil {
+		return beryljob.State{}, berylerror.NotRun.Wrap(err, "look up job")
+	}
+	if found.ok {
+		return sameJob(&job, found.state)
+	}
+	if !found.fresh {
+		return beryljob.State{}, berylerror.NotRun.Errorf("log was not read to its end lately, so a job with the same key may exist")
+	}
+	err = e.append(ctx, berylrecord.StreamControl, berylrecord.New(found.upto, berylrecord.JobState{
+		State: beryljob.State{Job: job, Phase: beryljob.Queued},
+	}))
+	switch {
+	case err != nil && berylerror.Of(err) == berylerror.NotRun:
+		return beryljob.State{}, err
+	case err != nil:
+		return beryljob.State{Job: beryljob.Job{ID: job.ID}}, berylerror.Unknown.Wrap(err, "submit job")
+	}
+	found, err = e.findJob(ctx, job.ID)
+	if err != nil || !found.ok {
+		return beryljob.State{Job: beryljob.Job{ID: job.ID}}, berylerror.Unknown.Errorf("job was recorded and could not be read back")
+	}
+	return sameJob(&job, found.state)
+}
+
+// jobID returns a new id, or for a keyed job the id that every entry derives
+// from its account and key: of two submissions only the first is then valid.
+func jobID(job *beryljob.Job) string {
+	if job.Key == "" {
+		return ulid.Make().String()
+	}
+	sum := sha256.Sum256([]byte(job.Account + "\x00" + job.Key))
+	return "k" + hex.EncodeToString(sum[:16])
+}
+
+// sameJob returns the recorded state unless it is of another request.
+func sameJob(job *beryljob.Job, state beryljob.State) (beryljob.State, error) {
+	if state.Account != job.Account || state.Sum != job.Sum {
+		return beryljob.State{}, berylerror.Conflict.Errorf("key %q was used with another job", job.Key)
+	}
+	return state, nil
+}
+
+// possible refuses a job that can never run: one above its account's quota, or
+// with a task that fits on no worker that the entry knows.
+func (e *Entry) possible(job *beryljob.Job) error {
+	if err := job.Check(); err != nil {
+		return err
+	}
+	v := e.view.Load()
+	quota := v.config.Accounts[job.Account].Quota
+	if need := job.Shape.Times(job.Tasks); exceeds(need, quota) {
+		return berylerror.Impossible.Errorf("job needs %s, quota of client account %s is %s", need, job.Account, quota)
+	}
+	workers, fits := 0, false
+	for i := range v.members {
+		if total := v.members[i].Total; !total.Empty() {
+			workers++
+			fits = fits || job.Shape.Fits(total)
+		}
+	}
+	if v.settled && workers > 0 && !fits {
+		return berylerror.Impossible.Errorf("task of %s fits on none of the %d known workers", job.Shape, workers)
+	}
+	return nil
+}
+
+// exceeds reports whether an amount of need is above the limit; a limit of zero
+// means none.
+func exceeds(need, limit berylshape.Shape) bool {
+	return limit.Accelerators > 0 && need.Accelerators > limit.Accelerators ||
+		limit.Cores > 0 && need.Cores > limit.Cores ||
+		limit.Memory > 0 && need.Memory > limit.Memory
+}
+
+// Job implements berylapi.Entry.
+func (e *Entry) Job(ctx context.Context, account, id string) (beryljob.State, error) {
+	found, err := e.findJob(ctx, id)
+	switch {
+	case err != nil:
+		return beryljob.State{}, err
+	case found.ok && found.state.Account == account:
+		return found.state, nil
+	case !found.ok && !found.fresh:
+		return beryljob.State{}, berylerror.Unavailable.Errorf("log is not read to its end, so it is not known whether job %s exists", id)
+	default:
+		return beryljob.State{}, berylerror.Missing.Errorf("no job %s of this client account", id)
+	}
+}
+
+// Jobs implements berylapi.Entry.
+func (e *Entry) Jobs(ctx context.Context, account string) ([]beryljob.State, error) {
+	return berylcontrol.Ask(ctx, e.loop, func(reply func([]beryljob.State)) message {
+		return listJobs{account: account, reply: reply}
+	})
+}
+
+// Cancel implements berylapi.Entry.
+func (e *Entry) Cancel(ctx context.Context, account, id string) (beryljob.State, error) {
+	state, err := e.Job(ctx, account, id)
+	if err != nil || state.Phase.Ended() {
+		return state, err
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), _appendTimeout)
+	defer cancel()
+	err = e.append(ctx, berylrecord.StreamControl, berylrecord.New(0, berylrecord.Cancel{Job: id, By: account}))
+	switch {
+	case err != nil && berylerror.Of(err) == berylerror.NotRun:
+		return state, berylerror.Unavailable.Wrap(err, "cancel job")
+	case err != nil:
+		return state, berylerror.Unknown.Wrap(err, "cancel job")
+	}
+	return e.Job(ctx, account, id)
+}
+
+func (e *Entry) findJob(ctx context.Context, id string) (jobFound, error) {
+	return berylcontrol.Ask(ctx, e.loop, func(reply func(jobFound)) message {
+		return findJob{id: id, reply: reply}
+	})
+}
--- /dev/null
+++ b/berylentry/keyed.go
@@ -0,0 +1,180 @@
+package berylentry
+
+import (
+	"context"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"berylglade/berylanswer"
+	"berylglade/berylcall"
+	"berylglade/berylcontrol"
+	"berylglade/berylerror"
+	"berylglade/berylid"
+	"berylglade/berylrecord"
+	"berylglade/berylroute"
+	"berylglade/berylrpc"
+)
+
+// _unknownAgentPoll is the interval at which a call whose agent is not known
+// looks for it again.
+const _unknownAgentPoll = 100 * time.Millisecond
+
+// keyed runs a non-idempotent call with an idempotency key. The key is bound to
+// one call id by an intent in the log before anything is dispatched. Only after
+// the agent has confirmed a tombstone for that id may the key get another one.
+func (r *run) keyed(ctx context.Context) (berylanswer.Answer, error) {
+	sum := berylcall.Sum(r.call.Account, r.call.Class, r.call.Body)
+	for {
+		found, err := r.e.lookUp(ctx, r.call.Account, r.call.Key)
+		if err != nil {
+			return berylanswer.Answer{}, berylerror.NotRun.Wrap(err, "look up key")
+		}
+		if found.Uncertain {
+			return berylanswer.Answer{ID: found.Call}, berylerror.Unknown.Errorf("it is not known which call key %q is bound to", r.call.Key)
+		}
+		if found.ok {
+			if found.Sum != sum {
+				return berylanswer.Answer{}, berylerror.Conflict.Errorf("key %q was used with another request", r.call.Key)
+			}
+			answer, err := r.join(ctx, found.Call)
+			answer.ID = found.Call
+			if err == nil || berylerror.Of(err) != berylerror.NotRun {
+				return answer, err
+			}
+			// The agent never runs that id.
+			if r.attempts > 0 && !r.spend(ctx) {
+				return berylanswer.Answer{}, err
+			}
+		}
+		if answer, err := r.record(ctx, sum, found.Call); err != nil {
+			return answer, err
+		}
+	}
+}
+
+// spend takes one retry from the account's budget.
+func (r *run) spend(ctx context.Context) bool {
+	if ctx.Err() != nil || r.attempts >= _maxAttempts || !r.e.budget.Spend(r.call.Account) {
+		return false
+	}
+	r.e.metrics.retries.Inc()
+	return true
+}
+
+// record appends an intent with a new id and waits until it has been read back.
+// Whether it became the valid one is for the caller to look up. The id of the
+// answer is set if an error leaves the outcome unknown.
+func (r *run) record(ctx context.Context, sum, prev string) (berylanswer.Answer, error) {
+	pick, err := r.e.router.Choose(r.e.clock(), r.tried)
+	if err != nil {
+		return berylanswer.Answer{}, err
+	}
+	// Until it is dispatched, the call is no load for the agent.
+	r.e.router.Done(r.e.clock(), pick, berylroute.Refused, 0)
+	r.tried = append(r.tried, pick.Agent)
+	r.attempts++
+	id := berylid.New(pick.Agent, pick.Incarnation, pick.Epoch).String()
+	made, err := berylcontrol.Ask(ctx, r.e.loop, func(reply func(madeIntent)) message {
+		return makeIntent{account: r.call.Account, key: r.call.Key, sum: sum, call: id, prev: prev, reply: reply}
+	})
+	if err != nil {
+		return berylanswer.Answer{}, berylerror.NotRun.Wrap(err, "record call")
+	}
+	if !made.ok {
+		// Another entry was faster; the caller looks its call up.
+		return berylanswer.Answer{}, nil
+	}
+	err = r.e.append(ctx, berylrecord.StreamCalls, made.record)
+	if err == nil {
+		return berylanswer.Answer{}, nil
+	}
+	if berylerror.Of(err) == berylerror.NotRun {
+		return berylanswer.Answer{}, err
+	}
+	// The intent may be in the log, and a retry at another entry may dispatch
+	// it. A tombstone makes "not run" true.
+	if r.e.tombstone(context.WithoutCancel(ctx), pick.Addr, id, r.call.Account) {
+		return berylanswer.Answer{}, berylerror.NotRun.Wrap(err, "record call")
+	}
+	return berylanswer.Answer{ID: id}, berylerror.Unknown.Wrap(err, "record call")
+}
+
+// join dispatches the id that is bound to the key, or gets its outcome if
+// another entry has dispatched it: the agent runs an id once. It repeats the
+// request until a reply arrives or the time is over. An error of kind NotRun
+// means that the agent has confirmed a tombstone.
+func (r *run) join(ctx context.Context, text string) (berylanswer.Answer, error) {
+	id, err := berylid.Parse(text)
+	if err != nil {
+		return berylanswer.Answer{}, berylerror.Unknown.Wrap(err, "recorded call")
+	}
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval = _firstBackoff
+	pause.MaxInterval = _maxBackoff
+	for {
+		member, err := r.e.owner(id)
+		switch {
+		case berylerror.Of(err) == berylerror.Unknown:
+			return berylanswer.Answer{}, err
+		case err != nil:
+			if !sleep(ctx, _unknownAgentPoll) {
+				return berylanswer.Answer{}, berylerror.Unknown.Wrap(err, "outcome of call "+text)
+			}
+			continue
+		}
+		pick := berylroute.Pick{Agent: id.Agent, Incarnation: id.Incarnation, Addr: member.Addr, Epoch: id.Epoch}
+		r.e.router.Begin(pick)
+		answer, err := r.dispatch(ctx, pick, text, false)
+		if err == nil {
+			return answer, nil
+		}
+		if berylrpc.Remote(err) && berylerror.Of(err) != berylerror.Internal {
+			return berylanswer.Answer{}, r.confirm(ctx, member.Addr, text, err)
+		}
+		if !sleep(ctx, pause.NextBackOff()) {
+			return berylanswer.Answer{}, r.confirm(ctx, member.Addr, text, err)
+		}
+	}
+}
+
+// confirm returns the error for a call whose last request ended with err. It
+// has kind NotRun only if the agent confirms that the call never runs.
+func (r *run) confirm(ctx context.Context, addr, id string, err error) error {
+	switch berylerror.Of(err) {
+	case berylerror.NotRun, berylerror.Unknown, berylerror.Internal:
+	default:
+		return err
+	}
+	if r.e.tombstone(context.WithoutCancel(ctx), addr, id, r.call.Account) {
+		return berylerror.NotRun.Wrap(err, "call "+id)
+	}
+	return berylerror.Unknown.Wrap(err, "outcome of call "+id)
+}
+
+// sleep waits for d and reports whether ctx still holds.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// FindKey implements berylapi.Entry.
+func (e *Entry) FindKey(ctx context.Context, account, key string, wait time.Duration) (berylanswer.Answer, error) {
+	found, err := e.lookUp(ctx, account, key)
+	if err != nil {
+		return berylanswer.Answer{}, err
+	}
+	if !found.ok {
+		if !found.caughtUp {
+			return berylanswer.Answer{}, berylerror.Unavailable.Errorf("log is not read to its end, so it is not known whether key %q was used", key)
+		}
+		return berylanswer.Answer{}, berylerror.Missing.Errorf("no call with key %q of this client account", key)
+	}
+	return e.Find(ctx, account, found.Call, wait)
+}
--- /dev/null
+++ b/berylentry/metrics.go
@@ -0,0 +1,88 @@
+package berylentry
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"berylglade/berylerror"
+)
+
+// metrics are the counters of an entry.
+type metrics struct {
+	calls     *prometheus.CounterVec
+	seconds   prometheus.Histogram
+	retries   prometheus.Counter
+	resolved  *prometheus.CounterVec
+	beats     prometheus.Counter
+	reads     *prometheus.CounterVec
+	appends   *prometheus.CounterVec
+	elections prometheus.Counter
+	effects   *prometheus.CounterVec
+	outages   prometheus.Counter
+}
+
+func newMetrics(r prometheus.Registerer) (*metrics, error) {
+	m := &metrics{
+		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "beryl_entry_calls_total",
+			Help: "Calls by the kind of their answer.",
+		}, []string{"kind"}),
+		seconds: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name:    "beryl_entry_call_seconds",
+			Help:    "Time of answered calls.",
+			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 17),
+		}),
+		retries: counter("beryl_entry_retries_total", "Attempts after the first."),
+		resolved: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "beryl_entry_resolved_total",
+			Help: "Lost replies by what was found out about them.",
+		}, []string{"kind"}),
+		beats: counter("beryl_entry_heartbeats_total", "Heartbeats of agents."),
+		reads: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "beryl_entry_log_reads_total",
+			Help: "Reads of the log by stream and result.",
+		}, []string{"stream", "result"}),
+		appends: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "beryl_entry_log_appends_total",
+			Help: "Appends to the log by stream and result.",
+		}, []string{"stream", "result"}),
+		elections: counter("beryl_entry_elections_total", "Terms that this entry has led."),
+		effects: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "beryl_entry_effects_total",
+			Help: "Effects of the leader by type and result.",
+		}, []string{"type", "result"}),
+		outages: counter("beryl_entry_outage_reports_total", "Unanimous reports that no entry can read the log."),
+	}
+	if r == nil {
+		return m, nil
+	}
+	all := []prometheus.Collector{
+		m.calls, m.seconds, m.retries, m.resolved, m.beats, m.reads, m.appends, m.elections, m.effects, m.outages,
+	}
+	for _, c := range all {
+		if err := r.Register(c); err != nil {
+			return nil, berylerror.Invalid.Wrap(err, "register metrics")
+		}
+	}
+	return m, nil
+}
+
+func counter(name, help string) prometheus.Counter {
+	return prometheus.NewCounter(prometheus.CounterOpts{Name: name, Help: help})
+}
+
+// result returns the label of an outcome.
+func result(err error) string {
+	if err == nil {
+		return "ok"
+	}
+	return berylerror.Of(err).String()
+}
+
+func (m *metrics) called(err error, took time.Duration) {
+	m.calls.WithLabelValues(result(err)).Inc()
+	if err == nil {
+		m.seconds.Observe(took.Seconds())
+	}
+}
--- /dev/null
+++ b/berylentry/peers.go
@@ -0,0 +1,95 @@
+package berylentry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"berylglade/berylcontrol"
+	"berylglade/berylerror"
+	"berylglade/berylmessage"
+	"berylglade/berylrpc"
+)
+
+// Times of the requests among entries.
+const (
+	// _peekInterval is the time between two rounds while the log can be read.
+	// It bounds how long an entry stays behind the others.
+	_peekInterval = 2 * time.Second
+	// _outagePeekInterval applies while this entry cannot read the log: the
+	// rounds then confirm the configuration, which is needed every 3 s.
+	_outagePeekInterval = 500 * time.Millisecond
+	_peekTimeout        = time.Second
+)
+
+// peers returns the server for our other processes.
+func (e *Entry) peers() *berylrpc.Server {
+	s := &berylrpc.Server{}
+	berylrpc.Handle(s, berylmessage.MethodBeat, e.onBeat)
+	berylrpc.Handle(s, berylmessage.MethodConfig, e.onConfig)
+	berylrpc.Handle(s, berylmessage.MethodPeek, e.onPeek)
+	return s
+}
+
+func (e *Entry) onBeat(ctx context.Context, req *berylmessage.Beat) (*berylmessage.BeatReply, error) {
+	if req.Agent == "" || req.Incarnation == "" || req.Addr == "" {
+		return nil, berylerror.Invalid.Errorf("heartbeat without agent, incarnation or address")
+	}
+	return berylcontrol.Ask(ctx, e.loop, func(reply func(*berylmessage.BeatReply)) message {
+		return beat{beat: *req, reply: reply}
+	})
+}
+
+func (e *Entry) onConfig(ctx context.Context, req *berylmessage.ConfigRequest) (*berylmessage.ConfigReply, error) {
+	return berylcontrol.Ask(ctx, e.loop, func(reply func(*berylmessage.ConfigReply)) message {
+		return exchange{request: *req, reply: reply}
+	})
+}
+
+func (e *Entry) onPeek(ctx context.Context, _ *berylmessage.Peek) (*berylmessage.PeekReply, error) {
+	reply, err := berylcontrol.Ask(ctx, e.loop, func(reply func(berylmessage.PeekReply)) message {
+		return peek{reply: reply}
+	})
+	return &reply, err
+}
+
+// peekRound asks every other entry what it knows of the log.
+func (e *Entry) peekRound(ctx context.Context, own int64) {
+	round := peeked{began: e.clock(), replies: map[string]berylmessage.PeekReply{}}
+	ctx, cancel := context.WithTimeout(ctx, _peekTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	for _, addr := range e.settings.Entries {
+		wg.Go(func() {
+			reply, err := berylrpc.Call[berylmessage.Peek, berylmessage.PeekReply](
+				ctx, e.client, addr, berylmessage.MethodPeek, &berylmessage.Peek{From: e.settings.Name})
+			if err != nil {
+				return
+			}
+			if reply.Offset > own {
+				e.exchangeConfig(ctx, addr)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			round.replies[addr] = *reply
+		})
+	}
+	wg.Wait()
+	e.loop.Tell(round)
+}
+
+// exchangeConfig takes over the configuration of a peer if it is newer.
+func (e *Entry) exchangeConfig(ctx context.Context, addr string) {
+	reply, err := e.fetchConfig(ctx, addr)
+	if err == nil && reply.Config != nil {
+		_, _ = berylcontrol.Ask(ctx, e.loop, func(done func(struct{})) message {
+			return adopt{config: reply.Config, reply: func() { done(struct{}{}) }}
+		})
+	}
+}
+
+func (e *Entry) fetchConfig(ctx context.Context, addr string) (*berylmessage.ConfigReply, error) {
+	req := &berylmessage.ConfigRequest{Offset: e.view.Load().config.Offset}
+	return berylrpc.Call[berylmessage.ConfigRequest, berylmessage.ConfigReply](ctx, e.client, addr, berylmessage.MethodConfig, req)
+}
--- /dev/null
+++ b/berylentry/publish.go
@@ -0,0 +1,221 @@
+package berylentry
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"berylglade/beryladjacency"
+	"berylglade/berylapi"
+	"berylglade/berylconfig"
+	"berylglade/berylerror"
+	"berylglade/berylmember"
+	"berylglade/berylrecord"
+	"berylglade/berylshape"
+)
+
+// _domainAttempts bounds the attempts to change a failure domain while other
+// operators change it too.
+const _domainAttempts = 5
+
+// _baseWait is the longest wait for a base that was not read yet.
+const _baseWait = 2 * time.Second
+
+// Publish implements berylapi.Entry.
+func (e *Entry) Publish(ctx context.Context, change berylapi.Change) (int64, error) {
+	// A change that was sent is followed to its end even if the operator
+	// disconnects.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), _appendTimeout)
+	defer cancel()
+	base := int64(0)
+	if change.Base != nil {
+		base = *change.Base
+	}
+	v := e.view.Load()
+	if v.failing[berylrecord.StreamConfig] {
+		return 0, berylerror.Unavailable.Errorf("log cannot be read, so no change can be accepted")
+	}
+	if err := e.awaitBase(ctx, base); err != nil {
+		return 0, err
+	}
+	v = e.view.Load()
+	if err := v.check(change.Set); err != nil {
+		return 0, err
+	}
+	record := berylrecord.New(base, berylrecord.Change{By: change.By, Set: change.Set})
+	settled := make(chan settledChange, 1)
+	e.loop.Tell(watchChange{id: record.ID, done: ctx.Done(), reply: func(s settledChange) { settled <- s }})
+	if err := e.append(ctx, berylrecord.StreamConfig, record); err != nil {
+		if berylerror.Of(err) == berylerror.NotRun {
+			return 0, berylerror.Unavailable.Wrap(err, "publish change")
+		}
+		return 0, berylerror.Unknown.Wrap(err, "publish change")
+	}
+	select {
+	case s := <-settled:
+		return s.offset, s.err
+	case <-ctx.Done():
+		return 0, berylerror.Unknown.Errorf("change was recorded and not read back")
+	}
+}
+
+// awaitBase waits a short time for a base that the operator got from another
+// entry which is ahead.
+func (e *Entry) awaitBase(ctx context.Context, base int64) error {
+	ctx, cancel := context.WithTimeout(ctx, _baseWait)
+	defer cancel()
+	if err := e.await(ctx, berylrecord.StreamConfig, base); err != nil {
+		return berylerror.Invalid.Errorf("base %d is above the newest offset that this entry has read", base)
+	}
+	return nil
+}
+
+// SetDomain implements berylapi.Entry. A change of the same failure domain by
+// another operator does not stop this one, as the operator states what has to
+// hold now.
+func (e *Entry) SetDomain(ctx context.Context, name string, domain berylconfig.FailureDomain) (int64, error) {
+	value, err := json.Marshal(domain)
+	if err != nil {
+		return 0, berylerror.Internal.Wrap(err, "encode failure domain")
+	}
+	if !e.view.Load().hasDomain(name) {
+		return 0, berylerror.Missing.Errorf("failure domain %q is neither in the configuration nor that of an agent", name)
+	}
+	var offset int64
+	for range _domainAttempts {
+		base := e.view.Load().upto[berylrecord.StreamConfig]
+		offset, err = e.Publish(ctx, berylapi.Change{
+			Base: &base,
+			By:   "operator at " + e.settings.Name,
+			Set:  map[string]json.RawMessage{"domains/" + name: value},
+		})
+		if berylerror.Of(err) != berylerror.Conflict {
+			break
+		}
+	}
+	return offset, err
+}
+
+func (v *view) hasDomain(name string) bool {
+	if _, ok := v.config.Domains[name]; ok {
+		return true
+	}
+	return slices.ContainsFunc(v.members, func(m berylmember.Member) bool { return m.Domain == name })
+}
+
+// check refuses a change whose values break a rule, or with a guarantee that
+// the known workers can never meet.
+func (v *view) check(set map[string]json.RawMessage) error {
+	next := v.config.Clone()
+	for _, key := range slices.Sorted(maps.Keys(set)) {
+		if err := next.Set(key, set[key]); err != nil {
+			return err
+		}
+	}
+	workers := workersOf(v.members)
+	if !v.settled || len(workers) == 0 {
+		// Nothing is known of the capacity yet.
+		return nil
+	}
+	changed := false
+	for key := range set {
+		name, ok := strings.CutPrefix(key, "accounts/")
+		if !ok {
+			continue
+		}
+		changed = changed || len(next.Accounts[name].Guarantees) > 0
+		for _, g := range next.Accounts[name].Guarantees {
+			if most := capacity(workers, g); most < g.Count {
+				return berylerror.Impossible.Errorf("guarantee of client account %s: %d of %s %s are asked for, the known workers hold at most %d",
+					name, g.Count, g.Shape, place(g), most)
+			}
+		}
+	}
+	if changed {
+		return fitTogether(workers, next)
+	}
+	return nil
+}
+
+func place(g berylconfig.Guarantee) string {
+	text := "anywhere"
+	if g.Adjacent != beryladjacency.Anywhere {
+		text = "in one " + g.Adjacent.String()
+	}
+	if g.Spare {
+		text += " with any one failure domain out"
+	}
+	return text
+}
+
+// fitTogether compares the sum of all guarantees with the sum of all workers.
+// It finds only what can never be met; whether the guarantees can be placed
+// together at the moment is the scheduler's decision.
+func fitTogether(workers []berylmember.Member, cfg *berylconfig.Config) error {
+	var need, have berylshape.Shape
+	for _, account := range cfg.Accounts {
+		for _, g := range account.Guarantees {
+			need = need.Add(g.Shape.Times(g.Count))
+		}
+	}
+	for i := range workers {
+		have = have.Add(workers[i].Total)
+	}
+	if !need.Fits(have) {
+		return berylerror.Impossible.Errorf("all guarantees together need %s, the known workers have %s", need, have)
+	}
+	return nil
+}
+
+func workersOf(members []berylmember.Member) []berylmember.Member {
+	var workers []berylmember.Member
+	for i := range members {
+		if !members[i].Total.Empty() {
+			workers = append(workers, members[i])
+		}
+	}
+	return workers
+}
+
+// capacity returns how many units of a guarantee the empty workers hold as close
+// together as it asks.
+func capacity(workers []berylmember.Member, g berylconfig.Guarantee) int {
+	if !g.Spare {
+		return unitsIn(workers, g)
+	}
+	least := -1
+	for i := range workers {
+		out := workers[i].Domain
+		left := slices.DeleteFunc(slices.Clone(workers), func(m berylmember.Member) bool { return m.Domain == out })
+		if n := unitsIn(left, g); least < 0 || n < least {
+			least = n
+		}
+	}
+	return max(least, 0)
+}
+
+func unitsIn(workers []berylmember.Member, g berylconfig.Guarantee) int {
+	units := map[string]int{}
+	for i := range workers {
+		w := &workers[i]
+		var unit string
+		switch g.Adjacent {
+		case beryladjacency.Domain:
+			unit = w.Domain
+		case beryladjacency.Rack:
+			unit = w.Rack
+		case beryladjacency.Worker:
+			unit = w.Agent
+		case beryladjacency.Anywhere:
+		}
+		units[unit] += g.Shape.Count(w.Total)
+	}
+	most := 0
+	for _, n := range units {
+		most = max(most, n)
+	}
+	return most
+}
--- /dev/null
+++ b/berylentry/state.go
@@ -0,0 +1,72 @@
+package berylentry
+
+import (
+	"context"
+
+	"berylglade/berylapi"
+	"berylglade/berylcontrol"
+	"berylglade/berylerror"
+)
+
+// State is what an entry knows, for the state dump.
+type State struct {
+	Name string `json:"name"`
+	// Offset is the version of the configuration.
+	Offset int64 `json:"offset"`
+	// Term, Leader and Leading describe the leadership.
+	Term    int64  `json:"term"`
+	Leader  string `json:"leader,omitempty"`
+	Leading bool   `json:"leading"`
+	// Streams are the streams of the log by name.
+	Streams map[string]StreamState `json:"streams"`
+	// Starts says why nothing may start; empty if starts are allowed.
+	Starts string `json:"starts,omitempty"`
+	// Outage is set while every entry reports that it cannot read the log.
+	Outage bool `json:"outage,omitempty"`
+	// Jobs is the number of jobs by phase, Keys that of recorded call keys.
+	Jobs map[string]int `json:"jobs"`
+	Keys int            `json:"keys"`
+	// InFlight and Queued are the calls that hold or wait for a place.
+	InFlight int              `json:"inflight"`
+	Queued   int              `json:"queued"`
+	Agents   []berylapi.Agent `json:"agents"`
+}
+
+// StreamState is the reading of one stream.
+type StreamState struct {
+	// Upto is the last offset that was read.
+	Upto     int64 `json:"upto"`
+	CaughtUp bool  `json:"caughtup"`
+	// Age is the time since the last successful read was sent, in
+	// milliseconds.
+	Age     int64 `json:"age"`
+	Failing bool  `json:"failing,omitempty"`
+	// Malformed and Repeated count dropped records.
+	Malformed int64 `json:"malformed,omitempty"`
+	Repeated  int64 `json:"repeated,omitempty"`
+}
+
+// State returns the state of the entry, a [State], as JSON data.
+func (e *Entry) State(ctx context.Context) (any, error) {
+	state, err := berylcontrol.Ask(ctx, e.loop, func(reply func(State)) message {
+		return dumpState{reply: reply}
+	})
+	if err != nil {
+		return nil, err
+	}
+	state.InFlight, state.Queued = e.admission.Waiting()
+	state.Agents, err = e.Agents(ctx)
+	return state, err
+}
+
+// Ready returns an error until the entry has a configuration, and while it
+// stops.
+func (e *Entry) Ready() error {
+	if ended(e.stopping) {
+		return berylerror.Unavailable.Errorf("entry is stopping")
+	}
+	if e.view.Load().config.Offset == 0 {
+		return berylerror.Unavailable.Errorf("entry has no configuration yet")
+	}
+	return nil
+}
--- /dev/null
+++ b/berylentry/stream.go
@@ -0,0 +1,122 @@
+package berylentry
+
+import (
+	"context"
+	"time"
+
+	"berylglade/berylappender"
+	"berylglade/berylcontrol"
+	"berylglade/berylerror"
+	"berylglade/beryllog"
+	"berylglade/berylrecord"
+	"berylglade/beryltail"
+)
+
+// Long polls of the streams. The age of a confirmation grows to twice the poll
+// at an entry and by a heartbeat period of 1 s on the way to an agent, and it
+// has to stay below the limit of 3 s. The leader's lease of 4 s allows a longer
+// one. Nothing depends on the age of the calls stream.
+const (
+	_configPoll  = 500 * time.Millisecond
+	_controlPoll = time.Second
+	_callsPoll   = 5 * time.Second
+)
+
+// _outageAfter is the time without a successful read after which a stream
+// counts as out of reach.
+const _outageAfter = 2 * time.Second
+
+// stream is the entry's reader and writer of one stream of the log.
+type stream struct {
+	*berylappender.Appender
+	tail *beryltail.Tail
+}
+
+func newStream(e *Entry, log beryllog.Log, name string, poll time.Duration) *stream {
+	return &stream{
+		Appender: berylappender.New(log, name, e.clock),
+		tail: beryltail.New(log, name, e.clock, poll, func(ev beryltail.Event) {
+			e.loop.Tell(tailed{stream: name, event: ev})
+		}),
+	}
+}
+
+// append adds a record to a stream and waits until this entry's own tail has
+// read it. An error of kind NotRun means that it is certainly not in the log.
+func (e *Entry) append(ctx context.Context, name string, r berylrecord.Record) error {
+	if e.view.Load().failing[name] {
+		e.metrics.appends.WithLabelValues(name, berylerror.NotRun.String()).Inc()
+		return berylerror.NotRun.Errorf("log cannot be read, so no record can be confirmed")
+	}
+	offset, err := e.streams[name].Append(ctx, r)
+	e.metrics.appends.WithLabelValues(name, result(err)).Inc()
+	if err != nil {
+		return err
+	}
+	if err := e.await(ctx, name, offset); err != nil {
+		return berylerror.Unknown.Wrap(err, "read back record")
+	}
+	return nil
+}
+
+// await waits until the tail of a stream has read an offset.
+func (e *Entry) await(ctx context.Context, name string, offset int64) error {
+	_, err := berylcontrol.Ask(ctx, e.loop, func(reply func(struct{})) message {
+		return awaitOffset{stream: name, offset: offset, done: ctx.Done(), reply: func() { reply(struct{}{}) }}
+	})
+	return err
+}
+
+// lookUp asks for the valid intent of a key.
+func (e *Entry) lookUp(ctx context.Context, account, key string) (intentFound, error) {
+	return berylcontrol.Ask(ctx, e.loop, func(reply func(intentFound)) message {
+		return lookUp{account: account, key: key, reply: reply}
+	})
+}
+
+// reader is what the control actor knows of its reading of one stream.
+type reader struct {
+	// upto is the last offset that was read.
+	upto int64
+	// began is when the last successful read was sent.
+	began time.Time
+	// success says whether any read has succeeded, caughtUp whether the end of
+	// the stream was reached.
+	success  bool
+	caughtUp bool
+	// failed is when the first of the reads that failed in a row was sent;
+	// zero if the last one succeeded.
+	failed  time.Time
+	waiters []awaitOffset
+}
+
+// failing reports whether the stream is out of reach.
+func (r *reader) failing(now time.Time) bool {
+	return !r.failed.IsZero() && now.Sub(r.failed) >= _outageAfter
+}
+
+// release answers the waiters whose offset was read and drops those that gave
+// up.
+func (r *reader) release() {
+	kept := r.waiters[:0]
+	for _, w := range r.waiters {
+		switch {
+		case w.offset <= r.upto:
+			w.reply()
+		case ended(w.done):
+		default:
+			kept = append(kept, w)
+		}
+	}
+	clear(r.waiters[len(kept):])
+	r.waiters = kept
+}
+
+func ended(done <-chan struct{}) bool {
+	select {
+	case <-done:
+		return true
+	default:
+		return false
+	}
+}
--- a/berylmessage/message.go
+++ b/berylmessage/message.go
@@ -28,6 +28,8 @@
 	MethodFind Method = "find"
 	// MethodTombstone asks an agent never to run a call.
 	MethodTombstone Method = "tombstone"
+	// MethodDrain asks an agent to take no new work.
+	MethodDrain Method = "drain"
 	// MethodReserve holds resources for a gang.
 	MethodReserve Method = "reserve"
 	// MethodStart arms a member of a gang.
@@ -194,6 +196,15 @@
 	Confirmed bool `cbor:"c,omitempty"`
 }
 
+// Drain asks an agent to take no new work until it is restarted.
+type Drain struct {
+	// Incarnation is the process to drain; another one refuses.
+	Incarnation string `cbor:"i"`
+}
+
+// DrainReply says that the agent drains and its heartbeats will show it.
+type DrainReply struct{}
+
 // Reserve holds resources for one member of a gang.
 type Reserve struct {
 	Term    int64            `cbor:"t"`
--- a/berylroute/route.go
+++ b/berylroute/route.go
@@ -172,6 +172,15 @@
 	return b.pick, nil
 }
 
+// Begin counts a call as in flight whose agent was chosen earlier.
+func (r *Router) Begin(p Pick) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if b := r.find(p.Agent, p.Incarnation); b != nil {
+		b.own++
+	}
+}
+
 // Done records the end of an attempt; took is its whole time.
 func (r *Router) Done(now time.Time, p Pick, o Outcome, took time.Duration) {
 	r.mu.Lock()
@@ -180,7 +189,8 @@
 	if b == nil {
 		return
 	}
-	b.own--
+	// The agent may have left and joined again since the attempt began.
+	b.own = max(0, b.own-1)
 	switch o {
 	case OK:
 		b.succeed(took)
