--- a/berylcli/process.go
+++ b/berylcli/process.go
@@ -17,6 +17,7 @@
 	"berylglade/beryldump"
 	"berylglade/berylentry"
 	"berylglade/berylerror"
+	"berylglade/berylfreshness"
 	"berylglade/berylsettings"
 	"berylglade/berylstandlog"
 	"berylglade/berylstandrunner"
@@ -147,7 +148,7 @@
 		settings.Worker = base(s.Worker.Addr)
 		settings.Total = s.Worker.Shape
 	}
-	a, err := berylagent.New(settings, berylclock.System(), nil, p.registry)
+	a, err := berylagent.New(settings, berylclock.System(), new(berylfreshness.Freshness), p.registry)
 	if err != nil {
 		return err
 	}
