--- /dev/null
+++ b/berylcli/fleet_test.go
@@ -0,0 +1,74 @@
+package berylcli
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+
+	"berylglade/berylerror"
+)
+
+func testFleet(t *testing.T) *fleet {
+	t.Helper()
+	port, err := freeBlock()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return newFleet(port, fleetDomains())
+}
+
+// Guards against processes that go on after dev has ended, and against the loss
+// of the error that ended it.
+func TestFleetStops(t *testing.T) {
+	is := is.New(t)
+	errUse := berylerror.Failed.Errorf("use failed")
+	f := testFleet(t)
+	err := f.run(t.Context(), func(ctx context.Context) error {
+		for _, n := range f.all() {
+			is.NoErr(waitListen(ctx, n.settings.Dump.String()))
+		}
+		return errUse
+	})
+	is.True(errors.Is(err, errUse))
+	for _, n := range f.all() {
+		lis, err := net.Listen("tcp", n.settings.Dump.String())
+		is.NoErr(err) // the dump listener of the process is closed
+		is.NoErr(lis.Close())
+	}
+}
+
+func waitListen(ctx context.Context, addr string) error {
+	ctx, cancel := context.WithTimeout(ctx, _startLimit)
+	defer cancel()
+	for {
+		conn, err := net.Dial("tcp", addr)
+		if err == nil {
+			return conn.Close()
+		}
+		select {
+		case <-time.After(10 * time.Millisecond):
+		case <-ctx.Done():
+			return err
+		}
+	}
+}
+
+// Guards against a system that serves without one of its processes.
+func TestFleetProcessFails(t *testing.T) {
+	is := is.New(t)
+	f := testFleet(t)
+	taken, err := net.Listen("tcp", f.runners[1].Dump.String())
+	is.NoErr(err)
+	defer taken.Close()
+	err = f.run(t.Context(), func(ctx context.Context) error {
+		<-ctx.Done()
+		return nil
+	})
+	is.True(err != nil)
+	is.Equal(berylerror.Of(err), berylerror.Unavailable)
+	t.Log(err)
+}
