berylagent: stop isolated gangs that must not run twice

Cause: the leader fenced a silent agent after 20 s, but a gang that is cut off as a whole runs on, and the property test of berylgang shows parts that live up to 35 s with killed processes. An agent that hears no entry for 10 minutes now stops gangs whose class is not idempotent; the leader waits 40 s, or 10 minutes more for such jobs, before it places a job again.

--- a/berylagent/control.go
+++ b/berylagent/control.go
@@ -25,6 +25,8 @@
 	answered time.Time
 	usage    berylshape.Shape
 	leaving  bool
+	// contact is when an entry last answered a heartbeat.
+	contact time.Time
 }
 
 // message is what the control actor handles. The variants are the types of this
@@ -85,6 +87,7 @@
 }
 
 func (m beatAnswered) apply(now time.Time, c *control) {
+	c.contact = now
 	// An entry that is behind reports a lower term, which changes nothing.
 	_ = c.host.Observe(m.reply.Term)
 	c.forget(m.reply.Forget)
--- a/berylagent/gangs.go
+++ b/berylagent/gangs.go
@@ -20,6 +20,12 @@
 // that it may be forgotten.
 const _closedTime = time.Minute
 
+// _isolationTimeout is the time without an answer of an entry after which gangs
+// that must not run twice are stopped. It is longer than the minutes for which
+// regions lose each other. The leader waits for it and for the gangs' own bounds
+// before it places such a job again.
+const _isolationTimeout = 10 * time.Minute
+
 // gangPart is one part of a gang with what the agent needs to carry out its
 // effects.
 type gangPart struct {
@@ -251,6 +257,7 @@
 
 func (tick) apply(now time.Time, c *control) {
 	c.host.Expire(now)
+	c.stopIsolated(now)
 	for key, p := range c.parts {
 		c.feed(now, p, berylgang.Tick{})
 		if p.Index != 0 && !p.closed.IsZero() && now.Sub(p.closed) > _closedTime {
@@ -260,6 +267,23 @@
 	c.agent.active.Store(c.active())
 }
 
+// stopIsolated ends the gangs that must not run twice after no entry has
+// answered for so long that the leader counts them as ended.
+func (c *control) stopIsolated(now time.Time) {
+	if c.contact.IsZero() {
+		c.contact = now
+	}
+	if now.Sub(c.contact) < _isolationTimeout {
+		return
+	}
+	cfg := c.agent.gate.cfg.Load()
+	for _, p := range c.parts {
+		if !cfg.Classes[p.job.Class].Idempotent {
+			c.feed(now, p, berylgang.Stop{Checkpoint: true, Reason: "agent " + p.Agent + " hears no entry"})
+		}
+	}
+}
+
 // active reports whether a part has tasks.
 func (c *control) active() bool {
 	for _, p := range c.parts {
--- a/berylagent/gangs_test.go
+++ b/berylagent/gangs_test.go
@@ -379,3 +379,27 @@
 		})
 	}
 }
+
+// isolated makes the agent find that no entry has answered for a time.
+type isolated struct {
+	silence time.Duration
+}
+
+func (m isolated) apply(now time.Time, c *control) {
+	c.contact = now.Add(-m.silence)
+	c.stopIsolated(now)
+}
+
+// Guards against a second run beside a gang that is cut off from every entry,
+// and against stopping gangs while regions lose each other for minutes.
+func TestIsolatedGang(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	b := newGangBench(t, 2, 0)
+	b.run("run=1m")
+	eventually(t, "all tasks run", func() bool { return b.count(berylworker.Running) == 4 })
+	b.agents[0].loop.Tell(isolated{silence: 9 * time.Minute})
+	is.Equal(b.count(berylworker.Running), 4)
+	b.agents[0].loop.Tell(isolated{silence: 10 * time.Minute})
+	eventually(t, "the whole gang is stopped", func() bool { return b.count(berylworker.Running) == 0 })
+}
--- a/berylleader/leader.go
+++ b/berylleader/leader.go
@@ -28,10 +28,10 @@
 	// _resendInterval is the time between two sends of a start or stop that
 	// has not been confirmed.
 	_resendInterval = time.Second
-	// _lostTimeout is the silence after which nothing of a gang can still run
-	// beside a dead agent: the gang's own bound of 5 s, the task lease of 10 s
-	// and a margin of 5 s.
-	_lostTimeout = 20 * time.Second
+	// _lostTimeout is the silence after which nothing of a gang with a dead
+	// member can still run. The property test of package berylgang shows 35 s
+	// for gangs with killed processes.
+	_lostTimeout = 40 * time.Second
 	// _isolationTimeout is the time after which an agent that hears no entry
 	// stops its gangs. It is longer than the minutes for which regions lose
 	// each other.
--- a/berylleader/leader_test.go
+++ b/berylleader/leader_test.go
@@ -261,7 +261,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			h := started(t, tt.give)
-			h.pass(15*time.Second, "a1")
+			h.pass(35*time.Second, "a1")
 			is.Equal(count[Append](h.take()), 0)
 			h.pass(10*time.Second, "a1")
 			is.Equal(h.commit(), []beryljob.Phase{tt.want})
@@ -275,7 +275,7 @@
 func TestNextAttemptWaitsForTheLast(t *testing.T) {
 	is := is.New(t)
 	h := started(t, berylconfig.Class{Checkpoint: true})
-	h.pass(25*time.Second, "a1")
+	h.pass(45*time.Second, "a1")
 	is.Equal(h.commit(), []beryljob.Phase{beryljob.Queued})
 	h.report = berylmessage.GangFailed
 	h.pass(time.Minute, "a1")
