--- a/berylentry/call.go
+++ b/berylentry/call.go
@@ -318,6 +318,16 @@
 	if err != nil {
 		return berylanswer.Answer{ID: id}, err
 	}
+	// A planned stop ends the wait; the caller asks another entry.
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-e.stopping:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 	answer, err := e.find(ctx, member.Addr, id, account, wait)
 	if err != nil && !berylrpc.Remote(err) && uncertain(err) {
 		err = berylerror.Unavailable.Wrap(err, "agent does not answer")
--- a/berylentry/call_test.go
+++ b/berylentry/call_test.go
@@ -158,7 +158,8 @@
 	is.Equal(gone.err.Kind, "unavailable")
 }
 
-// Guards against new work for agents that must not get any.
+// Guards against new work for agents that must not get any, and against a long
+// wait of a caller whom no server can serve.
 func TestNoWorkForUnusableAgents(t *testing.T) {
 	is := is.New(t)
 	e := start(t, testSettings("e1"))
@@ -166,4 +167,28 @@
 	got := request(t, e, "POST", "/v1/calls?class=write", "x", berylapi.HeaderTimeout, "200ms")
 	is.Equal(got.err.Kind, "notrun")
 	is.True(time.Since(begin) < time.Second)
+
+	a := newFakeAgent(t, "a1")
+	a.announce(t, e, nil)
+	is.Equal(request(t, e, "POST", "/v1/calls?class=write", "x").status, 200)
+	is.Equal(operator(t, e, "/v1/agents/a1/drain", "").status, 200)
+	is.Equal(operator(t, e, "/v1/agents/a9/drain", "").err.Kind, "missing")
+	got = request(t, e, "POST", "/v1/calls?class=write", "x", berylapi.HeaderTimeout, "200ms")
+	is.Equal(got.err.Kind, "notrun")
+	agents := request(t, e, "GET", "/v1/agents", "", "Authorization", "Bearer op")
+	is.True(strings.Contains(agents.body, `"draining":true`))
+	is.Equal(a.ran(), 1)
+}
+
+// Guards against an account above its rate that is served at the cost of others.
+func TestRateLimit(t *testing.T) {
+	is := is.New(t)
+	e := start(t, testSettings("e1"))
+	a := newFakeAgent(t, "a1")
+	a.announce(t, e, nil)
+	limited := []string{berylapi.HeaderAccount, "slow", "Authorization", "Bearer st"}
+	is.Equal(request(t, e, "POST", "/v1/calls?class=write", "x", limited...).status, 200)
+	is.Equal(request(t, e, "POST", "/v1/calls?class=write", "x", limited...).err.Kind, "notrun")
+	is.Equal(request(t, e, "POST", "/v1/calls?class=write", "x").status, 200)
+	is.Equal(a.ran(), 2)
 }
--- a/berylentry/fake_test.go
+++ b/berylentry/fake_test.go
@@ -22,6 +22,7 @@
 	"berylglade/berylid"
 	"berylglade/berylmessage"
 	"berylglade/berylrpc"
+	"berylglade/berylshape"
 )
 
 // fakeAgent is an agent with the ledger rules of the design and a backend
@@ -81,6 +82,7 @@
 	berylrpc.Handle(&s, berylmessage.MethodRun, a.run)
 	berylrpc.Handle(&s, berylmessage.MethodFind, a.find)
 	berylrpc.Handle(&s, berylmessage.MethodTombstone, a.bury)
+	berylrpc.Handle(&s, berylmessage.MethodDrain, a.drain)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -95,6 +97,13 @@
 	return a
 }
 
+func (a *fakeAgent) drain(_ context.Context, req *berylmessage.Drain) (*berylmessage.DrainReply, error) {
+	if req.Incarnation != a.incarnation {
+		return nil, berylerror.Missing.Errorf("another incarnation")
+	}
+	return &berylmessage.DrainReply{}, nil
+}
+
 func (a *fakeAgent) run(_ context.Context, req *berylmessage.Run) (*berylmessage.RunReply, error) {
 	id := req.Call.ID
 	parsed, err := berylid.Parse(id)
@@ -236,6 +245,7 @@
 			"quabbin": {Hash: hash("qt")},
 			"ribnica": {Hash: hash("rt")},
 			"slow":    {Hash: hash("st"), Rate: 1, Burst: 1},
+			"small":   {Hash: hash("mt"), Quota: berylshape.Shape{Cores: 8}},
 		},
 		Domains: map[string]berylconfig.FailureDomain{"ware-east": {}},
 	}
@@ -264,6 +274,13 @@
 
 // startBare runs an entry until the test ends.
 func startBare(t *testing.T, settings Settings, leader Leader) *Entry {
+	t.Helper()
+	e, _ := startStoppable(t, settings, leader)
+	return e
+}
+
+// startStoppable runs an entry until stop is called or the test ends.
+func startStoppable(t *testing.T, settings Settings, leader Leader) (*Entry, func()) {
 	t.Helper()
 	is := is.New(t)
 	e, err := New(settings, berylclock.System(), Parts{Leader: leader})
@@ -271,13 +288,35 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- e.Run(ctx) }()
-	t.Cleanup(func() {
+	stop := sync.OnceFunc(func() {
 		cancel()
 		if err := <-done; err != nil {
 			t.Error(err)
 		}
 	})
-	return e
+	t.Cleanup(stop)
+	return e, stop
+}
+
+// freeAddr returns a loopback address that was free a moment ago.
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer lis.Close()
+	return lis.Addr().String()
+}
+
+// slow answers after a pause and tells when the first call has begun.
+func slow(began chan<- struct{}, pause time.Duration) func(*fakeAgent, berylcall.Call) (berylanswer.Answer, error) {
+	once := sync.OnceFunc(func() { close(began) })
+	return func(a *fakeAgent, call berylcall.Call) (berylanswer.Answer, error) {
+		once()
+		time.Sleep(pause)
+		return echo(a, call)
+	}
 }
 
 // raw encodes the values of a change.
--- a/berylentry/job.go
+++ b/berylentry/job.go
@@ -19,6 +19,12 @@
 // job or an operator publishes a change.
 const _appendTimeout = 10 * time.Second
 
+// _freshWait and _freshPoll bound the wait of a new entry for its first read.
+const (
+	_freshWait = 2 * time.Second
+	_freshPoll = 20 * time.Millisecond
+)
+
 // Submit implements berylapi.Entry.
 func (e *Entry) Submit(ctx context.Context, job beryljob.Job) (beryljob.State, error) {
 	if err := e.possible(&job); err != nil {
@@ -29,7 +35,7 @@
 	defer cancel()
 	job.ID = jobID(&job)
 	job.Accepted = e.clock().UTC().Round(0)
-	found, err := e.findJob(ctx, job.ID)
+	found, err := e.findFresh(ctx, job.ID)
 	if err != nil {
 		return beryljob.State{}, berylerror.NotRun.Wrap(err, "look up job")
 	}
@@ -145,6 +151,22 @@
 	return e.Job(ctx, account, id)
 }
 
+// findFresh looks a job up once the stream has been read to its end; an entry
+// that has just started needs a moment for that.
+func (e *Entry) findFresh(ctx context.Context, id string) (jobFound, error) {
+	ctx, cancel := context.WithTimeout(ctx, _freshWait)
+	defer cancel()
+	for {
+		found, err := e.findJob(ctx, id)
+		if err != nil || found.ok || found.fresh || e.view.Load().failing[berylrecord.StreamControl] {
+			return found, err
+		}
+		if !sleep(ctx, _freshPoll) {
+			return found, nil
+		}
+	}
+}
+
 func (e *Entry) findJob(ctx context.Context, id string) (jobFound, error) {
 	return berylcontrol.Ask(ctx, e.loop, func(reply func(jobFound)) message {
 		return findJob{id: id, reply: reply}
