--- a/berylcli/process.go
+++ b/berylcli/process.go
@@ -17,7 +17,9 @@
 	"berylglade/beryldump"
 	"berylglade/berylentry"
 	"berylglade/berylerror"
+	"berylglade/berylfreshness"
 	"berylglade/berylleader"
+	"berylglade/berylrecord"
 	"berylglade/berylscheduler"
 	"berylglade/berylsettings"
 	"berylglade/berylstandlog"
@@ -79,7 +81,13 @@
 	if err != nil {
 		return berylerror.Unavailable.Wrap(err, "listen for dump and metrics")
 	}
-	l := &beryldump.Listener{Registry: p.registry, State: p.state, Ready: p.ready}
+	ready := func() error {
+		if ctx.Err() != nil {
+			return berylerror.Unavailable.Errorf("process is stopping")
+		}
+		return p.ready()
+	}
+	l := &beryldump.Listener{Registry: p.registry, State: p.state, Ready: ready}
 	dumping, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	running, cancel := context.WithCancel(ctx)
@@ -120,7 +128,7 @@
 		Peer:      s.Bind.String(),
 		Entries:   texts(s.Entries, s.Bind),
 		Log:       base(s.Log),
-		Operator:  s.Operator,
+		Operators: s.Operators,
 		Retention: s.Retention,
 		Drain:     s.Drain,
 		Latency:   s.Latency,
@@ -133,7 +141,7 @@
 	}
 	p.run = e.Run
 	p.state = e.State
-	p.ready = e.Ready
+	p.ready = func() error { return entryReady(e) }
 	return nil
 }
 
@@ -154,7 +162,7 @@
 		settings.Worker = base(s.Worker.Addr)
 		settings.Total = s.Worker.Shape
 	}
-	a, err := berylagent.New(settings, berylclock.System(), nil, p.registry)
+	a, err := berylagent.New(settings, berylclock.System(), new(berylfreshness.Freshness), p.registry)
 	if err != nil {
 		return err
 	}
@@ -164,6 +172,26 @@
 	return nil
 }
 
+// entryReady returns the reason why the entry can't serve. An entry that has
+// read an empty stream is ready too, as operators publish the first
+// configuration through it.
+func entryReady(e *berylentry.Entry) error {
+	notReady := e.Ready()
+	if notReady == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), _stateTimeout)
+	defer cancel()
+	state, err := e.State(ctx)
+	if err != nil {
+		return err
+	}
+	if s, ok := state.(berylentry.State); ok && s.Streams[berylrecord.StreamConfig].CaughtUp {
+		return nil
+	}
+	return notReady
+}
+
 // agentReady returns the reason why the agent starts nothing now.
 func agentReady(a *berylagent.Agent) error {
 	ctx, cancel := context.WithTimeout(context.Background(), _stateTimeout)
