--- a/berylapi/api.go
+++ b/berylapi/api.go
@@ -2,8 +2,8 @@
 //
 // [API] authenticates, checks and decodes each request and passes it to an
 // [Entry]; it holds no state. Callers send their client account in X-Account
-// and its token as a bearer token; operators send the operator token of the
-// entry's settings. Every error is the JSON form of [Error].
+// and its token as a bearer token; operators send a token whose SHA-256 is in
+// the entry's settings. Every error is the JSON form of [Error].
 //
 //	POST   /v1/calls?class=             run a call; the body is the request
 //	GET    /v1/calls/{id}?wait=         answer of a call
@@ -84,8 +84,8 @@
 	// Publish appends a change of the configuration and returns its offset
 	// once it has been read back as accepted.
 	Publish(ctx context.Context, change Change) (int64, error)
-	// SetDomain publishes the state of a known failure domain.
-	SetDomain(ctx context.Context, name string, domain berylconfig.FailureDomain) (int64, error)
+	// SetDomain publishes the state of a known failure domain for an operator.
+	SetDomain(ctx context.Context, by, name string, domain berylconfig.FailureDomain) (int64, error)
 	// Drain stops new work for an agent.
 	Drain(ctx context.Context, agent string) error
 	// Agents returns the agents that the entry knows.
@@ -157,17 +157,17 @@
 
 // API is the HTTP handler.
 type API struct {
-	entry    Entry
-	operator string
-	mux      *http.ServeMux
+	entry     Entry
+	operators map[string]string
+	mux       *http.ServeMux
 }
 
 var _ http.Handler = (*API)(nil)
 
-// New returns the handler. An empty operator token refuses every operator
-// function.
-func New(entry Entry, operatorToken string) *API {
-	a := &API{entry: entry, operator: operatorToken, mux: http.NewServeMux()}
+// New returns the handler. The operators map names to the SHA-256 of their
+// tokens in hexadecimal; without any, operator functions are refused.
+func New(entry Entry, operators map[string]string) *API {
+	a := &API{entry: entry, operators: operators, mux: http.NewServeMux()}
 	a.mux.HandleFunc("POST /v1/calls", a.forAccount(a.call))
 	a.mux.HandleFunc("GET /v1/calls/{id}", a.forAccount(a.find))
 	a.mux.HandleFunc("GET /v1/keys/{key}", a.forAccount(a.findKey))
@@ -209,14 +209,17 @@
 	}
 }
 
-func (a *API) forOperator(h http.HandlerFunc) http.HandlerFunc {
+func (a *API) forOperator(h func(w http.ResponseWriter, r *http.Request, operator string)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		token, ok := bearer(r)
-		if !ok || a.operator == "" || subtle.ConstantTimeCompare([]byte(token), []byte(a.operator)) != 1 {
-			writeError(w, "", berylerror.Denied.Errorf("this function needs the operator token"))
-			return
+		if token, ok := bearer(r); ok {
+			for name, hash := range a.operators {
+				if matches(token, hash) {
+					h(w, r, name)
+					return
+				}
+			}
 		}
-		h(w, r)
+		writeError(w, "", berylerror.Denied.Errorf("this function needs an operator's token"))
 	}
 }
 
--- a/berylapi/api_test.go
+++ b/berylapi/api_test.go
@@ -91,7 +91,7 @@
 	return 7, f.err
 }
 
-func (f *fakeEntry) SetDomain(_ context.Context, _ string, d berylconfig.FailureDomain) (int64, error) {
+func (f *fakeEntry) SetDomain(_ context.Context, _, _ string, d berylconfig.FailureDomain) (int64, error) {
 	f.requests++
 	f.domain = d
 	return 7, f.err
@@ -122,7 +122,7 @@
 		}
 	}
 	w := httptest.NewRecorder()
-	New(f, "op").ServeHTTP(w, req)
+	New(f, map[string]string{"jo": hash("op")}).ServeHTTP(w, req)
 	var e Error
 	_ = json.Unmarshal(w.Body.Bytes(), &e)
 	return w, e
--- a/berylapi/operator.go
+++ b/berylapi/operator.go
@@ -7,11 +7,11 @@
 	"berylglade/berylerror"
 )
 
-func (a *API) config(w http.ResponseWriter, _ *http.Request) {
+func (a *API) config(w http.ResponseWriter, _ *http.Request, _ string) {
 	writeJSON(w, http.StatusOK, a.entry.Config())
 }
 
-func (a *API) publish(w http.ResponseWriter, r *http.Request) {
+func (a *API) publish(w http.ResponseWriter, r *http.Request, _ string) {
 	var change Change
 	if err := readJSON(w, r, &change); err != nil {
 		writeError(w, "", err)
@@ -38,7 +38,7 @@
 	}
 }
 
-func (a *API) out(w http.ResponseWriter, r *http.Request) {
+func (a *API) out(w http.ResponseWriter, r *http.Request, by string) {
 	var out Out
 	if r.ContentLength != 0 {
 		if err := readJSON(w, r, &out); err != nil {
@@ -46,16 +46,16 @@
 			return
 		}
 	}
-	offset, err := a.entry.SetDomain(r.Context(), r.PathValue("name"), berylconfig.FailureDomain{Out: true, Grace: out.Grace})
+	offset, err := a.entry.SetDomain(r.Context(), by, r.PathValue("name"), berylconfig.FailureDomain{Out: true, Grace: out.Grace})
 	writePublished(w, offset, err)
 }
 
-func (a *API) back(w http.ResponseWriter, r *http.Request) {
-	offset, err := a.entry.SetDomain(r.Context(), r.PathValue("name"), berylconfig.FailureDomain{})
+func (a *API) back(w http.ResponseWriter, r *http.Request, by string) {
+	offset, err := a.entry.SetDomain(r.Context(), by, r.PathValue("name"), berylconfig.FailureDomain{})
 	writePublished(w, offset, err)
 }
 
-func (a *API) drain(w http.ResponseWriter, r *http.Request) {
+func (a *API) drain(w http.ResponseWriter, r *http.Request, _ string) {
 	if err := a.entry.Drain(r.Context(), r.PathValue("name")); err != nil {
 		writeError(w, "", err)
 		return
@@ -63,7 +63,7 @@
 	writeJSON(w, http.StatusOK, struct{}{})
 }
 
-func (a *API) agents(w http.ResponseWriter, r *http.Request) {
+func (a *API) agents(w http.ResponseWriter, r *http.Request, _ string) {
 	agents, err := a.entry.Agents(r.Context())
 	if err != nil {
 		writeError(w, "", err)
--- a/berylentry/entry.go
+++ b/berylentry/entry.go
@@ -160,7 +160,7 @@
 // leadership over, finishes the calls in progress and returns.
 func (e *Entry) Run(ctx context.Context) error {
 	srv := &http.Server{
-		Handler:           berylapi.New(e, e.settings.Operator),
+		Handler:           berylapi.New(e, e.settings.Operators),
 		ReadHeaderTimeout: _headerTimeout,
 		ReadTimeout:       _readTimeout,
 		IdleTimeout:       _idleTimeout,
--- a/berylentry/fake_test.go
+++ b/berylentry/fake_test.go
@@ -256,7 +256,7 @@
 		Name:      name,
 		HTTP:      "127.0.0.1:0",
 		Peer:      "127.0.0.1:0",
-		Operator:  "op",
+		Operators: map[string]string{"jo": hash("op")},
 		Retention: berylduration.Duration(time.Hour),
 		Drain:     berylduration.Duration(5 * time.Second),
 	}
--- a/berylentry/publish.go
+++ b/berylentry/publish.go
@@ -76,7 +76,7 @@
 // SetDomain implements berylapi.Entry. A change of the same failure domain by
 // another operator does not stop this one, as the operator states what has to
 // hold now.
-func (e *Entry) SetDomain(ctx context.Context, name string, domain berylconfig.FailureDomain) (int64, error) {
+func (e *Entry) SetDomain(ctx context.Context, by, name string, domain berylconfig.FailureDomain) (int64, error) {
 	value, err := json.Marshal(domain)
 	if err != nil {
 		return 0, berylerror.Internal.Wrap(err, "encode failure domain")
@@ -89,7 +89,7 @@
 		base := e.view.Load().upto[berylrecord.StreamConfig]
 		offset, err = e.Publish(ctx, berylapi.Change{
 			Base: &base,
-			By:   "operator at " + e.settings.Name,
+			By:   by,
 			Set:  map[string]json.RawMessage{"domains/" + name: value},
 		})
 		if berylerror.Of(err) != berylerror.Conflict {
--- a/berylentry/settings.go
+++ b/berylentry/settings.go
@@ -19,8 +19,9 @@
 	Entries []string `json:"entries,omitempty"`
 	// Log is the URL of the platform's log.
 	Log string `json:"log"`
-	// Operator is the token of operators; empty refuses operator functions.
-	Operator string `json:"operator,omitempty"`
+	// Operators has the SHA-256 of the token of each operator, in hexadecimal,
+	// by the operator's name.
+	Operators map[string]string `json:"operators,omitempty"`
 	// Retention is how long the log keeps records.
 	Retention berylduration.Duration `json:"retention"`
 	// Drain is the longest time that a planned stop waits for calls in
