berylscheduler: reserve beside guarantees, not on them

Change: a reservation prefers workers that only firm work occupies, then those with single units, for which it keeps room elsewhere; one that waits for a whole set of units is chosen again every minute.

--- a/berylguarantee/guarantee.go
+++ b/berylguarantee/guarantee.go
@@ -258,6 +258,41 @@
 	return g.Placement.Worker(worker).Committed.Sub(g.firm[worker]).Sub(g.reserved[worker])
 }
 
+// Loose returns the size of the free units on each worker that may go anywhere.
+func (g *Guarantee) Loose() map[int]berylshape.Shape {
+	out := map[int]berylshape.Shape{}
+	for _, p := range g.promises {
+		if p.Adjacent != beryladjacency.Anywhere {
+			continue
+		}
+		for _, u := range p.units {
+			if u.tasks == 0 && u.worker != _nowhere {
+				out[u.worker] = out[u.worker].Add(p.Shape)
+			}
+		}
+	}
+	return out
+}
+
+// InWay returns the shapes of the free units that would have to leave a worker before
+// it has room for the given amount beside no firm work.
+func (g *Guarantee) InWay(worker int, need berylshape.Shape) []berylshape.Shape {
+	var out []berylshape.Shape
+	room := g.Placement.Worker(worker).Total.Sub(g.Planned(worker))
+	for _, p := range g.at(worker) {
+		for _, u := range p.units {
+			if need.Fits(room) {
+				return out
+			}
+			if p.Adjacent == beryladjacency.Anywhere && u.worker == worker && u.tasks == 0 {
+				room = room.Add(p.Shape)
+				out = append(out, p.Shape)
+			}
+		}
+	}
+	return out
+}
+
 // Changed says that a worker's size, place or usability changed.
 func (g *Guarantee) Changed(worker int) {
 	g.recheck(worker)
--- a/berylscheduler/reserve.go
+++ b/berylscheduler/reserve.go
@@ -34,12 +34,29 @@
 	number int
 	// on has the workers of parts.
 	on map[int]bool
+	// weak reservations are chosen again every minute, as they may wait for a
+	// set of units that never moves.
+	weak  bool
+	since time.Time
+	// moves are places for guaranteed units that have to leave the workers.
+	// Without them small firm work takes every bit of room to which the units
+	// could go, and the gang never starts.
+	moves []move
+}
+
+// move is room for one guaranteed unit.
+type move struct {
+	worker int
+	shape  berylshape.Shape
 }
 
 func (s *Scheduler) commitHold(n int) {
 	for _, p := range s.hold.parts {
 		s.guarantee.Reserve(p.Worker, s.hold.job.Shape, n*p.Tasks)
 	}
+	for _, m := range s.hold.moves {
+		s.guarantee.Reserve(m.worker, m.shape, n)
+	}
 }
 
 // lift takes the reservation's commitment away while its holder is tried.
@@ -81,15 +98,36 @@
 		return
 	}
 	s.held = s.now
-	parts, ok := s.firstFree(first)
+	parts, weak, ok := s.firstFree(first)
 	if !ok {
 		return
 	}
-	s.hold = &reservation{job: first, parts: parts, number: s.counts.Placed, on: map[int]bool{}}
+	s.hold = &reservation{job: first, parts: parts, number: s.counts.Placed, weak: weak, since: s.now, on: map[int]bool{}}
 	for _, p := range parts {
 		s.hold.on[p.Worker] = true
 	}
 	s.commitHold(1)
+	s.planMoves()
+}
+
+// planMoves reserves room for the guaranteed units on the reserved workers.
+func (s *Scheduler) planMoves() {
+	h := s.hold
+	if s.class(h.job).Checkpoint || s.opts.NoGuarantee {
+		return
+	}
+	for _, p := range h.parts {
+		for _, shape := range s.guarantee.InWay(p.Worker, h.job.Shape.Times(p.Tasks)) {
+			parts, ok := s.place.Find(berylplacement.Request{
+				Shape: shape, Tasks: 1, Mode: berylplacement.Evict, Avoid: s.reservedOn, Bonus: s.guarantee.FirmOn,
+			})
+			if !ok {
+				continue
+			}
+			h.moves = append(h.moves, move{worker: parts[0].Worker, shape: shape})
+			s.guarantee.Reserve(parts[0].Worker, shape, 1)
+		}
+	}
 }
 
 func (s *Scheduler) keep(first *job) bool {
@@ -97,7 +135,7 @@
 	if h.job.step != _waiting || s.overQuota(h.job) {
 		return false
 	}
-	if !s.usable(h.parts) {
+	if !s.usable(h.parts) || h.weak && s.now.Sub(h.since) >= _lookAgain {
 		return false
 	}
 	if first == nil || first == h.job {
@@ -118,8 +156,9 @@
 	return slack - s.now.Sub(j.Accepted)
 }
 
-// firstFree returns the workers on which a gang's places free up first.
-func (s *Scheduler) firstFree(j *job) ([]berylplacement.Part, bool) {
+// firstFree returns the workers on which a gang's places free up first, and whether
+// sets of guaranteed units are in the way there.
+func (s *Scheduler) firstFree(j *job) (parts []berylplacement.Part, weak, ok bool) {
 	r := s.request(j, berylplacement.Evict)
 	r.Bonus = s.guarantee.FirmOn
 	if s.class(j).Checkpoint {
@@ -132,11 +171,19 @@
 	}
 	r.Cost = func(i int) float64 { return s.freeAfter(i, j).Seconds() }
 	if parts, ok := s.findByDomain(r); ok || r.Mode == berylplacement.Total {
-		return parts, ok
+		return parts, false, ok
+	}
+	// Guaranteed units are in the way. Single ones are moved when the rest is
+	// free.
+	loose := s.guarantee.Loose()
+	r.Bonus = func(i int) berylshape.Shape { return s.guarantee.FirmOn(i).Add(loose[i]) }
+	if parts, ok := s.findByDomain(r); ok {
+		return parts, false, true
 	}
-	// Guaranteed units are in the way; they are moved when the rest is free.
+	// Only moving whole sets of units helps, which may never be possible.
 	r.Mode, r.Bonus = berylplacement.Total, nil
-	return s.findByDomain(r)
+	parts, ok = s.findByDomain(r)
+	return parts, true, ok
 }
 
 // findByDomain searches a large cluster one failure domain after the other, the
--- a/berylscheduler/scheduler_test.go
+++ b/berylscheduler/scheduler_test.go
@@ -109,24 +109,35 @@
 
 // TestReservation guards against a large gang that starves behind small jobs whose
 // run times are declared ten times too short. The reservation must not hold up small
-// jobs either.
+// jobs either, nor wait for an idle rack that is guaranteed to others.
 func TestReservation(t *testing.T) {
 	tests := []struct {
-		name string
-		give berylscheduler.Options
-		want bool
+		name       string
+		give       berylscheduler.Options
+		guarantees []berylconfig.Guarantee
+		domains    int
+		want       bool
 	}{
-		{name: "on", want: true},
-		{name: "off", give: berylscheduler.Options{NoReservation: true}},
+		{name: "on", domains: 2, want: true},
+		{name: "off", domains: 2, give: berylscheduler.Options{NoReservation: true}},
+		{
+			name: "beside a guaranteed rack", domains: 3, want: true,
+			guarantees: []berylconfig.Guarantee{{Shape: gpus(8), Count: 3, Adjacent: _rack}},
+		},
+		{
+			name: "with single units in the way", domains: 3, want: true,
+			guarantees: []berylconfig.Guarantee{{Shape: gpus(8), Count: 3, Adjacent: _rack}, {Shape: gpus(2), Count: 2}},
+		},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			m := newSite(t, 2, tt.give)
+			m := newSite(t, tt.domains, tt.give)
+			m.guarantee("g", tt.guarantees...)
 			ends := map[string]time.Time{}
 			m.stream(2, ends)
 			m.submit("large", "y", "routine", 3, gpus(8), _rack)
-			m.stream(3, ends)
+			m.stream(6, ends)
 			is.Equal(m.jobs["large"].starts > 0, tt.want)
 			small := 0
 			for _, r := range m.jobs {
