--- a/berylscheduler/memory_test.go
+++ b/berylscheduler/memory_test.go
@@ -11,8 +11,12 @@
 // each worker, gang and task.
 func BenchmarkMemory(b *testing.B) {
 	sizes := []struct{ workers, tasks int }{
-		{workers: 100}, {workers: 1000}, {workers: 11000},
-		{workers: 100, tasks: 2000}, {workers: 1000, tasks: 19000}, {workers: 11000, tasks: 210000},
+		{workers: 100},
+		{workers: 1000},
+		{workers: 11000},
+		{workers: 100, tasks: 2000},
+		{workers: 1000, tasks: 19000},
+		{workers: 11000, tasks: 210000},
 	}
 	for _, size := range sizes {
 		b.Run(fmt.Sprintf("workers=%d/tasks=%d", size.workers, size.tasks), func(b *testing.B) {
