berylscheduler: space searches that move guaranteed units

Cause: one waiting gang looked at up to 36,000 workers in a decision, since each failure domain was searched for units to move after every change. Change: such a search runs once a second for a job, and above 2,000 workers once for all domains; a test for reservations on guaranteed racks, which the earlier tests did not catch.

--- a/berylscheduler/decide.go
+++ b/berylscheduler/decide.go
@@ -337,6 +337,10 @@
 		j.kind, j.parts = _firm, parts
 		return true
 	}
+	if s.now.Sub(j.displaced) < _searchEvery {
+		return false
+	}
+	j.displaced = s.now
 	for _, domain := range s.choices(j) {
 		r := s.request(j, berylplacement.Free)
 		r.Cost = func(i int) float64 { return s.unitsLost(i, j.Shape) }
@@ -361,10 +365,11 @@
 }
 
 // choices returns the failure domains to which searches that move guaranteed
-// units are limited in turn; the empty name is no limit.
+// units are limited in turn; the empty name is no limit. A large cluster has enough
+// other places that one search has to do.
 func (s *Scheduler) choices(j *job) []string {
 	out := []string{""}
-	if j.Adjacent != beryladjacency.Anywhere && !s.opts.NoGuarantee {
+	if j.Adjacent != beryladjacency.Anywhere && !s.opts.NoGuarantee && s.place.Len() <= _holdSearch {
 		out = append(out, slices.Sorted(maps.Keys(s.domains))...)
 	}
 	return out
--- a/berylscheduler/scheduler.go
+++ b/berylscheduler/scheduler.go
@@ -164,6 +164,8 @@
 	looked time.Time
 	// searched is the time of the last search for gangs to stop.
 	searched time.Time
+	// displaced is the time of the last search for guaranteed units to move.
+	displaced time.Time
 	// compacted is set if the gang was stopped for a guarantee's sake.
 	compacted bool
 	avoid     map[int]time.Time
--- a/berylscheduler/scheduler_test.go
+++ b/berylscheduler/scheduler_test.go
@@ -148,6 +148,27 @@
 	}
 }
 
+// TestReservationAvoidsGuarantees guards against a reservation that waits for an idle
+// rack which is guaranteed to others and never becomes free.
+func TestReservationAvoidsGuarantees(t *testing.T) {
+	is := is.New(t)
+	m := newSite(t, 3, berylscheduler.Options{})
+	for _, w := range []string{"w1-00", "w2-00"} {
+		m.running("busy"+w, "x", "routine", gpus(1), w)
+	}
+	m.guarantee("g", berylconfig.Guarantee{Shape: gpus(8), Count: 3, Adjacent: _rack})
+	m.guarantee("u", berylconfig.Guarantee{Shape: gpus(7), Count: 2}) // one unit fits beside each busy gang
+	m.steps(2)
+	m.submit("large", "y", "routine", 3, gpus(8), _rack)
+	m.steps(2)
+	st := m.s.State()
+	is.Equal(len(st.Unmet), 0)
+	is.Equal(st.Reserved, "large")
+	for _, name := range st.On {
+		is.True(m.workers[name].Domain != "d0") // the only rack that g can have
+	}
+}
+
 // TestBackfillStops guards against a reservation that leaves its workers idle, and
 // against backfill that delays its holder.
 func TestBackfillStops(t *testing.T) {
