berylentry: bound the wait for a keyed call's intent

While the log could be read and not written, a keyed call waited for its whole timeout. After an intent was recorded such a call is reported as unknown and not as not run, since a retry at another entry may dispatch it.

--- a/berylentry/keyed.go
+++ b/berylentry/keyed.go
@@ -28,7 +28,7 @@
 	for {
 		found, err := r.e.lookUp(ctx, r.call.Account, r.call.Key)
 		if err != nil {
-			return berylanswer.Answer{}, berylerror.NotRun.Wrap(err, "look up key")
+			return berylanswer.Answer{}, r.undispatched().Wrap(err, "look up key")
 		}
 		if found.Uncertain {
 			return berylanswer.Answer{ID: found.Call}, berylerror.Unknown.Errorf("it is not known which call key %q is bound to", r.call.Key)
@@ -47,12 +47,24 @@
 				return berylanswer.Answer{}, err
 			}
 		}
+		if r.attempts >= _maxAttempts {
+			return berylanswer.Answer{}, r.undispatched().Errorf("key %q could not be bound to a call", r.call.Key)
+		}
 		if answer, err := r.record(ctx, sum, found.Call); err != nil {
 			return answer, err
 		}
 	}
 }
 
+// undispatched returns the kind for a call that this entry has not dispatched.
+// Once an intent was recorded, a retry at another entry may dispatch it.
+func (r *run) undispatched() berylerror.Kind {
+	if r.attempts > 0 {
+		return berylerror.Unknown
+	}
+	return berylerror.NotRun
+}
+
 // spend takes one retry from the account's budget.
 func (r *run) spend(ctx context.Context) bool {
 	if ctx.Err() != nil || r.attempts >= _maxAttempts || !r.e.budget.Spend(r.call.Account) {
@@ -85,7 +97,9 @@
 		// Another entry was faster; the caller looks its call up.
 		return berylanswer.Answer{}, nil
 	}
-	err = r.e.append(ctx, berylrecord.StreamCalls, made.record)
+	appendCtx, cancel := context.WithTimeout(ctx, _appendTimeout)
+	defer cancel()
+	err = r.e.append(appendCtx, berylrecord.StreamCalls, made.record)
 	if err == nil {
 		return berylanswer.Answer{}, nil
 	}
