--- a/berylentry/handle.go
+++ b/berylentry/handle.go
@@ -154,9 +154,12 @@
 
 func (c *control) onBeat(now time.Time, b berylmessage.Beat) *berylmessage.BeatReply {
 	c.e.metrics.beats.Inc()
-	c.onMembers(now, c.members.Beat(now, b))
+	events := c.members.Beat(now, b)
+	c.onMembers(now, events)
 	c.lead(now, berylleader.BeatSeen{Beat: b})
-	c.changed = true
+	// Load reports reach the view with the next tick: a copy of all members for
+	// each heartbeat costs time that grows with the square of their number.
+	c.changed = c.changed || len(events) > 0
 	cfg := c.merge.Config()
 	reply := &berylmessage.BeatReply{
 		Confirmation: c.freshness.Confirmation(now),
