berylentry: don't report not run when an agent can't be asked

A question for an answer whose connection could not be made had kind notrun, which a caller takes as leave to send the call again. It is now unavailable, and a test holds it so.

--- a/berylentry/call.go
+++ b/berylentry/call.go
@@ -329,7 +329,8 @@
 		}
 	}()
 	answer, err := e.find(ctx, member.Addr, id, account, wait)
-	if err != nil && !berylrpc.Remote(err) && uncertain(err) {
+	if err != nil && !berylrpc.Remote(err) && berylerror.Of(err) != berylerror.Missing {
+		// That the question was not sent says nothing about the call.
 		err = berylerror.Unavailable.Wrap(err, "agent does not answer")
 	}
 	answer.ID = id
--- a/berylentry/call_test.go
+++ b/berylentry/call_test.go
@@ -15,6 +15,8 @@
 	"berylglade/berylapi"
 	"berylglade/berylcall"
 	"berylglade/berylerror"
+	"berylglade/berylid"
+	"berylglade/berylmessage"
 )
 
 type response struct {
@@ -158,6 +160,19 @@
 	is.Equal(gone.err.Kind, "unavailable")
 }
 
+// Guards against "not run" for a call whose agent can't be asked: the caller
+// would send it again.
+func TestFindAtUnreachableAgent(t *testing.T) {
+	is := is.New(t)
+	e := start(t, testSettings("e1"))
+	a := newFakeAgent(t, "a1")
+	a.announce(t, e, func(b *berylmessage.Beat) { b.Addr = "127.0.0.1:1" })
+	id := berylid.New("a1", a.incarnation, 1).String()
+	is.Equal(request(t, e, "GET", "/v1/calls/"+id, "").err.Kind, "unavailable")
+	restarted := berylid.New("a1", "i0", 1).String()
+	is.Equal(request(t, e, "GET", "/v1/calls/"+restarted, "").err.Kind, "unknown")
+}
+
 // Guards against new work for agents that must not get any, and against a long
 // wait of a caller whom no server can serve.
 func TestNoWorkForUnusableAgents(t *testing.T) {
