berylagent: serve drain requests of entries

The entry's drain call had no counterpart. The agent now refuses new work until it is restarted; a request that names an earlier incarnation is a conflict.

--- a/berylagent/agent.go
+++ b/berylagent/agent.go
@@ -168,6 +168,7 @@
 	berylrpc.Handle(&s, berylmessage.MethodFind, a.calls.find)
 	berylrpc.Handle(&s, berylmessage.MethodTombstone, a.calls.tombstone)
 	berylrpc.Handle(&s, berylmessage.MethodConfig, a.serveConfig)
+	berylrpc.Handle(&s, berylmessage.MethodDrain, a.serveDrain)
 	berylrpc.Handle(&s, berylmessage.MethodReserve, serveBy(a, (*control).reserve))
 	berylrpc.Handle(&s, berylmessage.MethodStart, serveBy(a, (*control).start))
 	berylrpc.Handle(&s, berylmessage.MethodStop, serveBy(a, (*control).stop))
@@ -182,6 +183,16 @@
 	klog.InfoS("draining was requested", "agent", a.settings.Name, "on", on)
 }
 
+// serveDrain serves Drain. A request that was meant for an earlier process on
+// this host changes nothing.
+func (a *Agent) serveDrain(_ context.Context, req *berylmessage.Drain) (*berylmessage.DrainReply, error) {
+	if req.Incarnation != a.Incarnation {
+		return nil, berylerror.Conflict.Errorf("agent %s was restarted", a.settings.Name)
+	}
+	a.Drain(true)
+	return &berylmessage.DrainReply{}, nil
+}
+
 // shutDown announces that the agent drains, lets the work in progress end and
 // announces that the agent leaves.
 func (a *Agent) shutDown(ctx context.Context) {
--- a/berylagent/agent_test.go
+++ b/berylagent/agent_test.go
@@ -394,3 +394,36 @@
 	is.True(b.entry.last().Leaving)
 	is.Equal(len(b.runner.Ledger().Counts), 1)
 }
+
+// Guards against a drained backend server that gets new work, and against a
+// request for an earlier process that drains its successor.
+func TestDrain(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		name        string
+		incarnation func(b *callBench) string
+		want        berylerror.Kind
+		drained     bool
+	}{
+		{name: "current process", incarnation: func(b *callBench) string { return b.agent.Incarnation }, drained: true},
+		{name: "earlier process", incarnation: func(*callBench) string { return "old" }, want: berylerror.Conflict},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			b := newCallBench(t, 1)
+			_, err := berylrpc.Call[berylmessage.Drain, berylmessage.DrainReply](context.Background(), b.client, b.agent.Addr,
+				berylmessage.MethodDrain, &berylmessage.Drain{Incarnation: tt.incarnation(b)})
+			is.Equal(err == nil, tt.want == 0)
+			if tt.want != 0 {
+				is.Equal(berylerror.Of(err), tt.want)
+			}
+			_, err = b.run(b.id(), "x", time.Second)
+			is.Equal(err != nil, tt.drained)
+			if tt.drained {
+				is.Equal(berylerror.Of(err), berylerror.NotRun)
+			}
+		})
+	}
+}
