berylscheduler: do not take a reserved gang for backfill

Cause: a reservation's holder may stop the gangs that started after it was made. Ruled out: preemption by guarantees or by targets, which make up a few percent. Change: gangs are numbered when they are given workers, not when they start. The new test failed before with four starts.

--- a/berylscheduler/decide.go
+++ b/berylscheduler/decide.go
@@ -123,7 +123,6 @@
 	j.started = s.now
 	j.moved = false
 	s.counts.Placed++
-	j.number = s.counts.Placed
 	act := Place{Job: j.ID, Attempt: j.attempt}
 	for _, p := range j.parts {
 		w := &s.workers[p.Worker].Worker
@@ -409,6 +408,8 @@
 	}
 	s.acquire(j)
 	j.step = _booked
+	s.bookings++
+	j.number = s.bookings
 	for _, v := range victims {
 		if v.step == _booked {
 			s.unbook(v)
--- a/berylscheduler/reserve.go
+++ b/berylscheduler/reserve.go
@@ -30,7 +30,7 @@
 type reservation struct {
 	job   *job
 	parts []berylplacement.Part
-	// number is that of the last gang placed before.
+	// number is that of the last gang booked before.
 	number int
 	// on has the workers of parts.
 	on map[int]bool
@@ -102,7 +102,7 @@
 	if !ok {
 		return
 	}
-	s.hold = &reservation{job: first, parts: parts, number: s.counts.Placed, weak: weak, since: s.now, on: map[int]bool{}}
+	s.hold = &reservation{job: first, parts: parts, number: s.bookings, weak: weak, since: s.now, on: map[int]bool{}}
 	for _, p := range parts {
 		s.hold.on[p.Worker] = true
 	}
--- a/berylscheduler/scheduler.go
+++ b/berylscheduler/scheduler.go
@@ -85,6 +85,8 @@
 	nextCompact time.Time
 	// repacked is the time of the last attempt to plan guarantees afresh.
 	repacked time.Time
+	// bookings counts the gangs that were given workers.
+	bookings int
 	// cursor is where the last walk over the queue ran out of time.
 	cursor string
 	// grown counts changes that may let a waiting job fit.
@@ -141,7 +143,9 @@
 	grant    *berylguarantee.Grant
 	// started is the time of the placement, then of the start.
 	started time.Time
-	// number counts placements; backfill has a higher one than the reservation.
+	// number counts bookings; backfill has a higher one than the reservation. It
+	// does not count starts, as a gang that waits for others to end was chosen
+	// before the reservation and is no backfill.
 	number int
 	// waits is the number of gangs that have to end before a booked job starts.
 	waits int
--- a/berylscheduler/scheduler_test.go
+++ b/berylscheduler/scheduler_test.go
@@ -190,6 +190,28 @@
 	is.True(!m.jobs["fill"].placed())
 }
 
+// TestReservedGangsDoNotStopEachOther guards against a gang that is taken for
+// backfill of the next reservation, because it had to wait for others to stop. Two
+// such gangs stopped each other for ever.
+func TestReservedGangsDoNotStopEachOther(t *testing.T) {
+	is := is.New(t)
+	m := newSite(t, 1, berylscheduler.Options{})
+	m.submit("first", "x", "routine", 1, gpus(8), _anywhere)
+	m.steps(1)
+	m.submit("one", "y", "batch", 3, gpus(8), _rack)
+	m.wait(time.Second)
+	m.submit("two", "y", "batch", 3, gpus(8), _rack)
+	m.steps(1)
+	m.submit("fill", "x", "batch", 2, gpus(8), _anywhere)
+	m.steps(1)
+	is.True(m.jobs["fill"].placed())
+	m.end("first", true, "")
+	m.steps(10)
+	is.True(m.jobs["one"].placed())
+	is.Equal(m.jobs["one"].starts, 1)
+	is.Equal(m.jobs["two"].starts, 0)
+}
+
 // TestReclaim guards against reclaim that stops more work than needed, parts of a
 // gang, or the more expensive gang.
 func TestReclaim(t *testing.T) {
