--- a/berylbench/idle.go
+++ b/berylbench/idle.go
@@ -27,7 +27,9 @@
 	// Memory is the resident memory at the end.
 	Memory berylsize.Size `json:"memory"`
 	// Bytes is the number of bytes read and written by system calls in a
-	// second. It has the payload of connections without packet headers.
+	// second. It has the payload of connections without packet headers. With
+	// an Addr it includes what the process reads and writes to serve its
+	// metrics, so a PID is more exact.
 	Bytes float64 `json:"bytes"`
 }
 
@@ -44,8 +46,6 @@
 	cpu    float64
 	memory float64
 	bytes  float64
-	// own is the number of bytes that this read adds to the next reading.
-	own float64
 }
 
 // PID is a process of this machine.
@@ -92,7 +92,7 @@
 		Process: name,
 		CPU:     (after.cpu - before.cpu) / seconds,
 		Memory:  berylsize.Size(after.memory),
-		Bytes:   max(after.bytes-before.bytes-before.own, 0) / seconds,
+		Bytes:   (after.bytes - before.bytes) / seconds,
 	}
 }
 
@@ -120,18 +120,6 @@
 
 func (a Addr) name() string { return string(a) }
 
-// counted passes bytes through and counts them.
-type counted struct {
-	r io.Reader
-	n int
-}
-
-func (c *counted) Read(p []byte) (int, error) {
-	n, err := c.r.Read(p)
-	c.n += n
-	return n, err
-}
-
 func (a Addr) read(ctx context.Context) (counters, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+string(a)+"/metrics", http.NoBody)
 	if err != nil {
@@ -142,9 +130,8 @@
 		return counters{}, berylerror.Unavailable.Wrap(err, "read metrics")
 	}
 	defer resp.Body.Close()
-	body := &counted{r: resp.Body}
 	parser := expfmt.NewTextParser(model.UTF8Validation)
-	families, err := parser.TextToMetricFamilies(body)
+	families, err := parser.TextToMetricFamilies(resp.Body)
 	if err != nil {
 		return counters{}, berylerror.Unavailable.Wrap(err, "read metrics of "+string(a))
 	}
@@ -160,7 +147,6 @@
 		cpu:    value("process_cpu_seconds_total"),
 		memory: value("process_resident_memory_bytes"),
 		bytes:  value("berylglade_process_io_bytes_total"),
-		own:    float64(body.n),
 	}, nil
 }
 
--- a/berylcli/bench.go
+++ b/berylcli/bench.go
@@ -35,7 +35,7 @@
 
 	Idle    time.Duration `name:"idle" default:"10s" help:"Interval over which idle cost is measured (default ${default})."`
 	PID     []int         `name:"pid" help:"Measure only the idle cost of these processes."`
-	Metrics []string      `name:"metrics" placeholder:"IP:PORT" help:"Measure only the idle cost of the processes with these dump addresses."`
+	Metrics []string      `name:"metrics" placeholder:"IP:PORT" help:"Measure only the idle cost of the processes with these dump addresses. Their bytes include those of the measurement itself; --pid is more exact."`
 }
 
 // printedBench is the JSON output.
--- a/berylcli/demo.go
+++ b/berylcli/demo.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"strings"
 	"time"
 
 	"berylglade/beryladjacency"
@@ -38,7 +39,7 @@
 		Call: printedAnswer{ID: answer.ID, Length: len(answer.Body), Text: string(answer.Body)},
 		Took: clock().Sub(sent).Round(time.Microsecond).String(),
 	}
-	o.progress("call %s through entry-1 answered after %s: %s", d.Call.ID, d.Took, d.Call.Text)
+	o.progress("call %s through entry-1 answered after %s: %s", d.Call.ID, d.Took, strings.TrimSpace(d.Call.Text))
 
 	last := len(f.entries) - 1
 	client := f.caller(last)
--- a/berylcli/fleet.go
+++ b/berylcli/fleet.go
@@ -1,6 +1,8 @@
 package berylcli
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -80,7 +82,7 @@
 			HTTP:      at(1),
 			Entries:   entries,
 			Log:       f.log.Log.Bind,
-			Operator:  _operatorToken,
+			Operators: map[string]string{"operator": digest(_operatorToken)},
 			Retention: f.log.Log.Retention,
 		},
 	})
@@ -114,6 +116,11 @@
 	})
 }
 
+func digest(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
+
 // named is the settings of one process with the name of its file.
 type named struct {
 	name     string
--- a/berylcli/process.go
+++ b/berylcli/process.go
@@ -128,7 +128,7 @@
 		Peer:      s.Bind.String(),
 		Entries:   texts(s.Entries, s.Bind),
 		Log:       base(s.Log),
-		Operator:  s.Operator,
+		Operators: s.Operators,
 		Retention: s.Retention,
 		Drain:     s.Drain,
 		Latency:   s.Latency,
--- a/berylsettings/check.go
+++ b/berylsettings/check.go
@@ -1,6 +1,7 @@
 package berylsettings
 
 import (
+	"encoding/hex"
 	"fmt"
 	"net/netip"
 	"regexp"
@@ -82,6 +83,7 @@
 		present("entry.log", e.Log),
 		listed("entry.entries", e.Entries),
 		contains("entry.entries", e.Entries, e.Bind),
+		digests("entry.operators", e.Operators),
 		timed("entry.retention", e.Retention),
 	)
 }
@@ -166,6 +168,15 @@
 	return &fault{key: key, text: "does not list this entry's own address " + own.String()}
 }
 
+func digests(key string, m map[string]string) *fault {
+	for name, digest := range m {
+		if b, err := hex.DecodeString(digest); err != nil || len(b) != 32 {
+			return &fault{key: key + "." + name, text: "is not a SHA-256 in hexadecimal"}
+		}
+	}
+	return nil
+}
+
 func timed(key string, d berylduration.Duration) *fault {
 	if d > 0 {
 		return nil
--- a/berylsettings/settings.go
+++ b/berylsettings/settings.go
@@ -48,9 +48,9 @@
 	Entries []netip.AddrPort `json:"entries"`
 	// Log is the address of the platform's log.
 	Log netip.AddrPort `json:"log"`
-	// Operator is the bearer token of the operators; without one the entry
-	// refuses operators' functions.
-	Operator string `json:"operator,omitempty"`
+	// Operators has the SHA-256 of the bearer token of each operator, in
+	// hexadecimal, by the operator's name.
+	Operators map[string]string `json:"operators,omitempty"`
 	// Retention is the time for which the log keeps records.
 	Retention berylduration.Duration `json:"retention"`
 	// Drain is the longest time that a planned stop waits for calls in
--- a/berylsettings/settings_test.go
+++ b/berylsettings/settings_test.go
@@ -22,7 +22,7 @@
 		"http": "127.0.0.1:7101",
 		"entries": ["127.0.0.1:7100", "127.0.0.1:7110"],
 		"log": "127.0.0.1:7000",
-		"operator": "token",
+		"operators": {"ops": "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b"},
 		"retention": "24h",
 	},
 }`
@@ -96,6 +96,7 @@
 		{name: "bad address in list", give: _entry, old: `127.0.0.1:7110`, with: "x", want: `f:10: entry.entries[1]: address "x" has no port`},
 		{name: "address twice", give: _entry, old: `127.0.0.1:7110`, with: "127.0.0.1:7100", want: "f:10: entry.entries[1]: address 127.0.0.1:7100 is listed twice"},
 		{name: "own address not listed", give: _entry, old: `"127.0.0.1:7100", `, want: "f:10: entry.entries: does not list"},
+		{name: "token not hashed", give: _entry, old: `"2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b"`, with: `"secret"`, want: "f:12: entry.operators.ops: is not a SHA-256"},
 		{name: "no retention", give: _entry, old: `"retention": "24h",`, want: "f:5: entry.retention: is missing"},
 		{name: "duration without unit", give: _entry, old: `"24h"`, with: `"24"`, want: `f:13: entry.retention: duration "24" has no valid unit`},
 		{name: "duration is a number", give: _entry, old: `"24h"`, with: `24`, want: `f:13: entry.retention: needs a duration with a unit such as "1.6s", not 24`},
