--- a/berylworkload/site.go
+++ b/berylworkload/site.go
@@ -158,9 +158,15 @@
 	}
 }
 
-// targetJob adds one job so that the mean gang has 33 tasks.
+// targetJob adds one job. Two thirds of the jobs need no accelerators; with these
+// sizes and run times about 200,000 tasks run at once after half a day.
 func (b *builder) targetJob(start time.Time, span time.Duration, account string) {
-	class, tasks, run := "batch", 1+b.rnd.IntN(48), b.lognormal(4*time.Hour, 0.6)
+	class, tasks, run := "batch", 1+b.rnd.IntN(232), b.lognormal(8*time.Hour, 0.5)
+	shape := berylshape.Shape{Cores: 4, Memory: 8 * berylsize.GB}
+	if b.rnd.IntN(3) == 0 {
+		tasks, run = 1+b.rnd.IntN(48), b.lognormal(6*time.Hour, 0.5)
+		shape = berylshape.Shape{Accelerators: 1, Cores: 8, Memory: 16 * berylsize.GB}
+	}
 	switch p := b.rnd.IntN(100); {
 	case p < 3:
 		tasks = 128 + b.rnd.IntN(385)
@@ -170,9 +176,7 @@
 		class, tasks, run = "urgent", 1+b.rnd.IntN(4), b.lognormal(5*time.Minute, 0.5)
 	}
 	b.add(b.between(start, start.Add(span)), run, beryljob.Job{
-		Account: account, Class: class, Tasks: tasks,
-		Shape:    berylshape.Shape{Accelerators: 1, Cores: 8, Memory: 16 * berylsize.GB},
-		Adjacent: beryladjacency.Anywhere,
+		Account: account, Class: class, Tasks: tasks, Shape: shape, Adjacent: beryladjacency.Anywhere,
 	})
 }
 
