--- a/berylcli/dev.go
+++ b/berylcli/dev.go
@@ -51,6 +51,9 @@
 			}
 		})
 	}
+	if !blockFree(port) {
+		return berylerror.Unavailable.Errorf("a port between %d and %d of 127.0.0.1 is in use; --port 0 chooses free ones", port, port+_fleetPorts-1)
+	}
 	return f.run(ctx, func(ctx context.Context) error {
 		clock := berylclock.System()
 		began := clock()
--- a/berylcli/fleet_test.go
+++ b/berylcli/fleet_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -72,3 +74,27 @@
 	is.Equal(berylerror.Of(err), berylerror.Unavailable)
 	t.Log(err)
 }
+
+// Guards against a second system that fails half way, after which commands
+// reach the first one.
+func TestDevPortInUse(t *testing.T) {
+	is := is.New(t)
+	port, err := freeBlock()
+	is.NoErr(err)
+	taken, err := net.Listen("tcp", "127.0.0.1:"+strconv.Itoa(port+_fleetPorts-1))
+	is.NoErr(err)
+	defer taken.Close()
+	code, _, errs := run(t, "dev", "--port", strconv.Itoa(port))
+	is.Equal(code, berylerror.Unavailable.Exit())
+	is.True(strings.Contains(errs, "--port 0"))
+}
+
+// Guards against a demonstration that fails on a fresh machine or takes longer
+// than its limits.
+func TestDevDemo(t *testing.T) {
+	is := is.New(t)
+	code, out, errs := run(t, "--json", "dev", "--demo", "--port", "0")
+	is.Equal(errs, "")
+	is.Equal(code, 0)
+	is.True(strings.Contains(out, `"phase": "done"`))
+}
