--- a/berylstandrunner/server_test.go
+++ b/berylstandrunner/server_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -55,5 +56,40 @@
 	var l Ledger
 	is.NoErr(json.NewDecoder(resp.Body).Decode(&l))
 	is.Equal(l.Counts, map[string]int{"a": 4})
+	is.Equal(l.Bodies, map[string]int{Digest([]byte("x")): 4})
 	is.Equal(l.Running, 0)
 }
+
+// Guards against a swap that loses or repeats an answer, and against a request
+// that waits for ever for a partner.
+func TestSwap(t *testing.T) {
+	is := is.New(t)
+	stand := New(Settings{Slots: 3})
+	stand.SetFaults(Faults{Swap: true})
+	srv := httptest.NewServer(stand)
+	defer srv.Close()
+	var wg sync.WaitGroup
+	got := make([]string, 3)
+	for i, id := range []string{"a", "b", "c"} {
+		wg.Go(func() {
+			req, _ := http.NewRequest(http.MethodPost, srv.URL+"/work", strings.NewReader("run=20ms "+id))
+			req.Header.Set("X-Request-Id", id)
+			resp, err := http.DefaultClient.Do(req)
+			if err != nil {
+				return
+			}
+			resp.Body.Close()
+			got[i] = resp.Header.Get("X-Request-Id")
+		})
+	}
+	wg.Wait()
+	own := 0
+	for i, id := range []string{"a", "b", "c"} {
+		if got[i] == id {
+			own++
+		}
+	}
+	is.Equal(own, 1) // two are swapped and one has no partner
+	slices.Sort(got)
+	is.Equal(got, []string{"a", "b", "c"})
+}
