berylapi: refuse as not run while there is no configuration

An entry that had just started answered a valid client account with kind denied, which callers take as final, because it had no accounts yet. It now refuses calls and jobs as notrun and everything else as unavailable.

--- a/berylapi/api.go
+++ b/berylapi/api.go
@@ -200,7 +200,12 @@
 			writeError(w, "", berylerror.Denied.Errorf("headers Authorization with a bearer token and %s are needed", HeaderAccount))
 			return
 		}
-		account, known := a.entry.Config().Accounts[name]
+		cfg := a.entry.Config()
+		if cfg.Offset == 0 && len(cfg.Accounts) == 0 {
+			writeError(w, "", unconfigured(r.Method))
+			return
+		}
+		account, known := cfg.Accounts[name]
 		if !known || !matches(token, account.Hash) {
 			writeError(w, "", berylerror.Denied.Errorf("client account is not known or its token is wrong"))
 			return
@@ -209,6 +214,16 @@
 	}
 }
 
+// unconfigured returns the refusal of an entry that has no configuration, for
+// example since it has just started. It can't tell whether the account exists.
+func unconfigured(method string) error {
+	kind := berylerror.Unavailable
+	if method == http.MethodPost {
+		kind = berylerror.NotRun
+	}
+	return kind.Errorf("entry has no configuration yet")
+}
+
 func (a *API) forOperator(h func(w http.ResponseWriter, r *http.Request, operator string)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		if token, ok := bearer(r); ok {
--- a/berylapi/api_test.go
+++ b/berylapi/api_test.go
@@ -30,6 +30,8 @@
 	domain   berylconfig.FailureDomain
 	answer   berylanswer.Answer
 	err      error
+	// starting says that there is no configuration yet.
+	starting bool
 }
 
 var _ Entry = (*fakeEntry)(nil)
@@ -40,6 +42,9 @@
 }
 
 func (f *fakeEntry) Config() *berylconfig.Config {
+	if f.starting {
+		return &berylconfig.Config{}
+	}
 	return &berylconfig.Config{
 		Classes: map[string]berylconfig.Class{"write": {}, "small": {Body: 10, Idempotent: true}},
 		Accounts: map[string]berylconfig.ClientAccount{
@@ -285,3 +290,28 @@
 		})
 	}
 }
+
+// Guards against an entry that has just started and tells a client account that
+// its token is wrong, which callers take as final.
+func TestNoConfiguration(t *testing.T) {
+	tests := []struct {
+		method string
+		path   string
+		want   berylerror.Kind
+	}{
+		{method: "POST", path: "/v1/calls?class=write", want: berylerror.NotRun},
+		{method: "POST", path: "/v1/jobs", want: berylerror.NotRun},
+		{method: "GET", path: "/v1/keys/k", want: berylerror.Unavailable},
+		{method: "DELETE", path: "/v1/jobs/j", want: berylerror.Unavailable},
+	}
+	for _, tt := range tests {
+		t.Run(tt.method+" "+tt.path, func(t *testing.T) {
+			is := is.New(t)
+			f := &fakeEntry{starting: true}
+			resp, e := send(f, tt.method, tt.path, strings.NewReader("x"))
+			is.Equal(resp.Code, tt.want.Status())
+			is.Equal(e.Kind, tt.want.String())
+			is.Equal(f.requests, 0)
+		})
+	}
+}
