berylagent: refuse calls for 2 s before leaving

An entry binds the key of a call to an agent and dispatches it after the append. An idle agent left 0.2 s after SIGTERM, so a call bound just before found nobody who could confirm that it did not run: its outcome was unknown for every later request with the key. An agent with a backend server now goes on to refuse calls for 2 s after its drain was announced.

A bound key is still lost if the append takes longer than 2 s while its agent stops. TestShutdownRefusesLateCalls failed before.

--- a/berylagent/agent.go
+++ b/berylagent/agent.go
@@ -43,6 +43,11 @@
 	_stopTime = berylgang.Certain
 	// _idlePoll is how often a process that stops looks whether it is idle.
 	_idlePoll = 20 * time.Millisecond
+	// _lateCalls is how long an agent that drains goes on to refuse calls. An
+	// entry binds the key of a call to an agent before it dispatches the call,
+	// and the append between the two takes hundreds of milliseconds if the log
+	// is slow. A call that finds the agent gone has an unknown outcome for ever.
+	_lateCalls = 2 * time.Second
 	// _linger is how long the listener stays open after the last reply was
 	// handed to it, so that the reply reaches its reader.
 	_linger = 200 * time.Millisecond
@@ -187,12 +192,16 @@
 func (a *Agent) shutDown(ctx context.Context) {
 	a.Drain(true)
 	a.beatAll(ctx)
+	late := time.After(_lateCalls)
 	if !a.settle(ctx, a.settings.Drain.Std()) {
 		a.loop.Tell(stopAll{})
 		if !a.settle(ctx, _stopTime) {
 			klog.InfoS("agent leaves with gangs that have not ended", "agent", a.settings.Name)
 		}
 	}
+	if a.runner != nil {
+		<-late
+	}
 	// Calls in progress are limited by the run time of their class.
 	for !a.calls.idle() {
 		time.Sleep(_idlePoll)
--- a/berylagent/agent_test.go
+++ b/berylagent/agent_test.go
@@ -394,3 +394,25 @@
 	is.True(b.entry.last().Leaving)
 	is.Equal(len(b.runner.Ledger().Counts), 1)
 }
+
+// Guards against an agent that is gone when a call arrives whose key was bound
+// to it before its drain was known. The outcome of such a call is never known.
+func TestShutdownRefusesLateCalls(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	b := newCallBench(t, 2)
+	id := b.id()
+	var wg sync.WaitGroup
+	wg.Go(b.agent.stop)
+	eventually(t, "draining is announced", func() bool { return b.entry.last().Draining })
+	announced := time.Now()
+	for time.Since(announced) < time.Second {
+		is.True(!b.entry.last().Leaving)
+		time.Sleep(_idlePoll)
+	}
+	_, err := b.run(id, "", time.Second)
+	is.True(berylrpc.Remote(err))
+	is.Equal(berylerror.Of(err), berylerror.NotRun)
+	wg.Wait()
+	is.True(b.entry.last().Leaving)
+}
