berylscheduler: return some capacity of small domains at once

The capacity of a failure domain that is back returns in five steps, rounded down. A domain with one worker got nothing for 40 s, one with three nothing for 10 s, so no task started there after an operator brought it back.

TestSmallDomainBack fails without the change (0 usable workers, want 1, for domains with one and three workers).

--- a/berylscheduler/domain.go
+++ b/berylscheduler/domain.go
@@ -181,7 +181,9 @@
 
 func (s *Scheduler) ramp(d *domain) {
 	n := int(s.now.Sub(d.since)/_stepTime) + 1
-	upto := len(d.workers) * min(n, _steps) / _steps
+	// Rounded up: a domain with fewer workers than steps would otherwise stay
+	// empty in the first ones.
+	upto := (len(d.workers)*min(n, _steps) + _steps - 1) / _steps
 	for _, i := range d.workers[:upto] {
 		if !s.workers[i].ramped {
 			s.workers[i].ramped = true
--- a/berylscheduler/scheduler_test.go
+++ b/berylscheduler/scheduler_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -272,6 +273,38 @@
 	is.Equal(m.s.State().Usable, 6)
 }
 
+// TestSmallDomainBack guards against a failure domain with fewer workers than
+// steps that gets no work in the first steps after it is back.
+func TestSmallDomainBack(t *testing.T) {
+	tests := []struct {
+		give int
+		want []int
+	}{
+		{give: 1, want: []int{1, 1, 1, 1, 1}},
+		{give: 3, want: []int{1, 2, 2, 3, 3}},
+		{give: 5, want: []int{1, 2, 3, 4, 5}},
+	}
+	for _, tt := range tests {
+		t.Run(strconv.Itoa(tt.give), func(t *testing.T) {
+			is := is.New(t)
+			m := newModel(t, berylscheduler.Options{})
+			m.site(1, tt.give)
+			m.config(nil)
+			m.steps(1)
+			for _, out := range []bool{true, false} {
+				m.config(func(c *berylconfig.Config) {
+					c.Domains["d0"] = berylconfig.FailureDomain{Out: out}
+				})
+			}
+			for _, want := range tt.want {
+				m.steps(1)
+				is.Equal(m.s.State().Usable, want)
+				m.wait(9 * time.Second)
+			}
+		})
+	}
+}
+
 // TestReject guards against jobs that wait for ever, and against rejecting jobs that
 // only wait for workers that are away.
 func TestReject(t *testing.T) {
