berylentry: show the leader's state and use one metric prefix

Operators could not see why a job waits or which decisions the leader took; the dump of the leading entry now has the leader's counts and the scheduler's state. Metrics of entries and agents begin with berylglade_. An entry is ready once it has read an empty stream config, which the command line worked out on its own before. An address in use is unavailable, not invalid.

--- a/berylagent/agent.go
+++ b/berylagent/agent.go
@@ -94,7 +94,7 @@
 	}
 	lis, err := net.Listen("tcp", settings.Listen)
 	if err != nil {
-		return nil, berylerror.Invalid.Wrap(err, "listen for processes")
+		return nil, berylerror.Unavailable.Wrap(err, "listen for processes")
 	}
 	a := &Agent{
 		Addr:        lis.Addr().String(),
--- a/berylcli/process.go
+++ b/berylcli/process.go
@@ -19,7 +19,6 @@
 	"berylglade/berylerror"
 	"berylglade/berylfreshness"
 	"berylglade/berylleader"
-	"berylglade/berylrecord"
 	"berylglade/berylscheduler"
 	"berylglade/berylsettings"
 	"berylglade/berylstandlog"
@@ -141,7 +140,7 @@
 	}
 	p.run = e.Run
 	p.state = e.State
-	p.ready = func() error { return entryReady(e) }
+	p.ready = e.Ready
 	return nil
 }
 
@@ -172,26 +171,6 @@
 	return nil
 }
 
-// entryReady returns the reason why the entry can't serve. An entry that has
-// read an empty stream is ready too, as operators publish the first
-// configuration through it.
-func entryReady(e *berylentry.Entry) error {
-	notReady := e.Ready()
-	if notReady == nil {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), _stateTimeout)
-	defer cancel()
-	state, err := e.State(ctx)
-	if err != nil {
-		return err
-	}
-	if s, ok := state.(berylentry.State); ok && s.Streams[berylrecord.StreamConfig].CaughtUp {
-		return nil
-	}
-	return notReady
-}
-
 // agentReady returns the reason why the agent starts nothing now.
 func agentReady(a *berylagent.Agent) error {
 	ctx, cancel := context.WithTimeout(context.Background(), _stateTimeout)
--- a/berylentry/entry.go
+++ b/berylentry/entry.go
@@ -144,12 +144,12 @@
 	var err error
 	e.httpLis, err = net.Listen("tcp", e.settings.HTTP)
 	if err != nil {
-		return berylerror.Invalid.Wrap(err, "listen for callers")
+		return berylerror.Unavailable.Wrap(err, "listen for callers")
 	}
 	e.peerLis, err = net.Listen("tcp", e.settings.Peer)
 	if err != nil {
 		_ = e.httpLis.Close()
-		return berylerror.Invalid.Wrap(err, "listen for our processes")
+		return berylerror.Unavailable.Wrap(err, "listen for our processes")
 	}
 	e.HTTPAddr = e.httpLis.Addr().String()
 	e.PeerAddr = e.peerLis.Addr().String()
--- a/berylentry/handle.go
+++ b/berylentry/handle.go
@@ -36,6 +36,8 @@
 	upto    map[string]int64
 	// settled is false in the first seconds, when few agents are known.
 	settled bool
+	// configRead is set once stream config was read to its end.
+	configRead bool
 }
 
 // control is the state owned by the control actor.
@@ -349,6 +351,10 @@
 		Jobs:    map[string]int{},
 		Keys:    c.intents.Len(),
 	}
+	if l, ok := c.e.leader.(*berylleader.Leader); ok && s.Leading {
+		state := l.State()
+		s.Control = &state
+	}
 	if err := c.freshness.Check(now); err != nil {
 		s.Starts = err.Error()
 	}
@@ -378,6 +384,9 @@
 		upto:    map[string]int64{},
 		settled: now.Sub(c.started) >= _settleTime,
 	}
+	if r := c.readers[berylrecord.StreamConfig]; r != nil {
+		v.configRead = r.caughtUp
+	}
 	for name, r := range c.readers {
 		v.failing[name] = r.failing(now)
 		v.upto[name] = r.upto
--- a/berylentry/metrics.go
+++ b/berylentry/metrics.go
@@ -25,34 +25,34 @@
 func newMetrics(r prometheus.Registerer) (*metrics, error) {
 	m := &metrics{
 		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "beryl_entry_calls_total",
+			Name: "berylglade_entry_calls_total",
 			Help: "Calls by the kind of their answer.",
 		}, []string{"kind"}),
 		seconds: prometheus.NewHistogram(prometheus.HistogramOpts{
-			Name:    "beryl_entry_call_seconds",
+			Name:    "berylglade_entry_call_seconds",
 			Help:    "Time of answered calls.",
 			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 17),
 		}),
-		retries: counter("beryl_entry_retries_total", "Attempts after the first."),
+		retries: counter("berylglade_entry_retries_total", "Attempts after the first."),
 		resolved: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "beryl_entry_resolved_total",
+			Name: "berylglade_entry_resolved_total",
 			Help: "Lost replies by what was found out about them.",
 		}, []string{"kind"}),
-		beats: counter("beryl_entry_heartbeats_total", "Heartbeats of agents."),
+		beats: counter("berylglade_entry_heartbeats_total", "Heartbeats of agents."),
 		reads: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "beryl_entry_log_reads_total",
+			Name: "berylglade_entry_log_reads_total",
 			Help: "Reads of the log by stream and result.",
 		}, []string{"stream", "result"}),
 		appends: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "beryl_entry_log_appends_total",
+			Name: "berylglade_entry_log_appends_total",
 			Help: "Appends to the log by stream and result.",
 		}, []string{"stream", "result"}),
-		elections: counter("beryl_entry_elections_total", "Terms that this entry has led."),
+		elections: counter("berylglade_entry_elections_total", "Terms that this entry has led."),
 		effects: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "beryl_entry_effects_total",
+			Name: "berylglade_entry_effects_total",
 			Help: "Effects of the leader by type and result.",
 		}, []string{"type", "result"}),
-		outages: counter("beryl_entry_outage_reports_total", "Unanimous reports that no entry can read the log."),
+		outages: counter("berylglade_entry_outage_reports_total", "Unanimous reports that no entry can read the log."),
 	}
 	if r == nil {
 		return m, nil
--- a/berylentry/state.go
+++ b/berylentry/state.go
@@ -6,6 +6,7 @@
 	"berylglade/berylapi"
 	"berylglade/berylcontrol"
 	"berylglade/berylerror"
+	"berylglade/berylleader"
 )
 
 // State is what an entry knows, for the state dump.
@@ -17,6 +18,8 @@
 	Term    int64  `json:"term"`
 	Leader  string `json:"leader,omitempty"`
 	Leading bool   `json:"leading"`
+	// Control is the leader's own state; nil if this entry does not lead.
+	Control *berylleader.State `json:"control,omitempty"`
 	// Streams are the streams of the log by name.
 	Streams map[string]StreamState `json:"streams"`
 	// Starts says why nothing may start; empty if starts are allowed.
@@ -59,13 +62,14 @@
 	return state, err
 }
 
-// Ready returns an error until the entry has a configuration, and while it
-// stops.
+// Ready returns an error until the entry has a configuration or has read stream
+// config to its end, and while it stops. An empty stream is enough because
+// operators publish the first configuration through an entry.
 func (e *Entry) Ready() error {
 	if ended(e.stopping) {
 		return berylerror.Unavailable.Errorf("entry is stopping")
 	}
-	if e.view.Load().config.Offset == 0 {
+	if v := e.view.Load(); v.config.Offset == 0 && !v.configRead {
 		return berylerror.Unavailable.Errorf("entry has no configuration yet")
 	}
 	return nil
--- a/berylleader/leader_test.go
+++ b/berylleader/leader_test.go
@@ -173,6 +173,7 @@
 	h.report = berylmessage.GangDone
 	h.pass(time.Second, "a1", "a2")
 	is.Equal(h.commit(), []beryljob.Phase{beryljob.Done})
+	is.Equal(h.l.State().Stages, map[string]int{})
 	is.Equal(h.l.Counts, Counts{Placed: 1, Decided: 1, Started: 1, Done: 1})
 	is.Equal(len(h.l.gangs), 0)
 }
