berylentry: do not refuse a bound key as not run

A keyed call that an entry refuses before it looks the key up, because no backend server takes work or the queue is too long, was answered notrun even if the entry knows that an earlier request bound the key and the call ran. A caller who takes that as permission to use a new key runs the call twice. The answer is now unknown with the id of the call.

--- a/berylentry/call.go
+++ b/berylentry/call.go
@@ -60,7 +60,7 @@
 	defer cancel()
 	ticket, err := e.enter(ctx, now, r)
 	if err != nil {
-		return berylanswer.Answer{}, err
+		return e.refused(ctx, call, err)
 	}
 	e.budget.Earn(call.Account)
 	if !call.Idempotent {
@@ -75,8 +75,11 @@
 	return answer, err
 }
 
+// recorded reports whether the call is bound to its key in the log.
+func recorded(call berylcall.Call) bool { return call.Key != "" && !call.Idempotent }
+
 func (r *run) answer(ctx context.Context) (berylanswer.Answer, error) {
-	if r.call.Key != "" && !r.call.Idempotent {
+	if recorded(r.call) {
 		return r.keyed(ctx)
 	}
 	return r.thin(ctx)
--- a/berylentry/keyed.go
+++ b/berylentry/keyed.go
@@ -53,6 +53,20 @@
 	}
 }
 
+// refused returns the outcome of a call that was refused with err before its key
+// was looked up. If the key is bound to a call, an earlier request with it may
+// have run, so that kind NotRun would be wrong.
+func (e *Entry) refused(ctx context.Context, call berylcall.Call, err error) (berylanswer.Answer, error) {
+	if !recorded(call) || berylerror.Of(err) != berylerror.NotRun {
+		return berylanswer.Answer{}, err
+	}
+	found, lost := e.lookUp(context.WithoutCancel(ctx), call.Account, call.Key)
+	if lost != nil || !found.ok {
+		return berylanswer.Answer{}, err
+	}
+	return berylanswer.Answer{ID: found.Call}, berylerror.Unknown.Wrap(err, "it is not known whether an earlier request with the key ran")
+}
+
 // spend takes one retry from the account's budget.
 func (r *run) spend(ctx context.Context) bool {
 	if ctx.Err() != nil || r.attempts >= _maxAttempts || !r.e.budget.Spend(r.call.Account) {
--- a/berylscript/faults_test.go
+++ b/berylscript/faults_test.go
@@ -58,6 +58,9 @@
 //	                 numbered N by hold
 //	hold AGENT N DURATION
 //	                 starts a call that runs for a time on an agent
+//	keyed ENTRY KEY KIND
+//	                 sends the one call of a key; fails unless its outcome is of a
+//	                 kind
 //	held N           waits for the call N and fails unless its answer is right
 func TestFaults(t *testing.T) {
 	h := &helper{running: make(chan struct{}, 1)}
@@ -96,6 +99,7 @@
 			"hold":     hold,
 			"held":     held,
 			"quiet":    quiet,
+			"keyed":    keyed,
 		},
 	})
 }
@@ -662,3 +666,18 @@
 		ts.Fatalf("%s started %d calls more than %v after %s began to drain", runner, last-first, allowed, args[0])
 	}
 }
+
+func keyed(ts *testscript.TestScript, _ bool, args []string) {
+	c := operator(ts, args[0])
+	c.Account, c.Token = "demo", "demo-token"
+	ctx, cancel := context.WithTimeout(context.Background(), _untilLimit)
+	defer cancel()
+	_, err := c.Call(ctx, berylclient.Call{Class: "once", Key: args[1], Timeout: 2 * time.Second, Body: []byte("body of " + args[1])})
+	kind := "ok"
+	if err != nil {
+		kind = berylerror.Of(err).String()
+	}
+	if kind != args[2] {
+		ts.Fatalf("%s answers key %s with %s, want %s: %v", args[0], args[1], kind, args[2], err)
+	}
+}
