--- a/berylscheduler/decide.go
+++ b/berylscheduler/decide.go
@@ -123,7 +123,6 @@
 	j.started = s.now
 	j.moved = false
 	s.counts.Placed++
-	j.number = s.counts.Placed
 	act := Place{Job: j.ID, Attempt: j.attempt}
 	for _, p := range j.parts {
 		w := &s.workers[p.Worker].Worker
@@ -337,6 +336,10 @@
 		j.kind, j.parts = _firm, parts
 		return true
 	}
+	if s.now.Sub(j.displaced) < _searchEvery {
+		return false
+	}
+	j.displaced = s.now
 	for _, domain := range s.choices(j) {
 		r := s.request(j, berylplacement.Free)
 		r.Cost = func(i int) float64 { return s.unitsLost(i, j.Shape) }
@@ -361,10 +364,11 @@
 }
 
 // choices returns the failure domains to which searches that move guaranteed
-// units are limited in turn; the empty name is no limit.
+// units are limited in turn; the empty name is no limit. A large cluster has enough
+// other places that one search has to do.
 func (s *Scheduler) choices(j *job) []string {
 	out := []string{""}
-	if j.Adjacent != beryladjacency.Anywhere && !s.opts.NoGuarantee {
+	if j.Adjacent != beryladjacency.Anywhere && !s.opts.NoGuarantee && s.place.Len() <= _holdSearch {
 		out = append(out, slices.Sorted(maps.Keys(s.domains))...)
 	}
 	return out
@@ -404,6 +408,8 @@
 	}
 	s.acquire(j)
 	j.step = _booked
+	s.bookings++
+	j.number = s.bookings
 	for _, v := range victims {
 		if v.step == _booked {
 			s.unbook(v)
