berylapi: refuse malformed keys in paths and redirects as answers

A key in the path of GET /v1/keys was not checked and reached the entry, and a backend server's redirect was sent to the caller as 200 without its location. Keys in paths follow the rule for the header; an answer outside 2xx has kind failed.

--- a/berylapi/api_test.go
+++ b/berylapi/api_test.go
@@ -26,6 +26,7 @@
 type fakeEntry struct {
 	requests int
 	call     berylcall.Call
+	key      string
 	job      beryljob.Job
 	domain   berylconfig.FailureDomain
 	answer   berylanswer.Answer
@@ -60,8 +61,9 @@
 	return f.answer, f.err
 }
 
-func (f *fakeEntry) FindKey(context.Context, string, string, time.Duration) (berylanswer.Answer, error) {
+func (f *fakeEntry) FindKey(_ context.Context, _, key string, _ time.Duration) (berylanswer.Answer, error) {
 	f.requests++
+	f.key = key
 	return f.answer, f.err
 }
 
@@ -177,6 +179,8 @@
 		{name: "zero timeout", path: "/v1/calls?class=write", headers: []string{HeaderTimeout, "0s"}, want: berylerror.Invalid},
 		{name: "malformed wait", method: "GET", path: "/v1/calls/x?wait=1", want: berylerror.Invalid},
 		{name: "malformed wait for a key", method: "GET", path: "/v1/keys/x?wait=-1s", want: berylerror.Invalid},
+		{name: "key with a space in the path", method: "GET", path: "/v1/keys/a%20b", want: berylerror.Invalid},
+		{name: "key in the path that is not UTF-8", method: "GET", path: "/v1/keys/%ff", want: berylerror.Invalid},
 		{name: "job not JSON", path: "/v1/jobs", body: "{", want: berylerror.Invalid},
 		{name: "job empty", path: "/v1/jobs", body: "", want: berylerror.Invalid},
 		{name: "job with an unknown field", path: "/v1/jobs", body: `{"class":"write","tasks":1,"shape":{"cores":1},"prio":1}`, want: berylerror.Invalid},
@@ -265,6 +269,11 @@
 			give: fakeEntry{answer: berylanswer.New("c1", "quabbin", 503, []byte("full"))},
 			want: Error{Kind: "failed", Text: "backend server answered with status 503", ID: "c1", Status: 503, Body: []byte("full")},
 		},
+		{
+			name: "backend redirect",
+			give: fakeEntry{answer: berylanswer.New("c1", "quabbin", 302, nil)},
+			want: Error{Kind: "failed", Text: "backend server answered with status 302", ID: "c1", Status: 302},
+		},
 		{
 			name: "outcome unknown",
 			give: fakeEntry{answer: berylanswer.Answer{ID: "c1"}, err: berylerror.Unknown.Errorf("lost")},
--- a/berylapi/call.go
+++ b/berylapi/call.go
@@ -80,12 +80,17 @@
 		writeError(w, "", err)
 		return
 	}
-	answer, err := a.entry.FindKey(r.Context(), account, r.PathValue("key"), wait)
+	key := r.PathValue("key")
+	if err := checkKey(key); err != nil {
+		writeError(w, "", err)
+		return
+	}
+	answer, err := a.entry.FindKey(r.Context(), account, key, wait)
 	writeAnswer(w, answer, err)
 }
 
-// writeAnswer sends the backend server's body. An answer with an error status
-// is sent as kind failed with the whole body inside, as its status could
+// writeAnswer sends the backend server's body. An answer without a success
+// status, which includes a redirect that nobody follows, is sent as kind failed with the whole body inside, as its status could
 // otherwise be taken for one of the entry's own.
 func writeAnswer(w http.ResponseWriter, answer berylanswer.Answer, err error) {
 	if answer.ID != "" {
@@ -94,7 +99,7 @@
 	switch {
 	case err != nil:
 		writeError(w, answer.ID, err)
-	case answer.Status >= http.StatusBadRequest:
+	case answer.Status < http.StatusOK || answer.Status >= http.StatusMultipleChoices:
 		writeJSON(w, berylerror.Failed.Status(), Error{
 			Kind:   berylerror.Failed.String(),
 			Text:   "backend server answered with status " + strconv.Itoa(answer.Status),
@@ -132,16 +137,20 @@
 	if len(values) > 1 {
 		return "", berylerror.Invalid.Errorf("header %s is repeated", HeaderKey)
 	}
-	key := values[0]
+	return values[0], checkKey(values[0])
+}
+
+// checkKey refuses an idempotency key that no call can have.
+func checkKey(key string) error {
 	if key == "" || len(key) > _maxKey {
-		return "", berylerror.Invalid.Errorf("header %s has %d bytes, not 1 to %d", HeaderKey, len(key), _maxKey)
+		return berylerror.Invalid.Errorf("idempotency key has %d bytes, not 1 to %d", len(key), _maxKey)
 	}
 	for _, c := range []byte(key) {
 		if c <= ' ' || c > '~' {
-			return "", berylerror.Invalid.Errorf("header %s has a character that is not printable ASCII", HeaderKey)
+			return berylerror.Invalid.Errorf("idempotency key has a character that is not printable ASCII")
 		}
 	}
-	return key, nil
+	return nil
 }
 
 // readTimeout returns the caller's timeout, at most that of the class.
