beryllog: refuse a batch that breaks the promises of its fields

A reply such as {} was read as an empty batch, and gaps in offsets were accepted, so a reader could skip records or take a proxy's answer for a confirmation. Read now checks first, next and each offset and returns kind unavailable.

--- a/beryllog/client.go
+++ b/beryllog/client.go
@@ -129,9 +129,29 @@
 	if err := c.do(req, &b); err != nil {
 		return Batch{}, berylerror.Unavailable.Wrap(err, "read "+stream)
 	}
+	if err := b.check(from); err != nil {
+		return Batch{}, berylerror.Unavailable.Wrap(err, "read "+stream)
+	}
 	return b, nil
 }
 
+// check refuses a batch that breaks the promises of its fields. A reader would
+// skip records or take an empty reply such as {} for a confirmation that
+// nothing was appended.
+func (b *Batch) check(from int64) error {
+	if b.First < 1 || b.Next < b.First {
+		return berylerror.Unavailable.Errorf("reply has first %d and next %d", b.First, b.Next)
+	}
+	want := max(from, b.First)
+	for i := range b.Entries {
+		if b.Entries[i].Offset != want || want >= b.Next {
+			return berylerror.Unavailable.Errorf("reply has offset %d in place of %d, next %d", b.Entries[i].Offset, want, b.Next)
+		}
+		want++
+	}
+	return nil
+}
+
 func (c *Client) url(stream string) string {
 	return c.base + "/streams/" + url.PathEscape(stream) + "/records"
 }
