berylworker: don't take redirects for success or replies for unsent requests

A reply with status 3xx counted as a started task, and a worker's own kind notrun as a request that was never sent. Kinds outside the list became internal. All three now have kind unknown.

--- a/berylworker/worker.go
+++ b/berylworker/worker.go
@@ -237,12 +237,12 @@
 	if err != nil {
 		return berylerror.Unknown.Wrap(err, "read answer of worker")
 	}
-	if resp.StatusCode >= http.StatusBadRequest {
+	if !succeeded(resp.StatusCode) {
 		var p Problem
 		if json.Unmarshal(text, &p) != nil || p.Kind == "" {
 			return berylerror.Unknown.Errorf("worker answered with status %d", resp.StatusCode)
 		}
-		return berylerror.Parse(p.Kind).Errorf("worker: %s", p.Text)
+		return problemKind(p.Kind).Errorf("worker: %s", p.Text)
 	}
 	if out == nil {
 		return nil
@@ -252,3 +252,20 @@
 	}
 	return nil
 }
+
+// succeeded excludes redirects: the client sends no request twice, and a worker
+// that only points elsewhere has done nothing.
+func succeeded(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices
+}
+
+// problemKind returns the kind of an error that the worker reports. A name that
+// is not in the list says nothing about the outcome. NotRun is the client's own
+// word for a request that was never sent, which a reply disproves.
+func problemKind(name string) berylerror.Kind {
+	k := berylerror.Parse(name)
+	if k.String() != name || k == berylerror.NotRun {
+		return berylerror.Unknown
+	}
+	return k
+}
