--- /dev/null
+++ b/berylrunner/fuzz_test.go
@@ -0,0 +1,32 @@
+package berylrunner
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"testing"
+
+	"berylglade/berylerror"
+)
+
+// FuzzRead guards against panics, and against an answer to another request or
+// without a status that is handed on.
+func FuzzRead(f *testing.F) {
+	f.Add(200, "i", []byte("answer"))
+	f.Add(200, "other", []byte("answer"))
+	f.Add(0, "", []byte{})
+	f.Fuzz(func(t *testing.T, status int, id string, body []byte) {
+		resp := &http.Response{
+			StatusCode: status,
+			Header:     http.Header{HeaderID: {id}},
+			Body:       io.NopCloser(bytes.NewReader(body)),
+		}
+		got, err := read("i", resp)
+		switch {
+		case err != nil && berylerror.Of(err) != berylerror.Unknown:
+			t.Fatal(err)
+		case err == nil && (id != "" && id != "i" || !bytes.Equal(got.Body, body) || got.Status != status):
+			t.Fatalf("answer %+v of request %q is handed on", got, id)
+		}
+	})
+}
