berylrpc: don't cut error codes of other processes to eight bits

A code above the list of kinds was converted to the eight bits of a kind, so 264 was read as notrun. It now has kind unknown and is not taken for an error of the remote function.

--- a/berylrpc/client.go
+++ b/berylrpc/client.go
@@ -69,7 +69,13 @@
 	if !dialed {
 		return berylerror.NotRun.Wrap(err, text)
 	}
-	if code := drpcerr.Code(err); code != 0 {
+	code := drpcerr.Code(err)
+	if code > uint64(berylerror.Unavailable) {
+		// The text alone is kept, so that Remote does not take the error for
+		// one of a known kind.
+		return berylerror.Unknown.Errorf("%s: code %d is not a kind: %v", text, code, err)
+	}
+	if code != 0 {
 		return berylerror.Kind(code).Wrap(err, text)
 	}
 	return berylerror.Unknown.Wrap(err, text)
