berylid: read one text per id

Parse accepted a lower-case ULID and an epoch with a sign or leading zeros, so several texts named what one ledger takes for different ids. It now accepts only the form that String writes.

--- a/berylid/id.go
+++ b/berylid/id.go
@@ -39,7 +39,8 @@
 	return id.Unique + "." + id.Agent + "." + id.Incarnation + "." + strconv.FormatInt(id.Epoch, 10)
 }
 
-// Parse reads the text form of an id.
+// Parse reads the text form of an id. It accepts one text per id: a second
+// spelling would be another id to a ledger.
 func Parse(text string) (ID, error) {
 	parts := strings.Split(text, ".")
 	if len(parts) != 4 || parts[1] == "" || parts[2] == "" {
@@ -52,5 +53,9 @@
 	if err != nil || epoch < 0 {
 		return ID{}, berylerror.Invalid.Errorf("call id %q is malformed", text)
 	}
-	return ID{Unique: parts[0], Agent: parts[1], Incarnation: parts[2], Epoch: epoch}, nil
+	id := ID{Unique: parts[0], Agent: parts[1], Incarnation: parts[2], Epoch: epoch}
+	if id.String() != text || strings.ToUpper(id.Unique) != id.Unique {
+		return ID{}, berylerror.Invalid.Errorf("call id %q is not in the form that the system writes", text)
+	}
+	return id, nil
 }
--- a/berylid/id_test.go
+++ b/berylid/id_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"berylglade/berylerror"
 )
 
 // Guards against ids that change on their way through a caller.
@@ -26,6 +28,9 @@
 		{name: "no incarnation", give: New("a", "", 1).String()},
 		{name: "bad ulid", give: "xyz.a.i.1"},
 		{name: "bad epoch", give: New("a", "i", -1).String()},
+		{name: "epoch with a sign", give: New("a", "i", 1).Unique + ".a.i.+1"},
+		{name: "epoch with a leading zero", give: New("a", "i", 1).Unique + ".a.i.01"},
+		{name: "ulid in lower case", give: "01arz3ndektsv4rrffq69g5fav.a.i.1"},
 		{name: "too many parts", give: New("a.b", "i", 1).String()},
 	}
 	for _, tt := range tests {
@@ -36,3 +41,20 @@
 		})
 	}
 }
+
+// FuzzParse guards against panics, errors without a kind, and two texts that
+// are read as the same id.
+func FuzzParse(f *testing.F) {
+	f.Add("01ARZ3NDEKTSV4RRFFQ69G5FAV.a.i.1")
+	f.Add("01arz3ndektsv4rrffq69g5fav.a.i.+1")
+	f.Add("...")
+	f.Fuzz(func(t *testing.T, text string) {
+		id, err := Parse(text)
+		switch {
+		case err != nil && berylerror.Of(err) != berylerror.Invalid:
+			t.Fatal(err)
+		case err == nil && id.String() != text:
+			t.Fatalf("%q is read as %q", text, id)
+		}
+	})
+}
