berylconfig: refuse values that overflow, depend on the VM or have data after them

Sizes up to 2^39 GB overflowed, amounts times tasks or count overflowed past a quota, a quota below zero meant no limit, zone Local differs between VMs, data after the JSON value was ignored, and Set on an empty Config panicked. berylsize checks the product, berylshape limits amounts, berylconfig checks the rest. Sizes above 2^39 bytes that no unit divides can now be read back.

--- a/berylconfig/config.go
+++ b/berylconfig/config.go
@@ -8,11 +8,14 @@
 import (
 	"bytes"
 	"encoding/json"
+	"io"
 	"maps"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"berylglade/beryladjacency"
 	"berylglade/berylduration"
 	"berylglade/berylerror"
@@ -104,6 +107,10 @@
 	_domainPrefix  = "domains/"
 )
 
+// _maxCount bounds the units of a guarantee: a product of it and the largest
+// shape does not overflow.
+const _maxCount = 1 << 16
+
 // Clone returns a copy that shares no map with c.
 func (c *Config) Clone() *Config {
 	return &Config{
@@ -146,19 +153,19 @@
 	}
 	switch kind + "/" {
 	case _classPrefix:
-		return set(c.Classes, key, name, value, Class.check)
+		return set(&c.Classes, key, name, value, Class.check)
 	case _accountPrefix:
-		return set(c.Accounts, key, name, value, ClientAccount.check)
+		return set(&c.Accounts, key, name, value, ClientAccount.check)
 	case _domainPrefix:
-		return set(c.Domains, key, name, value, FailureDomain.check)
+		return set(&c.Domains, key, name, value, FailureDomain.check)
 	default:
 		return berylerror.Invalid.Errorf("configuration key %q is not classes/, accounts/ or domains/ and a name", key)
 	}
 }
 
-func set[V any](m map[string]V, key, name string, value json.RawMessage, check func(V) error) error {
+func set[V any](m *map[string]V, key, name string, value json.RawMessage, check func(V) error) error {
 	if string(bytes.TrimSpace(value)) == "null" {
-		delete(m, name)
+		delete(*m, name)
 		return nil
 	}
 	dec := json.NewDecoder(bytes.NewReader(value))
@@ -167,10 +174,16 @@
 	if err := dec.Decode(&v); err != nil {
 		return berylerror.Invalid.Wrap(err, "configuration key "+key)
 	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return berylerror.Invalid.Errorf("configuration key %s has data after the JSON value", key)
+	}
 	if err := check(v); err != nil {
 		return berylerror.Invalid.Wrap(err, "configuration key "+key)
 	}
-	m[name] = v
+	if *m == nil {
+		*m = map[string]V{}
+	}
+	(*m)[name] = v
 	return nil
 }
 
@@ -195,7 +208,8 @@
 			return berylerror.Invalid.Errorf("target time %q is not HH:MM", t.By)
 		}
 	}
-	if _, err := time.LoadLocation(t.Zone); err != nil {
+	// Local is the zone of the VM, so processes would disagree on a deadline.
+	if _, err := time.LoadLocation(t.Zone); err != nil || t.Zone == "Local" {
 		return berylerror.Invalid.Errorf("time zone %q is not known", t.Zone)
 	}
 	return nil
@@ -238,9 +252,14 @@
 	if a.Rate < 0 || a.Burst < 0 {
 		return berylerror.Invalid.Errorf("rate and burst must not be below zero")
 	}
+	if !a.Quota.Empty() {
+		if err := a.Quota.Check(); err != nil {
+			return berylerror.Invalid.Wrap(err, "quota")
+		}
+	}
 	for _, g := range a.Guarantees {
-		if g.Count < 1 {
-			return berylerror.Invalid.Errorf("guarantee count %d is below one", g.Count)
+		if g.Count < 1 || g.Count > _maxCount {
+			return berylerror.Invalid.Errorf("guarantee count %d is not between 1 and %d", g.Count, _maxCount)
 		}
 		if err := g.Shape.Check(); err != nil {
 			return err
--- /dev/null
+++ b/berylconfig/config_test.go
@@ -0,0 +1,84 @@
+package berylconfig
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/matryer/is"
+
+	"berylglade/berylerror"
+)
+
+// Guards against values that processes read differently, or that let an account
+// pass its limits.
+func TestSetRefuses(t *testing.T) {
+	tests := []struct {
+		name string
+		key  string
+		give string
+	}{
+		{name: "data after the value", key: "domains/d", give: `{"out":true}{}`},
+		{name: "zone of the VM", key: "classes/c", give: `{"target":{"by":"05:30","zone":"Local"}}`},
+		{name: "quota below zero", key: "accounts/a", give: `{"quota":{"cores":-1}}`},
+		{name: "count that overflows", key: "accounts/a", give: `{"guarantees":[{"shape":{"cores":4},"count":4611686018427387904}]}`},
+		{name: "shape that overflows", key: "accounts/a", give: `{"guarantees":[{"shape":{"cores":4611686018427387904},"count":4}]}`},
+		{name: "size that overflows", key: "classes/c", give: `{"body":"10000000000GB"}`},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			var c Config
+			is.Equal(berylerror.Of(c.Set(tt.key, json.RawMessage(tt.give))), berylerror.Invalid)
+			is.Equal(len(c.Keys()), 0)
+		})
+	}
+}
+
+// FuzzSet guards against panics, errors without a kind, and accepted values
+// that change on their way through the log or between our processes.
+func FuzzSet(f *testing.F) {
+	f.Add("domains/d", []byte(`{"out":true,"grace":"10m"}`))
+	f.Add("classes/c", []byte(`{"target":{"by":"05:30","zone":"Europe/Ljubljana"},"body":"1MB"}`))
+	f.Add("accounts/a", []byte(`{"hash":"00","rate":1.5,"quota":{"cores":4},"guarantees":[{"shape":{"memory":"2GB"},"count":2,"adjacent":"rack"}]}`))
+	f.Add("accounts/a", []byte(`null`))
+	f.Fuzz(func(t *testing.T, key string, value []byte) {
+		var c Config
+		if err := c.Set(key, value); err != nil {
+			if berylerror.Of(err) != berylerror.Invalid || len(c.Keys()) != 0 {
+				t.Fatal(err)
+			}
+			return
+		}
+		checkSurvives(t, &c)
+	})
+}
+
+type fataler interface {
+	Fatalf(format string, args ...any)
+}
+
+// checkSurvives encodes and decodes a configuration as the log and as our
+// processes do.
+func checkSurvives(t fataler, c *Config) {
+	want, err := json.Marshal(c)
+	if err != nil {
+		t.Fatalf("encode: %v", err)
+	}
+	var fromText, fromBinary Config
+	if err := json.Unmarshal(want, &fromText); err != nil {
+		t.Fatalf("decode %s: %v", want, err)
+	}
+	data, err := cbor.Marshal(c)
+	if err == nil {
+		err = cbor.Unmarshal(data, &fromBinary)
+	}
+	if err != nil {
+		t.Fatalf("%s between our processes: %v", want, err)
+	}
+	for _, got := range []*Config{&fromText, &fromBinary} {
+		if text, err := json.Marshal(got); err != nil || string(text) != string(want) {
+			t.Fatalf("%s became %s, %v", want, text, err)
+		}
+	}
+}
--- a/berylshape/shape.go
+++ b/berylshape/shape.go
@@ -75,11 +75,23 @@
 // Empty reports whether no resource is asked for.
 func (s Shape) Empty() bool { return s == Shape{} }
 
-// Check returns an error if an amount is below zero or all are zero.
+// Limits of one shape. They are far above any worker or quota, and low enough
+// that the sum of 65,536 such shapes does not overflow: an overflowed sum would
+// pass every quota.
+const (
+	_maxUnits  = 1 << 30
+	_maxMemory = 100_000 * berylsize.GB
+)
+
+// Check returns an error if an amount is below zero or above its limit, or if
+// all are zero.
 func (s Shape) Check() error {
 	if s.Accelerators < 0 || s.Cores < 0 || s.Memory < 0 {
 		return berylerror.Invalid.Errorf("shape %v has an amount below zero", s)
 	}
+	if s.Accelerators > _maxUnits || s.Cores > _maxUnits || s.Memory > _maxMemory {
+		return berylerror.Invalid.Errorf("shape %v has an amount above %v", s, Shape{Accelerators: _maxUnits, Cores: _maxUnits, Memory: _maxMemory})
+	}
 	if s.Empty() {
 		return berylerror.Invalid.Errorf("shape asks for no resource")
 	}
--- a/berylsize/size.go
+++ b/berylsize/size.go
@@ -3,6 +3,7 @@
 package berylsize
 
 import (
+	"math"
 	"strconv"
 	"strings"
 
@@ -39,8 +40,8 @@
 		if !ok {
 			continue
 		}
-		n, err := strconv.ParseInt(digits, 10, 40)
-		if err != nil || n < 0 {
+		n, err := strconv.ParseInt(digits, 10, 64)
+		if err != nil || n < 0 || n > math.MaxInt64/int64(u.size) {
 			return berylerror.Invalid.Errorf("size %q is not a whole number with a unit B, KB, MB or GB", text)
 		}
 		*s = Size(n) * u.size
