berylrpc: serve at most 4096 connections

The server accepted any number of connections. The limit is above what an entry needs at the target scale.

Measured: the tests of berylrpc, berylagent and berylentry pass.

--- a/berylrpc/server.go
+++ b/berylrpc/server.go
@@ -21,6 +21,7 @@
 	"storj.io/drpc/drpcwire"
 
 	"berylglade/berylerror"
+	"berylglade/beryllisten"
 	"berylglade/berylmessage"
 )
 
@@ -31,6 +32,11 @@
 // _idleTimeout ends a connection on which no request has arrived for so long.
 const _idleTimeout = 5 * time.Minute
 
+// _maxConnections bounds the connections of a server. At the target scale of
+// 1,571 workers in a failure domain, each beside an agent that sends heartbeats
+// to two entries of it, an entry needs fewer even if there are only two.
+const _maxConnections = 4096
+
 // Server serves registered functions.
 type Server struct {
 	handlers map[berylmessage.Method]handler
@@ -61,7 +67,7 @@
 	srv := drpcserver.NewWithOptions(s, drpcserver.Options{
 		Manager: managerOptions(_idleTimeout),
 	})
-	return srv.Serve(ctx, lis)
+	return srv.Serve(ctx, beryllisten.New(lis, _maxConnections))
 }
 
 // HandleRPC implements drpc.Handler.
