berylapi: limit the time to write an answer

A caller that does not read its answer held a connection and the body for ever, as the entry's server has no write timeout. Each answer now has 30 s; the deadline is cleared when the next request of the connection begins.

Measured: TestWriteHasDeadline passes.

--- a/berylapi/api.go
+++ b/berylapi/api.go
@@ -33,6 +33,7 @@
 
 	"berylglade/berylanswer"
 	"berylglade/berylcall"
+	"berylglade/berylclock"
 	"berylglade/berylconfig"
 	"berylglade/berylduration"
 	"berylglade/berylerror"
@@ -49,6 +50,8 @@
 	_defaultTimeout = 30 * time.Second
 	// _maxWait bounds the wait for an answer.
 	_maxWait = time.Minute
+	// _writeTimeout ends the connection of a caller that does not read.
+	_writeTimeout = 30 * time.Second
 	// _maxKey bounds an idempotency key.
 	_maxKey = 256
 )
@@ -188,7 +191,12 @@
 }
 
 // ServeHTTP implements http.Handler.
-func (a *API) ServeHTTP(w http.ResponseWriter, r *http.Request) { a.mux.ServeHTTP(w, r) }
+func (a *API) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	// The deadline of the connection's last answer would end this request if
+	// it sends anything, as 100 Continue, before its own answer.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
+	a.mux.ServeHTTP(w, r)
+}
 
 // forAccount authenticates a client account. An unknown account and a wrong
 // token get the same answer, so that names of accounts can't be found out.
@@ -247,6 +255,8 @@
 // write sends a whole body with its length, so that a caller notices a
 // truncated one.
 func write(w http.ResponseWriter, status int, kind string, body []byte) {
+	// A writer without deadlines belongs to a test or has limits of its own.
+	_ = http.NewResponseController(w).SetWriteDeadline(berylclock.System()().Add(_writeTimeout))
 	w.Header().Set("Content-Type", kind)
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(status)
--- a/berylapi/api_test.go
+++ b/berylapi/api_test.go
@@ -294,3 +294,26 @@
 		})
 	}
 }
+
+// deadlineRecorder notes the deadlines of writes.
+type deadlineRecorder struct {
+	*httptest.ResponseRecorder
+	deadlines []time.Time
+}
+
+func (d *deadlineRecorder) SetWriteDeadline(t time.Time) error {
+	d.deadlines = append(d.deadlines, t)
+	return nil
+}
+
+// Guards against a caller that does not read its answer and holds a connection
+// for ever, and against the deadline of an earlier answer on the connection.
+func TestWriteHasDeadline(t *testing.T) {
+	is := is.New(t)
+	w := &deadlineRecorder{ResponseRecorder: httptest.NewRecorder()}
+	New(&fakeEntry{}, nil).ServeHTTP(w, httptest.NewRequest("GET", "/v1/agents", http.NoBody))
+	is.Equal(len(w.deadlines), 2)
+	is.True(w.deadlines[0].IsZero())
+	left := time.Until(w.deadlines[1])
+	is.True(left > 0 && left <= _writeTimeout)
+}
