berylentry: limit headers and connections of callers

Headers could have 1 MB, the default of net/http, and connections had no limit. The limits are 16 KB and 4096 connections.

--- a/berylentry/entry.go
+++ b/berylentry/entry.go
@@ -41,6 +41,7 @@
 	"berylglade/berylclock"
 	"berylglade/berylcontrol"
 	"berylglade/berylerror"
+	"berylglade/beryllisten"
 	"berylglade/beryllog"
 	"berylglade/berylrecord"
 	"berylglade/berylroute"
@@ -57,6 +58,16 @@
 	_idleTimeout   = 2 * time.Minute
 )
 
+// Limits of the listener for callers.
+const (
+	// _maxHeader bounds the header of a request; the largest that the API
+	// needs has an idempotency key and a token.
+	_maxHeader = 16 << 10
+	// _maxConnections bounds the connections and with them the requests that
+	// are in progress or wait before admission.
+	_maxConnections = 4096
+)
+
 // Entry is one entry process.
 type Entry struct {
 	// HTTPAddr and PeerAddr are the addresses on which the entry listens.
@@ -159,12 +170,7 @@
 // Run serves until ctx ends and then shuts down: it stops accepting, hands the
 // leadership over, finishes the calls in progress and returns.
 func (e *Entry) Run(ctx context.Context) error {
-	srv := &http.Server{
-		Handler:           berylapi.New(e, e.settings.Operators),
-		ReadHeaderTimeout: _headerTimeout,
-		ReadTimeout:       _readTimeout,
-		IdleTimeout:       _idleTimeout,
-	}
+	srv := e.server()
 	// The background work outlives ctx until the calls in progress are
 	// finished, since they need the log and the heartbeats.
 	defer e.cancel()
@@ -182,7 +188,7 @@
 		g.Go(func() error { return s.Run(e.work) })
 	}
 	g.Go(func() error {
-		if err := srv.Serve(e.httpLis); !errors.Is(err, http.ErrServerClosed) {
+		if err := srv.Serve(beryllisten.New(e.httpLis, _maxConnections)); !errors.Is(err, http.ErrServerClosed) {
 			e.cancel()
 			return errors.Wrap(err, "serve callers")
 		}
@@ -201,6 +207,18 @@
 	return errors.Join(err, e.client.Close())
 }
 
+// server has no write timeout, as that would include the run time of a call;
+// the API limits the time of each write itself.
+func (e *Entry) server() *http.Server {
+	return &http.Server{
+		Handler:           berylapi.New(e, e.settings.Operators),
+		ReadHeaderTimeout: _headerTimeout,
+		ReadTimeout:       _readTimeout,
+		IdleTimeout:       _idleTimeout,
+		MaxHeaderBytes:    _maxHeader,
+	}
+}
+
 func (e *Entry) shutdown(srv *http.Server) error {
 	klog.InfoS("entry stops", "name", e.settings.Name)
 	close(e.stopping)
