beryldump: limit connections, headers and times

Only the time to read a header was limited. Reading, writing, idle connections, header size and the number of connections now have limits.

Measured: the tests of beryldump pass; no test waits for the times.

--- a/beryldump/dump.go
+++ b/beryldump/dump.go
@@ -20,6 +20,7 @@
 	"github.com/prometheus/procfs"
 
 	"berylglade/berylerror"
+	"berylglade/beryllisten"
 )
 
 const (
@@ -27,6 +28,15 @@
 	_dumpTimeout = 5 * time.Second
 	// _headerTimeout ends connections that send no request.
 	_headerTimeout = 5 * time.Second
+	// _readTimeout, _writeTimeout and _idleTimeout end connections that are too
+	// slow or not used. Writing includes the wait for the state.
+	_readTimeout  = 10 * time.Second
+	_writeTimeout = 30 * time.Second
+	_idleTimeout  = 2 * time.Minute
+	// _maxHeader bounds the header of a request.
+	_maxHeader = 16 << 10
+	// _maxConnections is enough for several operators and scrapers.
+	_maxConnections = 64
 	// _stopTimeout bounds the wait for requests that are in progress.
 	_stopTimeout = time.Second
 )
@@ -85,7 +95,14 @@
 
 // Serve serves on a listener until ctx ends, and closes it.
 func (l *Listener) Serve(ctx context.Context, lis net.Listener) error {
-	srv := &http.Server{Handler: l.Handler(), ReadHeaderTimeout: _headerTimeout}
+	srv := &http.Server{
+		Handler:           l.Handler(),
+		ReadHeaderTimeout: _headerTimeout,
+		ReadTimeout:       _readTimeout,
+		WriteTimeout:      _writeTimeout,
+		IdleTimeout:       _idleTimeout,
+		MaxHeaderBytes:    _maxHeader,
+	}
 	stopped := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
 		defer close(stopped)
@@ -95,7 +112,7 @@
 			_ = srv.Close()
 		}
 	})
-	err := srv.Serve(lis)
+	err := srv.Serve(beryllisten.New(lis, _maxConnections))
 	if !stop() {
 		<-stopped
 	}
