--- a/berylclient/client.go
+++ b/berylclient/client.go
@@ -26,6 +26,10 @@
 // _maxText bounds the part of a malformed error reply that goes into an error.
 const _maxText = 200
 
+// _maxReply bounds the bytes of one reply. It is above the list of 6,300 jobs
+// with the members of a gang of 512.
+const _maxReply = 256 << 20
+
 // Client sends requests to one entry, or to the load balancer before several.
 type Client struct {
 	// Base is the URL of the entry, such as "http://10.0.0.1:8080".
@@ -214,7 +218,7 @@
 		return reply{}, lost(method).Wrap(err, "send request")
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(resp.Body)
+	data, err := readReply(resp.Body, _maxReply)
 	r := reply{id: resp.Header.Get(berylapi.HeaderCall), body: data}
 	if err != nil {
 		return r, lost(method).Wrap(err, "read reply")
@@ -225,6 +229,15 @@
 	return r, nil
 }
 
+// readReply returns a whole reply; a longer one than the limit is an error.
+func readReply(body io.Reader, limit int64) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err == nil && int64(len(data)) > limit {
+		return nil, berylerror.Oversize.Errorf("reply is above the limit of %d bytes", limit)
+	}
+	return data, err
+}
+
 // decodeError returns the error of a reply. The body of a failed call is that
 // of the backend server.
 func decodeError(r reply, method string, status int) (reply, error) {
--- a/berylclient/client_test.go
+++ b/berylclient/client_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -91,3 +92,14 @@
 	is.Equal(offset, int64(7))
 	is.Equal(got.URL.Path, "/v1/domains/ware-east/out")
 }
+
+// Guards against a reply without end that fills the memory of the caller, and
+// against one that is cut at the limit and taken for whole.
+func TestReadReplyLimit(t *testing.T) {
+	is := is.New(t)
+	data, err := readReply(strings.NewReader("1234"), 4)
+	is.NoErr(err)
+	is.Equal(string(data), "1234")
+	_, err = readReply(strings.NewReader("12345"), 4)
+	is.Equal(berylerror.Of(err), berylerror.Oversize)
+}
