berylstandlog, berylstandrunner: limit connections and waiting requests

The stand-in log had no limit for connections and idle ones, the stand-in backend server none for requests that wait for a slot with their bodies. They are 4096 each; the backend server answers 503 above it and does not run the request.

--- a/berylstandlog/log.go
+++ b/berylstandlog/log.go
@@ -25,6 +25,7 @@
 	"berylglade/berylclock"
 	"berylglade/berylduration"
 	"berylglade/berylerror"
+	"berylglade/beryllisten"
 	"berylglade/beryllog"
 )
 
@@ -37,6 +38,12 @@
 	_stopTimeout = time.Second
 	// _headerTimeout ends connections that send no complete header.
 	_headerTimeout = 10 * time.Second
+	// _readTimeout bounds the arrival of a request, _idleTimeout the time that
+	// a connection is not used; clients close theirs after a minute.
+	_readTimeout = time.Minute
+	_idleTimeout = 2 * time.Minute
+	// _maxConnections is above three long polls of each of 1,000 processes.
+	_maxConnections = 4096
 )
 
 // Settings of a Log. Zero limits mean no limit.
@@ -115,10 +122,12 @@
 	srv := &http.Server{
 		Handler:           l,
 		ReadHeaderTimeout: _headerTimeout,
+		ReadTimeout:       _readTimeout,
+		IdleTimeout:       _idleTimeout,
 		BaseContext:       func(net.Listener) context.Context { return ctx },
 	}
 	served := make(chan error, 1)
-	go func() { served <- srv.Serve(lis) }()
+	go func() { served <- srv.Serve(beryllisten.New(lis, _maxConnections)) }()
 	select {
 	case err := <-served:
 		return berylerror.Internal.Wrap(err, "serve")
--- a/berylstandrunner/server.go
+++ b/berylstandrunner/server.go
@@ -24,6 +24,10 @@
 // _maxBody bounds the bytes of one request.
 const _maxBody = 16 << 20
 
+// _maxRunning bounds the requests that wait or run, each of which keeps its
+// body in memory.
+const _maxRunning = 4096
+
 // Settings describe a backend server.
 type Settings struct {
 	// Slots is the number of requests that run at once, at least one.
@@ -120,7 +124,11 @@
 		http.Error(w, "header "+berylrunner.HeaderID+" is not set", http.StatusBadRequest)
 		return
 	}
-	faults := s.arrive()
+	faults, ok := s.arrive()
+	if !ok {
+		http.Error(w, "too many requests wait", http.StatusServiceUnavailable)
+		return
+	}
 	defer s.leave()
 	s.slots <- struct{}{}
 	defer func() { <-s.slots }()
@@ -160,10 +168,14 @@
 	_ = conn.Close()
 }
 
-// arrive counts a request and returns the faults that it meets.
-func (s *Server) arrive() Faults {
+// arrive counts a request and returns the faults that it meets, or false if too
+// many requests wait.
+func (s *Server) arrive() (Faults, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.ledger.Running >= _maxRunning {
+		return Faults{}, false
+	}
 	s.ledger.Running++
 	s.ledger.Peak = max(s.ledger.Peak, s.ledger.Running)
 	f := s.faults
@@ -173,7 +185,7 @@
 	if f.Count > 1 {
 		s.faults.Count--
 	}
-	return f
+	return f, true
 }
 
 func (s *Server) leave() {
