--- a/berylconfig/config_test.go
+++ b/berylconfig/config_test.go
@@ -2,12 +2,18 @@
 
 import (
 	"encoding/json"
+	"math"
 	"testing"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
+	"berylglade/beryladjacency"
+	"berylglade/berylduration"
 	"berylglade/berylerror"
+	"berylglade/berylshape"
+	"berylglade/berylsize"
 )
 
 // Guards against values that processes read differently, or that let an account
@@ -82,3 +88,51 @@
 		}
 	}
 }
+
+// Guards against an accepted configuration that changes on its way through the
+// log or between our processes.
+func TestConfigSurvives(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		amount := rapid.IntRange(1, 1<<20)
+		shape := func(label string) berylshape.Shape {
+			return berylshape.Shape{
+				Cores:  amount.Draw(rt, label+" cores"),
+				Memory: berylsize.Size(rapid.Int64Range(0, 1<<46).Draw(rt, label+" memory")),
+			}
+		}
+		duration := func(label string) berylduration.Duration {
+			return berylduration.Duration(rapid.Int64Range(0, math.MaxInt64).Draw(rt, label))
+		}
+		values := map[string]any{
+			"classes/c": Class{
+				Target:  Target{Within: duration("within")},
+				Stop:    duration("stop"),
+				Timeout: duration("timeout"),
+				Body:    berylsize.Size(rapid.Int64Range(0, math.MaxInt64).Draw(rt, "body")),
+			},
+			"accounts/a": ClientAccount{
+				Hash:  rapid.String().Draw(rt, "hash"),
+				Quota: shape("quota"),
+				Rate:  rapid.Float64Range(0, math.MaxFloat64).Draw(rt, "rate"),
+				Burst: rapid.IntRange(0, math.MaxInt).Draw(rt, "burst"),
+				Guarantees: []Guarantee{{
+					Shape:    shape("guarantee"),
+					Count:    rapid.IntRange(1, _maxCount).Draw(rt, "count"),
+					Adjacent: rapid.SampledFrom([]beryladjacency.Adjacency{0, beryladjacency.Rack}).Draw(rt, "adjacent"),
+				}},
+			},
+			"domains/d": FailureDomain{Out: rapid.Bool().Draw(rt, "out"), Grace: duration("grace")},
+		}
+		var c Config
+		for key, value := range values {
+			data, err := json.Marshal(value)
+			if err == nil {
+				err = c.Set(key, data)
+			}
+			if err != nil {
+				rt.Fatalf("%s %s: %v", key, data, err)
+			}
+		}
+		checkSurvives(rt, &c)
+	})
+}
