berylconfig: limit the body and timeout of a class

A class could allow bodies that no message between our processes can carry, so a call was accepted and then lost on the way to the agent with an unknown outcome, and the API read them into memory. A timeout could keep a process that stops waiting without end. The limits are 8 MB and 1 h.

--- a/berylconfig/config.go
+++ b/berylconfig/config.go
@@ -46,9 +46,9 @@
 	Checkpoint bool `json:"checkpoint,omitempty" cbor:"k,omitempty"`
 	// Stop is the longest time that a checkpoint and stop takes.
 	Stop berylduration.Duration `json:"stop,omitempty" cbor:"s,omitempty"`
-	// Timeout is the longest run time of a call; zero means 30 s.
+	// Timeout is the longest run time of a call, at most 1 h; zero means 30 s.
 	Timeout berylduration.Duration `json:"timeout,omitempty" cbor:"x,omitempty"`
-	// Body is the largest body of a call; zero means 1 MB.
+	// Body is the largest body of a call, at most 8 MB; zero means 1 MB.
 	Body berylsize.Size `json:"body,omitempty" cbor:"b,omitempty"`
 }
 
@@ -187,7 +187,26 @@
 	return nil
 }
 
-func (c Class) check() error { return c.Target.check() }
+// Limits of the calls of a class.
+const (
+	// _maxTimeout also bounds how long a process that stops waits for calls in
+	// progress.
+	_maxTimeout = berylduration.Duration(time.Hour)
+	// _maxBody is half of the largest message between our processes. A body
+	// that no message can carry would be accepted and then be lost on the way
+	// to the agent.
+	_maxBody = 8 * berylsize.MB
+)
+
+func (c Class) check() error {
+	if c.Timeout > _maxTimeout {
+		return berylerror.Invalid.Errorf("timeout %s is above %s", c.Timeout.Std(), _maxTimeout.Std())
+	}
+	if c.Body > _maxBody {
+		return berylerror.Invalid.Errorf("body limit of %d bytes is above %d", c.Body, _maxBody)
+	}
+	return c.Target.check()
+}
 
 func (t Target) check() error {
 	n := 0
