--- a/beryldump/dump.go
+++ b/beryldump/dump.go
@@ -18,9 +18,9 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/prometheus/procfs"
+	"golang.org/x/net/netutil"
 
 	"berylglade/berylerror"
-	"berylglade/beryllisten"
 )
 
 const (
@@ -112,7 +112,7 @@
 			_ = srv.Close()
 		}
 	})
-	err := srv.Serve(beryllisten.New(lis, _maxConnections))
+	err := srv.Serve(netutil.LimitListener(lis, _maxConnections))
 	if !stop() {
 		<-stopped
 	}
--- a/berylentry/entry.go
+++ b/berylentry/entry.go
@@ -32,6 +32,7 @@
 	"github.com/go-faster/errors"
 	"github.com/oklog/ulid/v2"
 	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
@@ -41,7 +42,6 @@
 	"berylglade/berylclock"
 	"berylglade/berylcontrol"
 	"berylglade/berylerror"
-	"berylglade/beryllisten"
 	"berylglade/beryllog"
 	"berylglade/berylrecord"
 	"berylglade/berylroute"
@@ -188,7 +188,7 @@
 		g.Go(func() error { return s.Run(e.work) })
 	}
 	g.Go(func() error {
-		if err := srv.Serve(beryllisten.New(e.httpLis, _maxConnections)); !errors.Is(err, http.ErrServerClosed) {
+		if err := srv.Serve(netutil.LimitListener(e.httpLis, _maxConnections)); !errors.Is(err, http.ErrServerClosed) {
 			e.cancel()
 			return errors.Wrap(err, "serve callers")
 		}
--- a/berylrpc/server.go
+++ b/berylrpc/server.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"golang.org/x/net/netutil"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcerr"
 	"storj.io/drpc/drpcmanager"
@@ -21,7 +22,6 @@
 	"storj.io/drpc/drpcwire"
 
 	"berylglade/berylerror"
-	"berylglade/beryllisten"
 	"berylglade/berylmessage"
 )
 
@@ -67,7 +67,7 @@
 	srv := drpcserver.NewWithOptions(s, drpcserver.Options{
 		Manager: managerOptions(_idleTimeout),
 	})
-	return srv.Serve(ctx, beryllisten.New(lis, _maxConnections))
+	return srv.Serve(ctx, netutil.LimitListener(lis, _maxConnections))
 }
 
 // HandleRPC implements drpc.Handler.
--- a/berylstandlog/log.go
+++ b/berylstandlog/log.go
@@ -21,11 +21,11 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"golang.org/x/net/netutil"
 
 	"berylglade/berylclock"
 	"berylglade/berylduration"
 	"berylglade/berylerror"
-	"berylglade/beryllisten"
 	"berylglade/beryllog"
 )
 
@@ -127,7 +127,7 @@
 		BaseContext:       func(net.Listener) context.Context { return ctx },
 	}
 	served := make(chan error, 1)
-	go func() { served <- srv.Serve(beryllisten.New(lis, _maxConnections)) }()
+	go func() { served <- srv.Serve(netutil.LimitListener(lis, _maxConnections)) }()
 	select {
 	case err := <-served:
 		return berylerror.Internal.Wrap(err, "serve")
