--- a/berylscript/faults_test.go
+++ b/berylscript/faults_test.go
@@ -75,8 +75,8 @@
 			env.Setenv("BERYLGLADE_ACCOUNT", "demo")
 			env.Setenv("BERYLGLADE_TOKEN", "demo-token")
 			env.Setenv("BERYLGLADE_OPERATOR_TOKEN", "operator-token")
-			s := &system{processes: map[string]*child{}, held: map[string]chan error{}}
-			env.Values[systemKey{}] = s
+			s := &processes{processes: map[string]*child{}, held: map[string]chan error{}}
+			env.Values[processesKey{}] = s
 			env.Defer(s.close)
 			return nil
 		},
@@ -84,14 +84,14 @@
 			"fleet":    h.fleet,
 			"until":    h.until,
 			"boot":     boot,
-			"start":    start,
-			"crash":    signal(syscall.SIGKILL),
-			"freeze":   signal(syscall.SIGSTOP),
-			"thaw":     signal(syscall.SIGCONT),
-			"begin":    signal(syscall.SIGTERM),
+			"start":    startChildren,
+			"crash":    signalChild(syscall.SIGKILL),
+			"freeze":   signalChild(syscall.SIGSTOP),
+			"thaw":     signalChild(syscall.SIGCONT),
+			"begin":    signalChild(syscall.SIGTERM),
 			"term":     term,
-			"ended":    ended,
-			"faults":   faults,
+			"ended":    endedChild,
+			"faults":   setFaults,
 			"state":    state,
 			"load":     startLoad,
 			"answered": answered,
@@ -99,16 +99,16 @@
 			"hold":     hold,
 			"held":     held,
 			"quiet":    quiet,
-			"keyed":    keyed,
+			"keyed":    keyedCall,
 		},
 	})
 }
 
-// systemKey finds the system of a script.
-type systemKey struct{}
+// processesKey finds the system of a script.
+type processesKey struct{}
 
 // system is the processes and the callers of one script.
-type system struct {
+type processes struct {
 	processes map[string]*child
 	callers   *callers
 	// held has the outcomes of the calls that hold started.
@@ -124,13 +124,13 @@
 	err   error
 }
 
-func of(ts *testscript.TestScript) *system {
-	s, _ := ts.Value(systemKey{}).(*system)
+func of(ts *testscript.TestScript) *processes {
+	s, _ := ts.Value(processesKey{}).(*processes)
 	return s
 }
 
 // close ends what the script left running.
-func (s *system) close() {
+func (s *processes) close() {
 	for _, c := range s.processes {
 		_ = c.cmd.Process.Kill()
 		<-c.ended
@@ -140,7 +140,7 @@
 	}
 }
 
-func start(ts *testscript.TestScript, _ bool, args []string) {
+func startChildren(ts *testscript.TestScript, _ bool, args []string) {
 	for _, name := range args {
 		spawn(ts, name)
 	}
@@ -170,7 +170,7 @@
 }
 
 func boot(ts *testscript.TestScript, _ bool, _ []string) {
-	start(ts, false, names(ts))
+	startChildren(ts, false, names(ts))
 	ts.Check(ts.Exec("berylglade", "config", "publish", "configuration.hujson"))
 	end := time.Now().Add(_untilLimit)
 	for i := 1; i <= 3; i++ {
@@ -215,7 +215,7 @@
 	}
 }
 
-func signal(sig os.Signal) func(ts *testscript.TestScript, neg bool, args []string) {
+func signalChild(sig os.Signal) func(ts *testscript.TestScript, neg bool, args []string) {
 	return func(ts *testscript.TestScript, _ bool, args []string) {
 		for _, name := range args {
 			ts.Check(of(ts).processes[name].cmd.Process.Signal(sig))
@@ -231,12 +231,12 @@
 
 func term(ts *testscript.TestScript, _ bool, args []string) {
 	for _, name := range args {
-		signal(syscall.SIGTERM)(ts, false, []string{name})
+		signalChild(syscall.SIGTERM)(ts, false, []string{name})
 		ended(ts, false, []string{name})
 	}
 }
 
-func ended(ts *testscript.TestScript, _ bool, args []string) {
+func endedChild(ts *testscript.TestScript, _ bool, args []string) {
 	for _, name := range args {
 		c := of(ts).processes[name]
 		select {
@@ -263,7 +263,7 @@
 	return s.Runner.Bind + s.Log.Bind
 }
 
-func faults(ts *testscript.TestScript, _ bool, args []string) {
+func setFaults(ts *testscript.TestScript, _ bool, args []string) {
 	resp, err := http.Post("http://"+standinAddr(ts, args[0])+"/faults", "application/json", strings.NewReader(args[1]))
 	ts.Check(err)
 	defer resp.Body.Close()
@@ -667,7 +667,7 @@
 	}
 }
 
-func keyed(ts *testscript.TestScript, _ bool, args []string) {
+func keyedCall(ts *testscript.TestScript, _ bool, args []string) {
 	c := operator(ts, args[0])
 	c.Account, c.Token = "demo", "demo-token"
 	ctx, cancel := context.WithTimeout(context.Background(), _untilLimit)
