berylentry: answer not run for a key only with every entry's evidence

Ruled out: always answering unknown while the log is down, which makes every refusal of a new key useless to callers. Change: a refusal stays notrun only if every listed entry answers that it has read stream calls since its start, works on no request with the key and knows no call of it without a tombstone; otherwise it is unknown. A tail now reads without a long poll until it has caught up, so that entries know soon that an idle stream is empty.

--- a/berylapi/api.go
+++ b/berylapi/api.go
@@ -210,7 +210,7 @@
 		}
 		cfg := a.entry.Config()
 		if cfg.Offset == 0 && len(cfg.Accounts) == 0 {
-			writeError(w, "", unconfigured(r.Method))
+			writeError(w, "", unconfigured(r))
 			return
 		}
 		account, known := cfg.Accounts[name]
@@ -223,10 +223,14 @@
 }
 
 // unconfigured returns the refusal of an entry that has no configuration, for
-// example since it has just started. It can't tell whether the account exists.
-func unconfigured(method string) error {
+// example since it has just started. It can't tell whether the account exists,
+// nor whether an earlier request with the same key ran.
+func unconfigured(r *http.Request) error {
 	kind := berylerror.Unavailable
-	if method == http.MethodPost {
+	switch {
+	case r.Method == http.MethodPost && r.Header.Get(HeaderKey) != "":
+		kind = berylerror.Unknown
+	case r.Method == http.MethodPost:
 		kind = berylerror.NotRun
 	}
 	return kind.Errorf("entry has no configuration yet")
--- a/berylapi/api_test.go
+++ b/berylapi/api_test.go
@@ -306,9 +306,11 @@
 	tests := []struct {
 		method string
 		path   string
+		key    string
 		want   berylerror.Kind
 	}{
 		{method: "POST", path: "/v1/calls?class=write", want: berylerror.NotRun},
+		{method: "POST", path: "/v1/calls?class=write", key: "k", want: berylerror.Unknown},
 		{method: "POST", path: "/v1/jobs", want: berylerror.NotRun},
 		{method: "GET", path: "/v1/keys/k", want: berylerror.Unavailable},
 		{method: "DELETE", path: "/v1/jobs/j", want: berylerror.Unavailable},
@@ -317,7 +319,7 @@
 		t.Run(tt.method+" "+tt.path, func(t *testing.T) {
 			is := is.New(t)
 			f := &fakeEntry{starting: true}
-			resp, e := send(f, tt.method, tt.path, strings.NewReader("x"))
+			resp, e := send(f, tt.method, tt.path, strings.NewReader("x"), HeaderKey, tt.key)
 			is.Equal(resp.Code, tt.want.Status())
 			is.Equal(e.Kind, tt.want.String())
 			is.Equal(f.requests, 0)
@@ -341,7 +343,7 @@
 func TestWriteHasDeadline(t *testing.T) {
 	is := is.New(t)
 	w := &deadlineRecorder{ResponseRecorder: httptest.NewRecorder()}
-	New(&fakeEntry{}, nil).ServeHTTP(w, httptest.NewRequest("GET", "/v1/agents", http.NoBody))
+	New(&fakeEntry{}, nil).ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/v1/agents", http.NoBody))
 	is.Equal(len(w.deadlines), 2)
 	is.True(w.deadlines[0].IsZero())
 	left := time.Until(w.deadlines[1])
--- a/berylapi/fuzz_test.go
+++ b/berylapi/fuzz_test.go
@@ -26,7 +26,7 @@
 		if err != nil || !strings.HasPrefix(path, "/") {
 			return
 		}
-		req := httptest.NewRequest("POST", "/", strings.NewReader(string(body)))
+		req := httptest.NewRequest(http.MethodPost, "/", strings.NewReader(string(body)))
 		req.Method = method
 		req.URL = u
 		req.Header = http.Header{"Authorization": {auth}, HeaderAccount: {"quabbin"}}
--- a/berylentry/call.go
+++ b/berylentry/call.go
@@ -43,11 +43,19 @@
 	// tried are the agents of earlier attempts.
 	tried    []string
 	attempts int
+	// dead is the last call id of the key for which an agent has confirmed a
+	// tombstone.
+	dead string
 }
 
 // Call implements berylapi.Entry.
 func (e *Entry) Call(ctx context.Context, call berylcall.Call) (berylanswer.Answer, error) {
 	now := e.clock()
+	if recorded(call) {
+		name := keyName(call.Account, call.Key)
+		e.keys.enter(name)
+		defer e.keys.leave(name)
+	}
 	answer, err := e.admitted(ctx, now, call)
 	e.metrics.called(err, e.clock().Sub(now))
 	return answer, err
@@ -60,7 +68,10 @@
 	defer cancel()
 	ticket, err := e.enter(ctx, now, r)
 	if err != nil {
-		return e.refused(ctx, call, err)
+		if recorded(call) && berylerror.Of(err) == berylerror.NotRun {
+			return e.refused(ctx, call, "", err)
+		}
+		return berylanswer.Answer{}, err
 	}
 	e.budget.Earn(call.Account)
 	if !call.Idempotent {
--- a/berylentry/entry.go
+++ b/berylentry/entry.go
@@ -92,6 +92,7 @@
 	router     berylroute.Router
 	admission  beryladmission.Admission
 	budget     berylbudget.Budget
+	keys       keysInUse
 	httpLis    net.Listener
 	peerLis    net.Listener
 	// stopping is closed when a planned stop begins; it ends long waits.
--- a/berylentry/keyed.go
+++ b/berylentry/keyed.go
@@ -24,6 +24,16 @@
 // one call id by an intent in the log before anything is dispatched. Only after
 // the agent has confirmed a tombstone for that id may the key get another one.
 func (r *run) keyed(ctx context.Context) (berylanswer.Answer, error) {
+	answer, err := r.bind(ctx)
+	if berylerror.Of(err) == berylerror.NotRun {
+		return r.e.refused(ctx, r.call, r.dead, err)
+	}
+	return answer, err
+}
+
+// bind looks the key up, binds it if it is free, and gets the outcome of the
+// call that it is bound to.
+func (r *run) bind(ctx context.Context) (berylanswer.Answer, error) {
 	sum := berylcall.Sum(r.call.Account, r.call.Class, r.call.Body)
 	for {
 		found, err := r.e.lookUp(ctx, r.call.Account, r.call.Key)
@@ -43,6 +53,7 @@
 				return answer, err
 			}
 			// The agent never runs that id.
+			r.dead = found.Call
 			if r.attempts > 0 && !r.spend(ctx) {
 				return berylanswer.Answer{}, err
 			}
@@ -65,20 +76,6 @@
 	return berylerror.NotRun
 }
 
-// refused returns the outcome of a call that was refused with err before its key
-// was looked up. If the key is bound to a call, an earlier request with it may
-// have run, so that kind NotRun would be wrong.
-func (e *Entry) refused(ctx context.Context, call berylcall.Call, err error) (berylanswer.Answer, error) {
-	if !recorded(call) || berylerror.Of(err) != berylerror.NotRun {
-		return berylanswer.Answer{}, err
-	}
-	found, lost := e.lookUp(context.WithoutCancel(ctx), call.Account, call.Key)
-	if lost != nil || !found.ok {
-		return berylanswer.Answer{}, err
-	}
-	return berylanswer.Answer{ID: found.Call}, berylerror.Unknown.Wrap(err, "it is not known whether an earlier request with the key ran")
-}
-
 // spend takes one retry from the account's budget.
 func (r *run) spend(ctx context.Context) bool {
 	if ctx.Err() != nil || r.attempts >= _maxAttempts || !r.e.budget.Spend(r.call.Account) {
@@ -123,6 +120,7 @@
 	// The intent may be in the log, and a retry at another entry may dispatch
 	// it. A tombstone makes "not run" true.
 	if r.e.tombstone(context.WithoutCancel(ctx), pick.Addr, id, r.call.Account) {
+		r.dead = id
 		return berylanswer.Answer{}, berylerror.NotRun.Wrap(err, "record call")
 	}
 	return berylanswer.Answer{ID: id}, berylerror.Unknown.Wrap(err, "record call")
--- a/berylentry/peers.go
+++ b/berylentry/peers.go
@@ -28,6 +28,7 @@
 	berylrpc.Handle(s, berylmessage.MethodBeat, e.onBeat)
 	berylrpc.Handle(s, berylmessage.MethodConfig, e.onConfig)
 	berylrpc.Handle(s, berylmessage.MethodPeek, e.onPeek)
+	berylrpc.Handle(s, berylmessage.MethodKey, e.onKey)
 	return s
 }
 
--- a/berylmessage/message.go
+++ b/berylmessage/message.go
@@ -22,6 +22,8 @@
 	MethodConfig Method = "config"
 	// MethodPeek asks an entry what it knows of the log.
 	MethodPeek Method = "peek"
+	// MethodKey asks an entry whether it knows of requests with a key.
+	MethodKey Method = "key"
 	// MethodRun runs a call on an agent.
 	MethodRun Method = "run"
 	// MethodFind asks an agent for the answer to a call.
@@ -156,6 +158,23 @@
 	Term      int64 `cbor:"t"`
 }
 
+// Key asks an entry about the idempotency key of an account.
+type Key struct {
+	Account string `cbor:"a"`
+	Key     string `cbor:"k"`
+}
+
+// KeyReply says what an entry knows of a key.
+type KeyReply struct {
+	// Call is the id that the key is bound to; empty if none is known.
+	Call string `cbor:"c,omitempty"`
+	// Busy is set while the entry works on a request with the key.
+	Busy bool `cbor:"b,omitempty"`
+	// Read is set once the entry has read stream calls to its end, so that it
+	// knows every key that was bound before its process started.
+	Read bool `cbor:"r,omitempty"`
+}
+
 // Run asks an agent to run a call.
 type Run struct {
 	Call berylcall.Call `cbor:"c"`
--- a/berylscript/faults_test.go
+++ b/berylscript/faults_test.go
@@ -107,7 +107,7 @@
 // processesKey finds the system of a script.
 type processesKey struct{}
 
-// system is the processes and the callers of one script.
+// processes are the processes and the callers of one script.
 type processes struct {
 	processes map[string]*child
 	callers   *callers
@@ -591,6 +591,8 @@
 		return "error without a clear kind"
 	case last.err != nil && len(last.answer.Body) > 0:
 		return fmt.Sprintf("error with an answer %q", last.answer.Body)
+	case ran != 0 && berylerror.Of(last.err) == berylerror.NotRun && !unsent(last.err):
+		return "last refused as not run, but the body ran"
 	case ran != 0 && !slices.ContainsFunc(o.attempts, func(a attempt) bool { return berylerror.Of(a.err) != berylerror.NotRun }):
 		return "every request was refused as not run, but the body ran"
 	case steady && last.err != nil:
--- a/berylstandrunner/limit_test.go
+++ b/berylstandrunner/limit_test.go
@@ -16,7 +16,7 @@
 	is := is.New(t)
 	s := New(Settings{Slots: 1})
 	s.ledger.Running = _maxRunning
-	req := httptest.NewRequest("POST", "/work", http.NoBody)
+	req := httptest.NewRequest(http.MethodPost, "/work", http.NoBody)
 	req.Header.Set(berylrunner.HeaderID, "i")
 	w := httptest.NewRecorder()
 	s.ServeHTTP(w, req)
--- a/beryltail/tail.go
+++ b/beryltail/tail.go
@@ -88,7 +88,9 @@
 	stream string
 	clock  berylclock.Clock
 	wait   time.Duration
-	handle func(Event)
+	// caughtUp is set once a read has reached the end of the stream.
+	caughtUp bool
+	handle   func(Event)
 
 	next  int64
 	known map[key]struct{}
@@ -145,7 +147,13 @@
 // readOnce reads one batch and hands on the result.
 func (t *Tail) readOnce(ctx context.Context) error {
 	began := t.clock()
-	b, err := t.log.Read(ctx, t.stream, t.next, t.wait)
+	wait := t.wait
+	if !t.caughtUp {
+		// A reader that starts on an idle stream has to know soon that there is
+		// nothing to read.
+		wait = 0
+	}
+	b, err := t.log.Read(ctx, t.stream, t.next, wait)
 	if err == nil {
 		err = t.check(b)
 	}
@@ -166,6 +174,7 @@
 		}
 	}
 	read.Upto = t.next - 1
+	t.caughtUp = t.caughtUp || read.CaughtUp()
 	t.handle(read)
 	return nil
 }
--- a/beryltail/tail_test.go
+++ b/beryltail/tail_test.go
@@ -162,3 +162,29 @@
 	is.Equal(len(tail.known), 5)
 	is.Equal(len(tail.order), 5)
 }
+
+// Guards against a reader of an idle stream that learns only after a whole long
+// poll that there is nothing to read.
+func TestFirstReadDoesNotWait(t *testing.T) {
+	is := is.New(t)
+	l, err := berylstandlog.New(berylstandlog.Settings{}, berylclock.System())
+	is.NoErr(err)
+	srv := httptest.NewServer(l)
+	defer srv.Close()
+	c := beryllog.NewClient(srv.URL, "test")
+	defer c.Close()
+	events := make(chan Event, 10)
+	tail := New(c, "s", berylclock.System(), time.Minute, func(e Event) { events <- e })
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- tail.Run(ctx) }()
+	select {
+	case e := <-events:
+		r, ok := e.(Read)
+		is.True(ok && r.CaughtUp())
+	case <-time.After(10 * time.Second):
+		t.Error("no read within 10 s")
+	}
+	cancel()
+	is.NoErr(<-done)
+}
--- a/berylworker/fuzz_test.go
+++ b/berylworker/fuzz_test.go
@@ -2,8 +2,7 @@
 
 import (
 	"bytes"
-	"io"
-	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -11,10 +10,6 @@
 	"berylglade/berylerror"
 )
 
-func response(status int, body []byte) *http.Response {
-	return &http.Response{StatusCode: status, Body: io.NopCloser(bytes.NewReader(body))}
-}
-
 // FuzzReply guards against panics, errors without a kind, and a reply that
 // claims that its request was never sent.
 func FuzzReply(f *testing.F) {
@@ -24,7 +19,7 @@
 	f.Add(503, []byte(`{"kind":"notrun"}`))
 	f.Fuzz(func(t *testing.T, status int, body []byte) {
 		for _, out := range []any{nil, &List{}, &Usage{}} {
-			err := decode(response(status, body), out)
+			err := decode(status, bytes.NewReader(body), out)
 			if err == nil && (status < 200 || status > 299) {
 				t.Fatalf("status %d is taken for success", status)
 			}
@@ -54,7 +49,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			err := decode(response(tt.status, []byte(tt.body)), nil)
+			err := decode(tt.status, strings.NewReader(tt.body), nil)
 			if tt.want == 0 {
 				is.NoErr(err)
 				return
--- a/berylworker/worker.go
+++ b/berylworker/worker.go
@@ -229,18 +229,18 @@
 		return berylerror.Unknown.Wrap(err, "send to worker")
 	}
 	defer resp.Body.Close()
-	return decode(resp, out)
+	return decode(resp.StatusCode, resp.Body, out)
 }
 
-func decode(resp *http.Response, out any) error {
-	text, err := io.ReadAll(io.LimitReader(resp.Body, _maxAnswer))
+func decode(status int, body io.Reader, out any) error {
+	text, err := io.ReadAll(io.LimitReader(body, _maxAnswer))
 	if err != nil {
 		return berylerror.Unknown.Wrap(err, "read answer of worker")
 	}
-	if !succeeded(resp.StatusCode) {
+	if !succeeded(status) {
 		var p Problem
 		if json.Unmarshal(text, &p) != nil || p.Kind == "" {
-			return berylerror.Unknown.Errorf("worker answered with status %d", resp.StatusCode)
+			return berylerror.Unknown.Errorf("worker answered with status %d", status)
 		}
 		return problemKind(p.Kind).Errorf("worker: %s", p.Text)
 	}
