berylentry: count the log as out of reach after 1 s

Cause: the scenario log-down failed once with the race detector, as an agent's confirmation was 3.045 s old before the unanimous report reached it: 2 s until the entries counted the log as out of reach, a round of Peek and a heartbeat. Also calls the renamed command of the call scenarios, which broke leave.

--- a/berylentry/stream.go
+++ b/berylentry/stream.go
@@ -23,8 +23,9 @@
 )
 
 // _outageAfter is the time without a successful read after which a stream
-// counts as out of reach.
-const _outageAfter = 2 * time.Second
+// counts as out of reach. The unanimous report and one heartbeat have to follow
+// within the 3 s for which a confirmation allows starts.
+const _outageAfter = time.Second
 
 // stream is the entry's reader and writer of one stream of the log.
 type stream struct {
--- a/berylscript/faults_test.go
+++ b/berylscript/faults_test.go
@@ -232,7 +232,7 @@
 func term(ts *testscript.TestScript, _ bool, args []string) {
 	for _, name := range args {
 		signalChild(syscall.SIGTERM)(ts, false, []string{name})
-		ended(ts, false, []string{name})
+		endedChild(ts, false, []string{name})
 	}
 }
 
