--- a/berylapi/api.go
+++ b/berylapi/api.go
@@ -54,6 +54,10 @@
 	_writeTimeout = 30 * time.Second
 	// _maxKey bounds an idempotency key.
 	_maxKey = 256
+	// _configWait is how long a request waits for the first configuration of
+	// an entry that has just started, and _configPoll how often it looks.
+	_configWait = 2 * time.Second
+	_configPoll = 10 * time.Millisecond
 )
 
 // Headers of the API.
@@ -208,8 +212,8 @@
 			writeError(w, "", berylerror.Denied.Errorf("headers Authorization with a bearer token and %s are needed", HeaderAccount))
 			return
 		}
-		cfg := a.entry.Config()
-		if cfg.Offset == 0 && len(cfg.Accounts) == 0 {
+		cfg := a.awaitConfig(r.Context())
+		if unset(cfg) {
 			writeError(w, "", unconfigured(r))
 			return
 		}
@@ -222,6 +226,31 @@
 	}
 }
 
+// awaitConfig returns the configuration. An entry that has just started has it
+// within milliseconds, and callers need not be refused for that.
+func (a *API) awaitConfig(ctx context.Context) *berylconfig.Config {
+	cfg := a.entry.Config()
+	if !unset(cfg) {
+		return cfg
+	}
+	ctx, cancel := context.WithTimeout(ctx, _configWait)
+	defer cancel()
+	t := time.NewTicker(_configPoll)
+	defer t.Stop()
+	for unset(cfg) {
+		select {
+		case <-t.C:
+			cfg = a.entry.Config()
+		case <-ctx.Done():
+			return cfg
+		}
+	}
+	return cfg
+}
+
+// unset reports whether no configuration has been read yet.
+func unset(cfg *berylconfig.Config) bool { return cfg.Offset == 0 && len(cfg.Accounts) == 0 }
+
 // unconfigured returns the refusal of an entry that has no configuration, for
 // example since it has just started. It can't tell whether the account exists,
 // nor whether an earlier request with the same key ran.
--- a/berylapi/api_test.go
+++ b/berylapi/api_test.go
@@ -316,7 +316,8 @@
 		{method: "DELETE", path: "/v1/jobs/j", want: berylerror.Unavailable},
 	}
 	for _, tt := range tests {
-		t.Run(tt.method+" "+tt.path, func(t *testing.T) {
+		t.Run(tt.method+" "+tt.path+tt.key, func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			f := &fakeEntry{starting: true}
 			resp, e := send(f, tt.method, tt.path, strings.NewReader("x"), HeaderKey, tt.key)
