--- a/berylguarantee/claim.go
+++ b/berylguarantee/claim.go
@@ -52,14 +52,6 @@
 	return nil
 }
 
-// Covers reports whether a guarantee of the account has enough units for a gang,
-// whatever is running on them.
-func (g *Guarantee) Covers(gang Gang) bool {
-	return slices.ContainsFunc(g.promises, func(p *promise) bool {
-		return p.account == gang.Account && p.covers(gang)
-	})
-}
-
 func (p *promise) covers(gang Gang) bool {
 	have := 0
 	for _, u := range p.units {
--- a/berylplacement/find.go
+++ b/berylplacement/find.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"container/heap"
-	"math"
 
 	"berylglade/beryladjacency"
 	"berylglade/berylshape"
@@ -401,23 +400,3 @@
 	c, _ = f.candidate(c.worker, n)
 	return c
 }
-
-// Spread returns the share of the protected shapes' units that are placeable on
-// free capacity, compared with the same free capacity in one piece. One means no
-// fragmentation.
-func (p *Placement) Spread() float64 {
-	var placeable, whole float64
-	for _, s := range p.Protect {
-		var sum berylshape.Shape
-		for i := range p.workers {
-			free := p.workers[i].free()
-			placeable += float64(s.Shape.Count(free))
-			sum = sum.Add(free)
-		}
-		whole += float64(s.Shape.Count(sum))
-	}
-	if whole == 0 {
-		return 1
-	}
-	return math.Min(placeable/whole, 1)
-}
--- a/berylquarantine/quarantine.go
+++ b/berylquarantine/quarantine.go
@@ -180,15 +180,6 @@
 // jobs that a bad worker failed end well elsewhere.
 func (q *Quarantine) Forget(job string) { delete(q.jobs, job) }
 
-// ForgetWorker drops a worker that was replaced or is gone.
-func (q *Quarantine) ForgetWorker(worker string) {
-	q.init()
-	for j := range q.workers[worker] {
-		q.remove(j, worker)
-	}
-	delete(q.bad, worker)
-}
-
 // Quarantined reports whether a worker is quarantined.
 func (q *Quarantine) Quarantined(worker string) bool {
 	_, ok := q.bad[worker]
--- a/berylscheduler/event.go
+++ b/berylscheduler/event.go
@@ -2,9 +2,9 @@
 //
 // The owner passes every change to [Scheduler.Handle] as an [Event] and asks
 // [Scheduler.Decide] for the next actions. The scheduler reads no clock, does
-// no I/O and starts no goroutine: the current time is an argument, and random
-// choices come from the seed. It combines the smaller deciding packages: queue,
-// guarantee, placement, estimator and quarantine.
+// no I/O, starts no goroutine and makes no random choice: the same events at the
+// same times give the same actions. It combines the smaller deciding packages:
+// queue, guarantee, placement, estimator and quarantine.
 package berylscheduler
 
 import (
