berylscript: set the three groups of scenarios up in one place

Cause: the set-up of a script (limit of systems, ports, accounts) stood three times, once for each group of scenarios. No command, script or check changed.

--- a/berylscript/control_test.go
+++ b/berylscript/control_test.go
@@ -62,49 +62,36 @@
 //	keyed PREFIX         see keyed
 //	appends              see appends
 func TestControl(t *testing.T) {
-	h := &helper{running: make(chan struct{}, _systems)}
-	h.next.Store(int64(rand.IntN(100)))
-	testscript.Run(t, testscript.Params{
-		Dir:                 "testdata/control",
-		RequireExplicitExec: true,
-		RequireUniqueNames:  true,
-		Setup: func(env *testscript.Env) error {
-			h.running <- struct{}{}
-			env.Defer(func() { <-h.running })
-			env.Setenv("BERYLGLADE_ACCOUNT", "demo")
-			env.Setenv("BERYLGLADE_TOKEN", "demo-token")
-			env.Setenv("BERYLGLADE_OPERATOR_TOKEN", "operator-token")
-			s := &system{running: map[string]*exec.Cmd{}, replaced: map[string]bool{}}
-			env.Values[systemKey{}] = s
-			env.Defer(s.kill)
-			return nil
-		},
-		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
-			"fleet":    h.fleet,
-			"ready":    h.ready,
-			"until":    h.until,
-			"same":     h.same,
-			"code":     h.code,
-			"set":      h.set,
-			"start":    start,
-			"signal":   signal,
-			"leader":   leader,
-			"deposed":  deposed,
-			"roles":    roles,
-			"moment":   moment,
-			"gangs":    gangs,
-			"halted":   halted,
-			"ended":    ended,
-			"attempts": attempts,
-			"faults":   faults,
-			"out":      out,
-			"publish":  publish,
-			"inforce":  inforce,
-			"race":     race,
-			"outage":   outage,
-			"keyed":    keyed,
-			"appends":  appends,
-		},
+	h := newHelper(_systems)
+	h.run(t, "testdata/control", func(env *testscript.Env) {
+		s := &system{running: map[string]*exec.Cmd{}, replaced: map[string]bool{}}
+		env.Values[systemKey{}] = s
+		env.Defer(s.kill)
+	}, commands{
+		"fleet":    h.fleet,
+		"ready":    h.ready,
+		"until":    h.until,
+		"same":     h.same,
+		"code":     h.code,
+		"set":      h.set,
+		"start":    start,
+		"signal":   signal,
+		"leader":   leader,
+		"deposed":  deposed,
+		"roles":    roles,
+		"moment":   moment,
+		"gangs":    gangs,
+		"halted":   halted,
+		"ended":    ended,
+		"attempts": attempts,
+		"faults":   faults,
+		"out":      out,
+		"publish":  publish,
+		"inforce":  inforce,
+		"race":     race,
+		"outage":   outage,
+		"keyed":    keyed,
+		"appends":  appends,
 	})
 }
 
--- a/berylscript/faults_test.go
+++ b/berylscript/faults_test.go
@@ -63,44 +63,31 @@
 //	                 kind
 //	held N           waits for the call N and fails unless its answer is right
 func TestFaults(t *testing.T) {
-	h := &helper{running: make(chan struct{}, 1)}
-	h.next.Store(int64(rand.IntN(100)))
-	testscript.Run(t, testscript.Params{
-		Dir:                 "testdata/faults",
-		RequireExplicitExec: true,
-		RequireUniqueNames:  true,
-		Setup: func(env *testscript.Env) error {
-			h.running <- struct{}{}
-			env.Defer(func() { <-h.running })
-			env.Setenv("BERYLGLADE_ACCOUNT", "demo")
-			env.Setenv("BERYLGLADE_TOKEN", "demo-token")
-			env.Setenv("BERYLGLADE_OPERATOR_TOKEN", "operator-token")
-			s := &processes{processes: map[string]*child{}, held: map[string]chan error{}}
-			env.Values[processesKey{}] = s
-			env.Defer(s.close)
-			return nil
-		},
-		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
-			"fleet":    h.fleet,
-			"until":    h.until,
-			"boot":     boot,
-			"start":    startChildren,
-			"crash":    signalChild(syscall.SIGKILL),
-			"freeze":   signalChild(syscall.SIGSTOP),
-			"thaw":     signalChild(syscall.SIGCONT),
-			"begin":    signalChild(syscall.SIGTERM),
-			"term":     term,
-			"ended":    endedChild,
-			"faults":   setFaults,
-			"state":    state,
-			"load":     startLoad,
-			"answered": answered,
-			"check":    check,
-			"hold":     hold,
-			"held":     held,
-			"quiet":    quiet,
-			"keyed":    keyedCall,
-		},
+	h := newHelper(1)
+	h.run(t, "testdata/faults", func(env *testscript.Env) {
+		s := &processes{processes: map[string]*child{}, held: map[string]chan error{}}
+		env.Values[processesKey{}] = s
+		env.Defer(s.close)
+	}, commands{
+		"fleet":    h.fleet,
+		"until":    h.until,
+		"boot":     boot,
+		"start":    startChildren,
+		"crash":    signalChild(syscall.SIGKILL),
+		"freeze":   signalChild(syscall.SIGSTOP),
+		"thaw":     signalChild(syscall.SIGCONT),
+		"begin":    signalChild(syscall.SIGTERM),
+		"term":     term,
+		"ended":    endedChild,
+		"faults":   setFaults,
+		"state":    state,
+		"load":     startLoad,
+		"answered": answered,
+		"check":    check,
+		"hold":     hold,
+		"held":     held,
+		"quiet":    quiet,
+		"keyed":    keyedCall,
 	})
 }
 
--- a/berylscript/script_test.go
+++ b/berylscript/script_test.go
@@ -62,10 +62,27 @@
 }
 
 func TestScripts(t *testing.T) {
-	h := &helper{running: make(chan struct{}, _systems)}
-	h.next.Store(int64(rand.IntN(100)))
+	h := newHelper(_systems)
+	h.run(t, "testdata", func(*testscript.Env) {}, commands{
+		"fleet":  h.fleet,
+		"ready":  h.ready,
+		"until":  h.until,
+		"same":   h.same,
+		"code":   h.code,
+		"set":    h.set,
+		"busy":   h.busy,
+		"closed": h.closed,
+	})
+}
+
+// commands are the commands of a group of scripts by name.
+type commands map[string]func(ts *testscript.TestScript, neg bool, args []string)
+
+// run runs the scripts of a folder as the development system's client account
+// and operator. The setup adds what a group needs besides.
+func (h *helper) run(t *testing.T, dir string, setup func(*testscript.Env), cmds commands) {
 	testscript.Run(t, testscript.Params{
-		Dir:                 "testdata",
+		Dir:                 dir,
 		RequireExplicitExec: true,
 		RequireUniqueNames:  true,
 		Setup: func(env *testscript.Env) error {
@@ -74,21 +91,21 @@
 			env.Setenv("BERYLGLADE_ACCOUNT", "demo")
 			env.Setenv("BERYLGLADE_TOKEN", "demo-token")
 			env.Setenv("BERYLGLADE_OPERATOR_TOKEN", "operator-token")
+			setup(env)
 			return nil
 		},
-		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
-			"fleet":  h.fleet,
-			"ready":  h.ready,
-			"until":  h.until,
-			"same":   h.same,
-			"code":   h.code,
-			"set":    h.set,
-			"busy":   h.busy,
-			"closed": h.closed,
-		},
+		Cmds: cmds,
 	})
 }
 
+// newHelper returns the commands for at most the given number of systems at one
+// time.
+func newHelper(systems int) *helper {
+	h := &helper{running: make(chan struct{}, systems)}
+	h.next.Store(int64(rand.IntN(100)))
+	return h
+}
+
 // helper has the commands.
 type helper struct {
 	// running bounds the number of scripts at one time.
