--- /dev/null
+++ b/beryldirector/director.go
@@ -0,0 +1,271 @@
+// Package beryldirector decides, for the one entry that leads, which task runs
+// where.
+//
+// A [Director] is a state machine without input and output. The entry hands it
+// events in the order in which they happen: records of the store's topic,
+// reports of agents, outcomes of appends and the passing of time. It collects
+// [Effect] values, which the entry carries out: appends to the topic, claims to
+// lead, and orders to agents.
+//
+// Two rules keep tasks from running twice. A start is ordered only after the
+// record of it is in the topic, and a task is given another run only when the
+// last one is known to be over: its end was listed, the backend server confirmed
+// that it never starts, the backend server was born again, or its lease must
+// have run out.
+package beryldirector
+
+import (
+	"time"
+
+	"berylglade/berylbook"
+	"berylglade/berylpolicy"
+	"berylglade/berylstore"
+)
+
+// Limits are the times that the director works with.
+type Limits struct {
+	// Lost is how long after the last contact nothing can run on a backend
+	// server any more.
+	Lost time.Duration
+	// Takeover is how long a leader may be silent in the topic.
+	Takeover time.Duration
+	// Sure is how long after the start of its last successful append a leader
+	// may take itself for the leader; below Takeover.
+	Sure time.Duration
+	// Gang is how long the first member of a gang waits for the others.
+	Gang time.Duration
+	// Kept is how long an ended job is shown.
+	Kept time.Duration
+}
+
+// Self is what the entry tells others of itself.
+type Self struct {
+	Node string
+	Boot int64
+	Addr string
+}
+
+// Effect is something for the entry to do.
+type Effect interface{ effect() }
+
+// Persist asks for an append of the leader's records. One is outstanding at a
+// time; its outcome comes back as Committed or Deposed.
+type Persist struct {
+	Epoch   int64
+	Records []berylstore.Record
+}
+
+// Claim asks for an append that succeeds only if the topic ends at At.
+type Claim struct {
+	At    int64
+	Claim berylbook.Claim
+}
+
+// Reload asks for the book to be read from the topic again, as it may hold
+// changes that were never recorded.
+type Reload struct{}
+
+// Note is a line for the log: a decision and what it was made from.
+type Note struct {
+	Text string
+	// Args are alternating names and values.
+	Args []any
+}
+
+func (Persist) effect() {}
+func (Claim) effect()   {}
+func (Reload) effect()  {}
+func (Note) effect()    {}
+
+// Director is the state machine. It has one owner.
+type Director struct {
+	Limits Limits
+	Self   Self
+	Book   berylbook.Book
+	Policy *berylpolicy.Policy
+
+	// retired means that the process stops and never claims again.
+	retired bool
+	epoch   int64
+	members map[string]*member
+	effects []Effect
+
+	// Jobs whose state differs from the topic, and those in the outstanding
+	// append.
+	dirty   map[string]bool
+	flight  map[string]bool
+	flying  bool
+	flewAt  time.Time
+	sureAt  time.Time
+	leadAt  time.Time
+	heardAt time.Time
+	readAt  time.Time
+	triedAt time.Time
+	end     int64
+
+	ordered map[orderKey]time.Time
+	ready   map[string]time.Time
+	speed   map[string]float64
+}
+
+// New returns a director that does not lead.
+func New(self Self, limits Limits) *Director {
+	return &Director{
+		Self:    self,
+		Limits:  limits,
+		members: map[string]*member{},
+		dirty:   map[string]bool{},
+		flight:  map[string]bool{},
+		ordered: map[orderKey]time.Time{},
+		ready:   map[string]time.Time{},
+		speed:   map[string]float64{},
+	}
+}
+
+// Leading reports whether this entry leads as far as it knows.
+func (d *Director) Leading() bool { return d.epoch != 0 }
+
+// Effects returns what is to be done and forgets it.
+func (d *Director) Effects() []Effect {
+	out := d.effects
+	d.effects = nil
+	return out
+}
+
+func (d *Director) note(text string, args ...any) {
+	d.effects = append(d.effects, Note{Text: text, Args: args})
+}
+
+// Read folds records of the topic in. End is the topic's end at the reply to the
+// read; an empty read tells that nothing has changed.
+func (d *Director) Read(now time.Time, records []berylstore.Record, end int64) {
+	d.readAt = now
+	d.end = end
+	for _, r := range records {
+		before := d.Book.Claim
+		id := d.Book.Apply(r, d.epoch)
+		if d.Book.Claim != before || d.fromLeader(r) {
+			d.heardAt = now
+		}
+		if d.Book.Claim != before {
+			d.claimChanged(now)
+		}
+		if id != "" {
+			d.touched(now, id)
+		}
+	}
+}
+
+// touched reacts to a change of a job that came from the topic.
+func (d *Director) touched(now time.Time, id string) {
+	j := d.Book.Jobs[id]
+	if j == nil {
+		delete(d.dirty, id)
+		return
+	}
+	if d.Leading() && j.Cancelled != 0 && !j.State.Final() {
+		d.stopJob(j, "cancelled")
+		d.settle(now, j)
+	}
+}
+
+// Committed tells that the outstanding append is in the topic.
+func (d *Director) Committed(now time.Time) {
+	d.flying = false
+	d.sureAt = d.flewAt
+	clear(d.flight)
+	d.flush(now)
+}
+
+// Deposed tells that another entry has claimed to lead.
+func (d *Director) Deposed() {
+	d.note("deposed", "epoch", d.epoch, "claim", d.Book.Claim.Epoch, "leader", d.Book.Claim.Node)
+	d.epoch = 0
+	d.flying = false
+	clear(d.dirty)
+	clear(d.flight)
+	clear(d.ordered)
+	clear(d.members)
+	d.effects = append(d.effects, Reload{})
+}
+
+// Restore replaces the book with one read from the topic.
+func (d *Director) Restore(now time.Time, book berylbook.Book, end int64) {
+	d.Book = book
+	d.end = end
+	d.readAt = now
+	d.heardAt = now
+}
+
+func (d *Director) mark(id string) { d.dirty[id] = true }
+
+// clean reports whether the topic has all that is known of the job.
+func (d *Director) clean(id string) bool { return !d.dirty[id] && !d.flight[id] }
+
+// flush appends the changed jobs, or renews the claim, unless an append is
+// outstanding.
+func (d *Director) flush(now time.Time) {
+	if !d.Leading() || d.flying {
+		return
+	}
+	renew := now.Sub(d.flewAt) > _renew
+	if len(d.dirty) == 0 && !renew {
+		return
+	}
+	var records []berylstore.Record
+	for id := range d.dirty {
+		j := d.Book.Jobs[id]
+		if j == nil {
+			continue
+		}
+		r, err := j.Record(d.epoch)
+		if err != nil {
+			d.note("progress can't be encoded", "job", id, "err", err)
+			continue
+		}
+		records = append(records, r)
+		d.flight[id] = true
+	}
+	clear(d.dirty)
+	if renew {
+		records = append(records, d.renewal()...)
+		records = append(records, d.expired(now)...)
+	}
+	d.flying = true
+	d.flewAt = now
+	d.effects = append(d.effects, Persist{Epoch: d.epoch, Records: records})
+}
+
+// expired returns records that remove jobs which ended long ago.
+func (d *Director) expired(now time.Time) []berylstore.Record {
+	var records []berylstore.Record
+	limit := now.Add(-d.Limits.Kept).UnixMilli()
+	for id, j := range d.Book.Jobs {
+		if j.State.Final() && j.Ended < limit && !j.Active() {
+			records = append(records, berylbook.Removal(id)...)
+		}
+		if len(records) > _removals {
+			break
+		}
+	}
+	return records
+}
+
+// Step lets time pass: claims, deadlines, placement, and the records of all
+// that has changed.
+func (d *Director) Step(now time.Time) {
+	if !d.Leading() {
+		d.campaign(now)
+		return
+	}
+	d.expire(now)
+	d.place(now)
+	d.flush(now)
+}
+
+const (
+	// _renew is how often an idle leader appends; Takeover covers several.
+	_renew = 600 * time.Millisecond
+	// _removals bounds the records of ended jobs removed by one append.
+	_removals = 300
+)
--- /dev/null
+++ b/beryldirector/election.go
@@ -0,0 +1,127 @@
+package beryldirector
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"berylglade/berylbook"
+	"berylglade/berylstore"
+)
+
+const (
+	// _fresh is how old the last read may be for a claim: an entry that can't
+	// read the topic can't tell a silent leader from its own deafness.
+	_fresh = time.Second
+	// _retryClaim is the pause after a claim without a known outcome.
+	_retryClaim = 500 * time.Millisecond
+	// _spacing keeps entries from claiming at the same moment.
+	_spacing = 120 * time.Millisecond
+	// _places is the number of different waiting times.
+	_places = 5
+)
+
+// fromLeader reports whether only the current leader can have written r.
+func (d *Director) fromLeader(r berylstore.Record) bool {
+	return r.Key == "leader" || strings.HasPrefix(r.Key, "s/")
+}
+
+// claimChanged follows a new claim in the topic.
+func (d *Director) claimChanged(now time.Time) {
+	c := d.Book.Claim
+	mine := c.Node == d.Self.Node && c.Boot == d.Self.Boot
+	switch {
+	case mine && !c.Resigned && c.Epoch > d.epoch:
+		d.epoch = c.Epoch
+		d.leadAt = now
+		d.sureAt = d.triedAt
+		d.flewAt = now
+		d.flying = false
+		d.note("leading", "epoch", d.epoch, "jobs", len(d.Book.Jobs))
+		d.takeUp(now)
+	case !mine && d.Leading() && c.Epoch > d.epoch:
+		d.Deposed()
+	}
+}
+
+// takeUp settles the jobs that changed while nobody led.
+func (d *Director) takeUp(now time.Time) {
+	for _, j := range d.Book.Jobs {
+		if j.State.Final() {
+			continue
+		}
+		if j.Cancelled != 0 {
+			d.stopJob(j, "cancelled")
+		}
+		d.settle(now, j)
+	}
+}
+
+// campaign claims to lead if the leader is silent or has resigned.
+func (d *Director) campaign(now time.Time) {
+	if d.retired || now.Sub(d.readAt) > _fresh || now.Sub(d.triedAt) < _retryClaim {
+		return
+	}
+	c := d.Book.Claim
+	wait := d.delay(c.Epoch)
+	if c.Epoch > 0 && !c.Resigned && c.Node != d.Self.Node {
+		wait += d.Limits.Takeover
+	}
+	if c.Node == d.Self.Node && c.Boot != d.Self.Boot {
+		// Our own earlier process led; its orders are fenced like any other's.
+		wait = 0
+	}
+	if now.Sub(d.heardAt) < wait {
+		return
+	}
+	d.triedAt = now
+	d.note("claim", "epoch", c.Epoch+1, "previous", c.Node, "silence", now.Sub(d.heardAt).Milliseconds(), "end", d.end)
+	d.effects = append(d.effects, Claim{At: d.end, Claim: berylbook.Claim{
+		Epoch: c.Epoch + 1, Node: d.Self.Node, Boot: d.Self.Boot, Addr: d.Self.Addr,
+	}})
+}
+
+// delay spreads the claims of the entries; the order changes with each epoch.
+func (d *Director) delay(epoch int64) time.Duration {
+	h := xxhash.Sum64String(d.Self.Node + "/" + strconv.FormatInt(epoch, 10))
+	return time.Duration(h%_places) * _spacing
+}
+
+func (d *Director) renewal() []berylstore.Record {
+	c := d.Book.Claim
+	r, err := c.Record()
+	if err != nil {
+		d.note("claim can't be encoded", "err", err)
+		return nil
+	}
+	return []berylstore.Record{r}
+}
+
+// Resign gives the lead up and returns the record that says so, if this entry
+// leads. The caller appends it after the outstanding append.
+func (d *Director) Resign() (Persist, bool) {
+	d.retired = true
+	if !d.Leading() {
+		return Persist{}, false
+	}
+	c := d.Book.Claim
+	c.Resigned = true
+	r, err := c.Record()
+	if err != nil {
+		return Persist{}, false
+	}
+	epoch := d.epoch
+	d.note("resigned", "epoch", epoch)
+	d.Deposed()
+	return Persist{Epoch: epoch, Records: []berylstore.Record{r}}, true
+}
+
+// sure reports whether no other entry can have taken the lead over yet.
+func (d *Director) sure(now time.Time) bool {
+	return d.Leading() && now.Sub(d.sureAt) < d.Limits.Sure
+}
+
+// Epoch returns the epoch under which this entry leads, or zero.
+func (d *Director) Epoch() int64 { return d.epoch }
--- /dev/null
+++ b/beryldirector/place.go
@@ -0,0 +1,364 @@
+package beryldirector
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+
+	"berylglade/berylbook"
+	"berylglade/berylfit"
+	"berylglade/berylpolicy"
+	"berylglade/berylwork"
+)
+
+func itoa(n int) string { return strconv.Itoa(n) }
+
+// unit is what is placed together: a task, or all tasks of a gang.
+type unit struct {
+	job        *berylbook.Job
+	queue      berylpolicy.Queue
+	occurrence int
+	step       int
+	tasks      []int
+	// due is when the job should be complete, for the order among equals.
+	due     time.Time
+	waiting time.Duration
+}
+
+func (u *unit) spec() *berylwork.Step { return &u.job.Work.Steps[u.step] }
+
+func (u *unit) name() string { return unitName(u.job, u.occurrence, u.step, u.tasks[0]) }
+
+func unitName(j *berylbook.Job, occurrence, step, index int) string {
+	if j.Work.Steps[step].Gang {
+		index = 0
+	}
+	return berylwork.Ref{Job: j.Work.ID, Occurrence: occurrence, Step: step, Index: index}.String()
+}
+
+// place starts what is ready, the most urgent first.
+func (d *Director) place(now time.Time) {
+	if d.Policy == nil {
+		return
+	}
+	units := d.waitingUnits(now)
+	if len(units) == 0 {
+		return
+	}
+	hosts := map[string][]berylfit.Host{}
+	for i := range units {
+		u := &units[i]
+		service := u.queue.Service
+		if _, ok := hosts[service]; !ok {
+			hosts[service] = d.hosts(now, service)
+		}
+		d.placeUnit(now, u, hosts[service])
+	}
+}
+
+// waitingUnits returns what may start now in the order of its claim to room.
+func (d *Director) waitingUnits(now time.Time) []unit {
+	var units []unit
+	seen := map[string]bool{}
+	for _, j := range d.Book.Jobs {
+		if j.State.Final() || j.Cancelled != 0 {
+			continue
+		}
+		q, ok := d.Policy.Queue(j.Work.Queue)
+		if !ok {
+			continue
+		}
+		units = d.jobUnits(now, j, q, units)
+	}
+	for i := range units {
+		name := units[i].name()
+		seen[name] = true
+		since, ok := d.ready[name]
+		if !ok {
+			since = now
+			d.ready[name] = now
+		}
+		units[i].waiting = now.Sub(since)
+	}
+	for name := range d.ready {
+		if !seen[name] {
+			delete(d.ready, name)
+		}
+	}
+	slices.SortFunc(units, func(a, b unit) int {
+		return cmp.Or(
+			cmp.Compare(a.queue.Priority, b.queue.Priority),
+			a.due.Compare(b.due),
+			cmp.Compare(a.job.Work.ID, b.job.Work.ID),
+			cmp.Compare(a.occurrence, b.occurrence),
+			cmp.Compare(a.step, b.step),
+		)
+	})
+	return units
+}
+
+func (d *Director) jobUnits(now time.Time, j *berylbook.Job, q berylpolicy.Queue, units []unit) []unit {
+	for k := range j.Tasks {
+		if j.Work.Due(k).After(now) {
+			break
+		}
+		due := d.dueOf(j, q, k)
+		for s := range j.Tasks[k] {
+			if !unblocked(j, k, s) {
+				continue
+			}
+			base := unit{job: j, queue: q, occurrence: k, step: s, due: due}
+			units = appendUnits(units, base, j.Tasks[k][s])
+		}
+	}
+	return units
+}
+
+// unblocked reports whether all steps before s have ended.
+func unblocked(j *berylbook.Job, occurrence, s int) bool {
+	for _, before := range j.Work.Steps[s].After {
+		if !j.Finished(occurrence, before) {
+			return false
+		}
+	}
+	return true
+}
+
+func appendUnits(units []unit, base unit, tasks []berylbook.Task) []unit {
+	if base.spec().Gang {
+		for i := range tasks {
+			if tasks[i].Phase != berylbook.Idle {
+				return units
+			}
+			base.tasks = append(base.tasks, i)
+		}
+		return append(units, base)
+	}
+	for i := range tasks {
+		if tasks[i].Phase == berylbook.Idle {
+			u := base
+			u.tasks = []int{i}
+			units = append(units, u)
+		}
+	}
+	return units
+}
+
+// dueOf returns when the occurrence should be complete.
+func (d *Director) dueOf(j *berylbook.Job, q berylpolicy.Queue, occurrence int) time.Time {
+	start := time.UnixMilli(j.Work.Accepted)
+	if j.Work.Times > 0 {
+		start = j.Work.Due(occurrence)
+	}
+	chain := float64(chainOf(j.Work)) * q.Stretch
+	return start.Add(time.Duration(chain)*time.Millisecond + q.Target)
+}
+
+// chainOf returns the declared time of the longest chain of steps, in
+// milliseconds.
+func chainOf(w *berylwork.Work) int64 {
+	longest := int64(0)
+	ends := make([]int64, len(w.Steps))
+	for s := range w.Steps {
+		for _, before := range w.Steps[s].After {
+			if before < s {
+				ends[s] = max(ends[s], ends[before])
+			}
+		}
+		ends[s] += w.Steps[s].Estimate
+		longest = max(longest, ends[s])
+	}
+	return longest
+}
+
+// hosts returns the backend servers of a service that may get work.
+func (d *Director) hosts(now time.Time, service string) []berylfit.Host {
+	held, coming := d.used()
+	victims := d.victims(now)
+	var hosts []berylfit.Host
+	for node, m := range d.members {
+		r := m.last
+		if r.Service != service || r.Place.Instance == "" || r.Draining || r.Silent || r.Lapsed || !r.Looked {
+			continue
+		}
+		if d.Policy.Out[r.Zone] || now.Sub(m.heard) > _quiet || len(m.unknown) > 0 {
+			continue
+		}
+		hosts = append(hosts, berylfit.Host{
+			Node: node, Zone: r.Zone, Rack: m.rack, Labels: r.Labels, Total: r.Room,
+			Free:    r.Room.Sub(held[node]),
+			Coming:  coming[node],
+			Victims: victims[node],
+			Doubt:   d.doubt(now, m),
+		})
+	}
+	slices.SortFunc(hosts, func(a, b berylfit.Host) int { return cmp.Compare(a.Node, b.Node) })
+	return hosts
+}
+
+// doubt fades with time, so that a host that has recovered is tried again.
+func (d *Director) doubt(now time.Time, m *member) float64 {
+	if m.doubt < _doubtMatters || now.Sub(m.doubted) > _doubtFades {
+		return 0
+	}
+	return m.doubt
+}
+
+// victims returns the units of work that priority zero may stop, by node.
+func (d *Director) victims(now time.Time) map[string][]berylfit.Victim {
+	victims := map[string][]berylfit.Victim{}
+	for _, j := range d.Book.Jobs {
+		q, ok := d.Policy.Queue(j.Work.Queue)
+		if !ok || q.Priority == 0 || j.State.Final() {
+			continue
+		}
+		j.Each(func(ref berylwork.Ref, t *berylbook.Task) {
+			if t.Phase != berylbook.Ordered && t.Phase != berylbook.Working {
+				return
+			}
+			victims[t.Place.Node] = append(victims[t.Place.Node], d.victim(now, j, ref, t))
+		})
+	}
+	return victims
+}
+
+func (d *Director) victim(now time.Time, j *berylbook.Job, ref berylwork.Ref, t *berylbook.Task) berylfit.Victim {
+	step := &j.Work.Steps[ref.Step]
+	lost := float64(now.UnixMilli()-t.Since) / 1000
+	if step.Saves {
+		lost = min(lost, _checkpoint.Seconds())
+	}
+	weight := float64(step.Need.Millicores)/1000 + _coresPerAccelerator*float64(step.Need.Accelerators)
+	if step.Gang {
+		weight *= float64(step.Count)
+	}
+	return berylfit.Victim{
+		Unit: unitName(j, ref.Occurrence, ref.Step, ref.Index),
+		Room: step.Room(),
+		Loss: lost * weight,
+	}
+}
+
+func (d *Director) placeUnit(now time.Time, u *unit, hosts []berylfit.Host) {
+	step := u.spec()
+	demand := berylfit.Demand{
+		Count: len(u.tasks), Room: step.Room(), Label: step.Label, Rack: step.Rack,
+		OneRack: step.OneRack, Apart: step.Apart, Present: present(u),
+	}
+	demand.Spread = u.waiting > _rackPatience || !demand.InRack(hosts)
+	if places, ok := demand.Place(hosts); ok {
+		d.start(now, u, hosts, places)
+		return
+	}
+	if places, ok := demand.Awaited(hosts); ok {
+		take(hosts, places, &demand)
+		return
+	}
+	if u.queue.Priority != 0 {
+		return
+	}
+	demand.Spread = true
+	if units, ok := demand.Evict(hosts); ok {
+		d.evict(u, hosts, units)
+		if places, ok := demand.Awaited(hosts); ok {
+			take(hosts, places, &demand)
+		}
+	}
+}
+
+// present counts the tasks of the unit's step on each node.
+func present(u *unit) map[string]int {
+	n := map[string]int{}
+	for _, t := range u.job.Tasks[u.occurrence][u.step] {
+		if t.Phase.Active() {
+			n[t.Place.Node]++
+		}
+	}
+	return n
+}
+
+// take keeps room that a unit waits for from the units after it.
+func take(hosts []berylfit.Host, places []int, demand *berylfit.Demand) {
+	for _, i := range places {
+		hosts[i].Free = hosts[i].Free.Sub(demand.Room)
+	}
+}
+
+// evict stops the units and counts their room as coming.
+func (d *Director) evict(u *unit, hosts []berylfit.Host, units []string) {
+	for _, name := range units {
+		d.note("preempt", "unit", name, "for", u.name(), "waited", u.waiting.Milliseconds())
+		d.stopUnit(name)
+		for i := range hosts {
+			for _, v := range hosts[i].Victims {
+				if v.Unit == name {
+					hosts[i].Coming = hosts[i].Coming.Add(v.Room)
+				}
+			}
+			hosts[i].Victims = slices.DeleteFunc(slices.Clone(hosts[i].Victims), func(v berylfit.Victim) bool { return v.Unit == name })
+		}
+	}
+}
+
+func (d *Director) stopUnit(name string) {
+	ref, ok := berylwork.ParseRef(name)
+	if !ok {
+		return
+	}
+	j, t := d.Book.Task(ref)
+	if t == nil {
+		return
+	}
+	tasks := j.Tasks[ref.Occurrence][ref.Step]
+	if !j.Work.Steps[ref.Step].Gang {
+		tasks = tasks[ref.Index : ref.Index+1]
+	}
+	for i := range tasks {
+		if tasks[i].Phase == berylbook.Ordered || tasks[i].Phase == berylbook.Working {
+			tasks[i].Phase = berylbook.Stopping
+		}
+	}
+	d.mark(j.Work.ID)
+}
+
+// start records a new run of each task of the unit.
+func (d *Director) start(now time.Time, u *unit, hosts []berylfit.Host, places []int) {
+	tasks := u.job.Tasks[u.occurrence][u.step]
+	run := 0
+	for _, i := range u.tasks {
+		run = max(run, tasks[i].Run)
+	}
+	run++
+	nodes := make([]string, 0, len(places))
+	room := u.spec().Room()
+	for n, i := range u.tasks {
+		h := &hosts[places[n]]
+		t := &tasks[i]
+		t.Run = run
+		t.Phase = berylbook.Ordered
+		t.Place = d.members[h.Node].last.Place
+		t.Since = now.UnixMilli()
+		h.Free = h.Free.Sub(room)
+		d.ordered[orderKey{berylwork.Ref{Job: u.job.Work.ID, Occurrence: u.occurrence, Step: u.step, Index: i}, run}] = now
+		nodes = append(nodes, h.Node)
+	}
+	d.mark(u.job.Work.ID)
+	d.note("start", "unit", u.name(), "run", run, "queue", u.queue.Name, "priority", u.queue.Priority,
+		"waited", u.waiting.Milliseconds(), "nodes", nodes, "saved", tasks[u.tasks[0]].Saved != "", "policy", d.Policy.Version)
+}
+
+const (
+	// _quiet is how long an agent may be silent and still get work.
+	_quiet = 1500 * time.Millisecond
+	// _rackPatience is how long a gang waits for one rack with enough room.
+	_rackPatience = 1500 * time.Millisecond
+	// _checkpoint is how often tasks save their progress.
+	_checkpoint = 2 * time.Second
+	// _coresPerAccelerator is the users' price of an accelerator.
+	_coresPerAccelerator = 8.0
+	// _doubtMatters is two failed runs without good ones between them.
+	_doubtMatters = 2.0
+	// _doubtFades is after how long a host in doubt is tried again.
+	_doubtFades = 8 * time.Second
+)
--- /dev/null
+++ b/berylfit/fit.go
@@ -0,0 +1,253 @@
+// Package berylfit chooses backend servers for the tasks of a step.
+//
+// [Demand.Place] finds room that is free now. [Demand.Evict] finds work of less
+// urgent queues whose stop makes room; it answers the load pattern of urgent
+// gangs that arrive while routine work holds every accelerator.
+package berylfit
+
+import (
+	"cmp"
+	"slices"
+
+	"berylglade/berylroom"
+)
+
+// Host is a backend server as a place for tasks.
+type Host struct {
+	Node   string
+	Zone   string
+	Rack   string
+	Labels []string
+	Total  berylroom.Room
+	// Free is what nobody holds and nobody waits for.
+	Free berylroom.Room
+	// Coming is room of runs that are being stopped.
+	Coming berylroom.Room
+	// Victims are the runs that may be stopped for more urgent work.
+	Victims []Victim
+	// Doubt is higher the less the host is trusted: it is slow or failed tasks.
+	Doubt float64
+}
+
+// Victim is a unit of work that can be stopped: a task, or one gang's tasks on
+// this host.
+type Victim struct {
+	// Unit is the same on all hosts that hold tasks of the unit.
+	Unit string
+	Room berylroom.Room
+	// Loss is the work of the whole unit that is thrown away, in core-seconds.
+	Loss float64
+}
+
+// Demand asks for places of Count tasks.
+type Demand struct {
+	Count int
+	Room  berylroom.Room
+	// Label must be among the host's labels; empty for any.
+	Label string
+	// Rack is where the tasks run fastest; empty for any.
+	Rack string
+	// OneRack asks for places in one rack.
+	OneRack bool
+	// Spread permits several racks although OneRack is set.
+	Spread bool
+	// Apart is the most tasks of the step on one host; zero for no limit.
+	Apart int
+	// Present counts the tasks of the step that are on a host already.
+	Present map[string]int
+	// Avoid has hosts that get none of these tasks.
+	Avoid map[string]bool
+}
+
+// May reports whether the host is a place for these tasks at all.
+func (d *Demand) May(h *Host) bool {
+	if d.Avoid[h.Node] {
+		return false
+	}
+	return d.Label == "" || slices.Contains(h.Labels, d.Label)
+}
+
+// count returns how many of the tasks fit into room on h.
+func (d *Demand) count(h *Host, room berylroom.Room) int {
+	if !d.May(h) {
+		return 0
+	}
+	limit := d.Count
+	if d.Apart > 0 {
+		limit = min(limit, d.Apart-d.Present[h.Node])
+	}
+	return d.Room.Count(room, limit)
+}
+
+// Place returns the index of a host for each task, or false if they do not fit
+// now.
+func (d *Demand) Place(hosts []Host) ([]int, bool) {
+	return d.search(hosts, func(h *Host) berylroom.Room { return h.Free })
+}
+
+// Awaited is like Place, with the room of runs that are being stopped.
+func (d *Demand) Awaited(hosts []Host) ([]int, bool) {
+	return d.search(hosts, func(h *Host) berylroom.Room { return h.Free.Add(h.Coming) })
+}
+
+// Ever reports whether the tasks would fit if nothing else ran.
+func (d *Demand) Ever(hosts []Host) bool {
+	any := *d
+	any.Spread = true
+	_, ok := any.search(hosts, func(h *Host) berylroom.Room { return h.Total })
+	return ok
+}
+
+// InRack reports whether the tasks would fit into one rack if nothing else ran.
+func (d *Demand) InRack(hosts []Host) bool {
+	one := *d
+	one.Spread = false
+	_, ok := one.search(hosts, func(h *Host) berylroom.Room { return h.Total })
+	return ok
+}
+
+type roomOf func(h *Host) berylroom.Room
+
+func (d *Demand) search(hosts []Host, room roomOf) ([]int, bool) {
+	if d.OneRack && d.Count > 1 {
+		if places, ok := d.inOneRack(hosts, room); ok {
+			return places, true
+		}
+		if !d.Spread {
+			return nil, false
+		}
+	}
+	return d.fill(hosts, all(hosts), room)
+}
+
+func all(hosts []Host) []int {
+	list := make([]int, len(hosts))
+	for i := range hosts {
+		list[i] = i
+	}
+	return list
+}
+
+// inOneRack tries the rack of the data first, then the racks that keep the least
+// room, so that whole racks stay free for larger gangs.
+func (d *Demand) inOneRack(hosts []Host, room roomOf) ([]int, bool) {
+	racks := map[string][]int{}
+	left := map[string]int{}
+	for i := range hosts {
+		racks[hosts[i].Rack] = append(racks[hosts[i].Rack], i)
+		left[hosts[i].Rack] += room(&hosts[i]).Accelerators
+	}
+	names := make([]string, 0, len(racks))
+	for name := range racks {
+		names = append(names, name)
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(
+			-cmp.Compare(b2i(a == d.Rack && d.Rack != ""), b2i(b == d.Rack && d.Rack != "")),
+			cmp.Compare(left[a], left[b]),
+			cmp.Compare(a, b),
+		)
+	})
+	for _, name := range names {
+		if places, ok := d.fill(hosts, racks[name], room); ok {
+			return places, true
+		}
+	}
+	return nil, false
+}
+
+func b2i(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// fill puts the tasks on as full hosts as possible, those in the rack of the
+// data first and those in doubt last.
+func (d *Demand) fill(hosts []Host, among []int, room roomOf) ([]int, bool) {
+	order := slices.Clone(among)
+	slices.SortStableFunc(order, func(a, b int) int {
+		x, y := &hosts[a], &hosts[b]
+		return cmp.Or(
+			cmp.Compare(x.Doubt, y.Doubt),
+			-cmp.Compare(b2i(x.Rack == d.Rack), b2i(y.Rack == d.Rack)),
+			cmp.Compare(room(x).Accelerators, room(y).Accelerators),
+			cmp.Compare(x.Node, y.Node),
+		)
+	})
+	places := make([]int, 0, d.Count)
+	for _, i := range order {
+		n := min(d.count(&hosts[i], room(&hosts[i])), d.Count-len(places))
+		for range n {
+			places = append(places, i)
+		}
+		if len(places) == d.Count {
+			return places, true
+		}
+	}
+	return nil, false
+}
+
+// Evict returns the units to stop so that the tasks fit, those with the least
+// loss first, or false if no choice makes enough room.
+func (d *Demand) Evict(hosts []Host) ([]string, bool) {
+	trial := slices.Clone(hosts)
+	for i := range trial {
+		trial[i].Free = trial[i].Free.Add(trial[i].Coming)
+	}
+	loss := map[string]float64{}
+	for i := range trial {
+		if !d.May(&trial[i]) {
+			continue
+		}
+		for _, v := range trial[i].Victims {
+			loss[v.Unit] = v.Loss
+		}
+	}
+	units := make([]string, 0, len(loss))
+	for u := range loss {
+		units = append(units, u)
+	}
+	slices.SortFunc(units, func(a, b string) int {
+		return cmp.Or(cmp.Compare(loss[a], loss[b]), cmp.Compare(a, b))
+	})
+	var chosen []string
+	for _, u := range units {
+		release(trial, u)
+		chosen = append(chosen, u)
+		if _, ok := d.Place(trial); ok {
+			return d.prune(hosts, chosen), true
+		}
+	}
+	return nil, false
+}
+
+// release gives the room of one unit back.
+func release(hosts []Host, unit string) {
+	for i := range hosts {
+		for _, v := range hosts[i].Victims {
+			if v.Unit == unit {
+				hosts[i].Free = hosts[i].Free.Add(v.Room)
+			}
+		}
+	}
+}
+
+// prune drops the units that are not needed, the most costly first.
+func (d *Demand) prune(hosts []Host, chosen []string) []string {
+	for i := len(chosen) - 1; i >= 0; i-- {
+		fewer := slices.Delete(slices.Clone(chosen), i, i+1)
+		trial := slices.Clone(hosts)
+		for k := range trial {
+			trial[k].Free = trial[k].Free.Add(trial[k].Coming)
+		}
+		for _, u := range fewer {
+			release(trial, u)
+		}
+		if _, ok := d.Place(trial); ok {
+			chosen = fewer
+		}
+	}
+	return chosen
+}
--- /dev/null
+++ b/berylfollower/follower.go
@@ -0,0 +1,146 @@
+// Package berylfollower follows a keyed topic of the platform's store.
+//
+// A [Follower] reads the newest record of each key, then every record that is
+// appended. When the store has dropped records that were not read yet, it starts
+// over with the newest ones.
+package berylfollower
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"berylglade/berylclock"
+	"berylglade/berylstore"
+)
+
+// Event is one of Loaded, Read and Failed.
+type Event interface{ event() }
+
+// Loaded has the newest record of every key; it replaces all that came before.
+type Loaded struct {
+	Records []berylstore.Record
+	Sent    time.Time
+	End     int64
+}
+
+// Read has records in the order of the topic; none if nothing was appended.
+type Read struct {
+	Records []berylstore.Record
+	// Sent is when the read was sent: at that time at the earliest the topic
+	// ended at End.
+	Sent time.Time
+	End  int64
+}
+
+// Failed tells that the store did not answer.
+type Failed struct {
+	Err error
+}
+
+func (Loaded) event() {}
+func (Read) event()   {}
+func (Failed) event() {}
+
+// Follower follows one topic.
+type Follower struct {
+	Store berylstore.Store
+	Clock berylclock.Clock
+	Topic string
+	// Wait is how long a read waits for a record.
+	Wait time.Duration
+	// Handle gets each event, one at a time.
+	Handle func(e Event)
+
+	reload atomic.Bool
+}
+
+// Reload makes the follower start over with the newest records.
+func (f *Follower) Reload() { f.reload.Store(true) }
+
+// Run follows the topic until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		from, err := f.load(ctx)
+		if err == nil {
+			err = f.follow(ctx, from)
+		}
+		if ctx.Err() == nil && err != nil {
+			f.Handle(Failed{Err: err})
+			pause(ctx, _pause)
+		}
+	}
+}
+
+// load reads the newest records and returns the offset to follow from: the end
+// at the first page, as the pages are not a snapshot.
+func (f *Follower) load(ctx context.Context) (int64, error) {
+	f.reload.Store(false)
+	l := Loaded{Sent: f.Clock()}
+	after := ""
+	for {
+		page, err := f.page(ctx, after)
+		if err != nil {
+			return 0, err
+		}
+		if after == "" {
+			l.End = page.End
+		}
+		l.Records = append(l.Records, page.Records...)
+		if !page.More || len(page.Records) == 0 {
+			break
+		}
+		after = page.Records[len(page.Records)-1].Key
+	}
+	f.Handle(l)
+	return l.End, nil
+}
+
+func (f *Follower) page(ctx context.Context, after string) (berylstore.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, _pageTimeout)
+	defer cancel()
+	return f.Store.Newest(ctx, f.Topic, after)
+}
+
+// follow returns nil when the topic has to be loaded again.
+func (f *Follower) follow(ctx context.Context, from int64) error {
+	for ctx.Err() == nil && !f.reload.Load() {
+		sent := f.Clock()
+		r, err := f.read(ctx, from)
+		switch {
+		case errors.Is(err, berylstore.ErrGone):
+			return nil
+		case err != nil && ctx.Err() != nil:
+			return nil
+		case err != nil:
+			f.Handle(Failed{Err: err})
+			pause(ctx, _pause)
+			continue
+		}
+		from = max(from, r.Next)
+		f.Handle(Read{Records: r.Records, Sent: sent, End: r.End})
+	}
+	return nil
+}
+
+func (f *Follower) read(ctx context.Context, from int64) (berylstore.Read, error) {
+	ctx, cancel := context.WithTimeout(ctx, f.Wait+_readTimeout)
+	defer cancel()
+	return f.Store.Read(ctx, f.Topic, from, f.Wait)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+const (
+	_pause       = 150 * time.Millisecond
+	_pageTimeout = 2 * time.Second
+	// _readTimeout is added to the time for which a read waits for a record.
+	_readTimeout = 700 * time.Millisecond
+)
--- /dev/null
+++ b/berylgateway/gateway.go
@@ -0,0 +1,365 @@
+// Package berylgateway runs an entry on the users' platform: it answers clients,
+// follows the topic of the jobs, and leads if it comes to it.
+//
+// One control actor owns the [beryldirector.Director]. The followers of the two
+// topics, agents and timers send it messages; it carries the director's effects
+// out in goroutines that send their outcomes back. Requests of clients never pass
+// through the actor: they are answered from a berylview.View and the store.
+package berylgateway
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"berylglade/berylbook"
+	"berylglade/berylclock"
+	"berylglade/berylcontrol"
+	"berylglade/beryldirector"
+	"berylglade/berylfollower"
+	"berylglade/berylintake"
+	"berylglade/berylpolicy"
+	"berylglade/berylproducer"
+	"berylglade/berylreport"
+	"berylglade/berylrpc"
+	"berylglade/berylstore"
+	"berylglade/berylview"
+)
+
+// PolicyReader decodes the records of the operators' topic.
+type PolicyReader interface {
+	Replace(records []berylstore.Record) error
+	Fold(records []berylstore.Record) error
+	Current() *berylpolicy.Policy
+}
+
+// Config is set before New.
+type Config struct {
+	Self   beryldirector.Self
+	Limits beryldirector.Limits
+	Store  berylstore.Store
+	Clock  berylclock.Clock
+	Log    *slog.Logger
+	Policy PolicyReader
+	// Topics of the store.
+	TopicJobs, TopicOperator, TopicEntries string
+	// ProducerName is unique to this process.
+	ProducerName string
+}
+
+// Gateway is the entry process without its listeners.
+type Gateway struct {
+	View   *berylview.View
+	Intake *berylintake.Intake
+
+	cfg      Config
+	director *beryldirector.Director
+	loop     *berylcontrol.Loop[message]
+	client   *berylrpc.Client
+	jobs     *berylfollower.Follower
+	operator *berylfollower.Follower
+	producer *berylproducer.Producer
+	leading  atomic.Bool
+	// seq numbers the appends of the current epoch. The actor owns it.
+	seq  int64
+	stop context.CancelFunc
+	ctx  context.Context
+}
+
+// message is handled by the control actor.
+type message interface{ message() }
+
+type (
+	jobsEvent struct{ event berylfollower.Event }
+	policySet struct{ policy *berylpolicy.Policy }
+	reported  struct {
+		report berylreport.Report
+		reply  func(berylreport.Answer)
+	}
+	persisted struct {
+		epoch int64
+		err   error
+	}
+	ticked   struct{}
+	resigned struct {
+		reply func(beryldirector.Persist)
+	}
+)
+
+func (jobsEvent) message() {}
+func (policySet) message() {}
+func (reported) message()  {}
+func (persisted) message() {}
+func (ticked) message()    {}
+func (resigned) message()  {}
+
+// New returns a gateway that is not running.
+func New(cfg Config) *Gateway {
+	g := &Gateway{
+		cfg:      cfg,
+		View:     &berylview.View{},
+		director: beryldirector.New(cfg.Self, cfg.Limits),
+		client:   berylrpc.NewClosingClient(),
+		producer: berylproducer.New(cfg.Store, cfg.Clock, cfg.TopicJobs, cfg.ProducerName),
+	}
+	g.Intake = &berylintake.Intake{View: g.View, Producer: g.producer, Clock: cfg.Clock, Log: cfg.Log}
+	g.ctx, g.stop = context.WithCancel(context.Background())
+	g.jobs = &berylfollower.Follower{
+		Store: cfg.Store, Clock: cfg.Clock, Topic: cfg.TopicJobs, Wait: _jobsWait, Handle: g.jobsEvent,
+	}
+	g.operator = &berylfollower.Follower{
+		Store: cfg.Store, Clock: cfg.Clock, Topic: cfg.TopicOperator, Wait: _policyWait, Handle: g.policyEvent,
+	}
+	return g
+}
+
+// Register makes the gateway reachable for agents.
+func (g *Gateway) Register(s *berylrpc.Server) {
+	berylrpc.Handle(s, berylreport.MethodReport, func(ctx context.Context, r *berylreport.Report) (*berylreport.Answer, error) {
+		a, err := berylcontrol.Ask(ctx, g.loop, func(reply func(berylreport.Answer)) message {
+			return reported{report: *r, reply: reply}
+		})
+		return &a, err
+	})
+}
+
+// Start starts the control actor. It comes before Run and Register's first call.
+func (g *Gateway) Start() { g.loop = berylcontrol.New(g.cfg.Clock, g.handle) }
+
+// Run works until Close. When ctx ends it gives the lead up and goes on serving
+// what the listeners still take.
+func (g *Gateway) Run(ctx context.Context) {
+	defer g.loop.Stop()
+	var eg errgroup.Group
+	eg.Go(func() error { g.jobs.Run(g.ctx); return nil })
+	eg.Go(func() error { g.operator.Run(g.ctx); return nil })
+	eg.Go(func() error { g.producer.Run(g.ctx); return nil })
+	eg.Go(func() error { g.announce(g.ctx); return nil })
+	eg.Go(func() error {
+		g.loop.Every(g.ctx, _tick, func() message { return ticked{} })
+		return nil
+	})
+	select {
+	case <-ctx.Done():
+		g.resign()
+		<-g.ctx.Done()
+	case <-g.ctx.Done():
+	}
+	_ = eg.Wait()
+}
+
+// Close ends Run; requests that need the store fail from then on.
+func (g *Gateway) Close() { g.stop() }
+
+// announce records the address of this entry, for agents whose seeds are stale.
+func (g *Gateway) announce(ctx context.Context) {
+	p := berylproducer.New(g.cfg.Store, g.cfg.Clock, g.cfg.TopicEntries, g.cfg.ProducerName)
+	go p.Run(ctx)
+	for ctx.Err() == nil {
+		err := p.Append(ctx, berylstore.Record{Key: g.cfg.Self.Node, Value: []byte(g.cfg.Self.Addr)})
+		if err == nil {
+			return
+		}
+		g.cfg.Log.Warn("address not recorded", "err", err)
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Second):
+		}
+	}
+}
+
+// jobsEvent runs in the goroutine of the follower.
+func (g *Gateway) jobsEvent(e berylfollower.Event) {
+	switch e := e.(type) {
+	case berylfollower.Loaded:
+		g.View.Load(e.Records, e.Sent)
+	case berylfollower.Read:
+		g.View.Read(e.Records, e.Sent)
+	case berylfollower.Failed:
+		g.cfg.Log.Warn("store not read", "topic", g.cfg.TopicJobs, "err", e.Err)
+		return
+	}
+	g.loop.Tell(jobsEvent{event: e})
+}
+
+func (g *Gateway) policyEvent(e berylfollower.Event) {
+	var err error
+	var sent time.Time
+	changed := true
+	switch e := e.(type) {
+	case berylfollower.Loaded:
+		sent = e.Sent
+		err = g.cfg.Policy.Replace(e.Records)
+	case berylfollower.Read:
+		sent = e.Sent
+		changed = len(e.Records) > 0
+		err = g.cfg.Policy.Fold(e.Records)
+	case berylfollower.Failed:
+		g.cfg.Log.Warn("store not read", "topic", g.cfg.TopicOperator, "err", e.Err)
+		return
+	}
+	if err != nil {
+		g.cfg.Log.Error("record of the desired state is not valid; the last one stays", "err", err)
+	}
+	if !changed {
+		g.View.SetPolicy(nil, sent)
+		return
+	}
+	p := g.cfg.Policy.Current()
+	g.View.SetPolicy(p, sent)
+	if p == nil {
+		return
+	}
+	out := make([]string, 0, len(p.Out))
+	for zone := range p.Out {
+		out = append(out, zone)
+	}
+	g.cfg.Log.Info("desired state", "version", p.Version, "queues", len(p.Queues), "out", out)
+	g.loop.Tell(policySet{policy: p})
+}
+
+// handle runs in the control actor.
+func (g *Gateway) handle(now time.Time, msg message) {
+	d := g.director
+	switch m := msg.(type) {
+	case jobsEvent:
+		g.takeJobs(now, m.event)
+	case policySet:
+		d.Policy = m.policy
+	case reported:
+		m.reply(d.Report(now, m.report))
+	case persisted:
+		g.takePersisted(now, m)
+	case resigned:
+		p, _ := d.Resign()
+		m.reply(p)
+	case ticked:
+	}
+	d.Step(now)
+	g.carryOut(now)
+}
+
+func (g *Gateway) takeJobs(now time.Time, e berylfollower.Event) {
+	switch e := e.(type) {
+	case berylfollower.Loaded:
+		if g.director.Leading() {
+			g.director.Read(now, e.Records, e.End)
+			return
+		}
+		var book berylbook.Book
+		for _, r := range e.Records {
+			book.Apply(r, 0)
+		}
+		g.director.Restore(now, book, e.End)
+	case berylfollower.Read:
+		g.director.Read(now, e.Records, e.End)
+	}
+}
+
+func (g *Gateway) takePersisted(now time.Time, m persisted) {
+	if m.epoch != g.director.Epoch() {
+		return
+	}
+	if m.err == nil {
+		g.director.Committed(now)
+		return
+	}
+	g.cfg.Log.Warn("append refused; no longer leading", "epoch", m.epoch, "err", m.err)
+	g.director.Deposed()
+}
+
+// carryOut starts the effects that the director asks for.
+func (g *Gateway) carryOut(now time.Time) {
+	for _, e := range g.director.Effects() {
+		switch e := e.(type) {
+		case beryldirector.Persist:
+			g.seq++
+			go g.persist(e, g.seq)
+		case beryldirector.Claim:
+			g.seq = 0
+			go g.claim(e)
+		case beryldirector.Reload:
+			g.jobs.Reload()
+		case beryldirector.Note:
+			g.cfg.Log.Info(e.Text, e.Args...)
+		}
+	}
+	g.leading.Store(g.director.Leading())
+	for node, o := range g.director.Orders(now) {
+		go g.send(g.director.Addr(node), node, o)
+	}
+}
+
+func (g *Gateway) append(e beryldirector.Persist, seq, at int64, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(g.ctx, timeout)
+	defer cancel()
+	_, err := g.cfg.Store.Append(ctx, berylstore.Append{
+		Topic: g.cfg.TopicJobs, Records: e.Records, Producer: _leaderProducer, Epoch: e.Epoch, Seq: seq, At: at,
+	})
+	return err
+}
+
+// claim tries to become the leader. Whether it did shows in the topic.
+func (g *Gateway) claim(c beryldirector.Claim) {
+	r, err := c.Claim.Record()
+	if err == nil {
+		err = g.append(beryldirector.Persist{Epoch: c.Claim.Epoch, Records: []berylstore.Record{r}}, 0, c.At, _appendTimeout)
+	}
+	g.cfg.Log.Info("claim sent", "epoch", c.Claim.Epoch, "at", c.At, "err", err)
+}
+
+func (g *Gateway) send(addr, node string, o berylreport.Orders) {
+	ctx, cancel := context.WithTimeout(g.ctx, _orderTimeout)
+	defer cancel()
+	receipt, err := berylrpc.Call[berylreport.Orders, berylreport.Receipt](ctx, g.client, addr, berylreport.MethodOrders, &o)
+	if err != nil {
+		g.cfg.Log.Warn("orders not delivered", "node", node, "epoch", o.Epoch, "start", len(o.Start), "stop", len(o.Stop), "err", err)
+		return
+	}
+	if receipt.Epoch > o.Epoch {
+		g.cfg.Log.Warn("agent follows a newer leader", "node", node, "epoch", o.Epoch, "newer", receipt.Epoch)
+	}
+}
+
+// resign waits for the actor to give the lead up and records it.
+func (g *Gateway) resign() {
+	ctx, cancel := context.WithTimeout(g.ctx, _resignTimeout)
+	defer cancel()
+	p, err := berylcontrol.Ask(ctx, g.loop, func(reply func(beryldirector.Persist)) message {
+		return resigned{reply: reply}
+	})
+	if err != nil || p.Epoch == 0 {
+		return
+	}
+	// An append of changed jobs may be under way; its number comes first.
+	for range _resignTries {
+		err := g.append(p, g.seq+1, -1, _resignTimeout)
+		if err == nil {
+			return
+		}
+		g.cfg.Log.Warn("resignation not recorded", "err", err)
+		time.Sleep(_pause)
+	}
+}
+
+// Leading reports whether this entry leads.
+func (g *Gateway) Leading() bool { return g.leading.Load() }
+
+const (
+	_leaderProducer = "leader"
+	// _jobsWait and _policyWait are how long a read waits for a record. Keys are
+	// refused when the desired state is older than a few seconds.
+	_jobsWait   = 800 * time.Millisecond
+	_policyWait = 800 * time.Millisecond
+	_tick       = 100 * time.Millisecond
+	// _appendTimeout bounds one try; a slow store answers within a quarter of
+	// a second.
+	_appendTimeout = 900 * time.Millisecond
+	_orderTimeout  = 700 * time.Millisecond
+	_resignTimeout = 500 * time.Millisecond
+	_resignTries   = 3
+	_pause         = 80 * time.Millisecond
+)
--- /dev/null
+++ b/berylintake/intake.go
@@ -0,0 +1,196 @@
+// Package berylintake decides how a client's request is answered.
+//
+// [Decide] looks at the desired state and the known jobs and returns either the
+// final answer or what has to be recorded before one can be given. [Intake]
+// carries that out.
+package berylintake
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"berylglade/berylbook"
+	"berylglade/berylclock"
+	"berylglade/berylerror"
+	"berylglade/berylpolicy"
+	"berylglade/berylproducer"
+	"berylglade/berylview"
+	"berylglade/berylwork"
+)
+
+// Verb is what a client asks for.
+type Verb uint8
+
+const (
+	// Submit hands a job in.
+	Submit Verb = iota + 1
+	// State asks for the state of a job.
+	State
+	// Cancel cancels a job.
+	Cancel
+	// Count asks how many jobs of a queue wait.
+	Count
+)
+
+// String returns the name in logs and metrics.
+func (v Verb) String() string {
+	return [...]string{"none", "submit", "state", "cancel", "count"}[min(v, Count)]
+}
+
+// Request is a client's request. The queue is known already.
+type Request struct {
+	Verb Verb
+	// ID is the job's id; empty for Count.
+	ID    string
+	Queue berylpolicy.Queue
+	// Account is the client account of the key; empty on a public queue.
+	Account string
+	// Work is the job that is submitted.
+	Work *berylwork.Work
+}
+
+// Reply is the answer. The zero Kind means success.
+type Reply struct {
+	Kind berylerror.Kind
+	// Why is a short reason for logs and the client.
+	Why string
+	// State is the state of the job, after State.
+	State berylbook.State
+	// Waiting is the number of jobs, after Count.
+	Waiting int
+	// RetryAfter is when a refused client should come back.
+	RetryAfter time.Duration
+}
+
+// Step is what Decide returns: an Answer or a Record.
+type Step interface{ step() }
+
+// Answer is final.
+type Answer struct{ Reply }
+
+// Record has to be in the store before the request succeeds.
+type Record struct{}
+
+func (Answer) step() {}
+func (Record) step() {}
+
+// Known is what a decision is made from.
+type Known struct {
+	Job berylview.Job
+	// Waiting is the number of waiting jobs of the queue.
+	Waiting int
+	// Failing is for how long the store has not taken appends.
+	Failing time.Duration
+}
+
+// Decide decides on one request.
+//
+// An entry whose reads are old refuses what it can't know instead of denying
+// that a job exists. While the store takes no appends, a job that needs one is
+// refused at once, so that its client can turn to another entry.
+func Decide(now time.Time, r Request, k Known) Step {
+	fresh := now.Sub(k.Job.At) < _freshJobs
+	mine := k.Job.Known && (r.Account == "" || k.Job.Account == r.Account)
+	switch {
+	case r.Verb == Count && !fresh:
+		return refuse("jobs are not known here now")
+	case r.Verb == Count:
+		return Answer{Reply{Waiting: k.Waiting}}
+	case r.Verb == State && mine:
+		return Answer{Reply{State: k.Job.State}}
+	case r.Verb == Submit && mine:
+		return Answer{Reply{Why: "known already"}}
+	case r.Verb == Cancel && mine && k.Job.State.Final():
+		return Answer{Reply{Why: "ended already"}}
+	case r.Verb != Submit && !mine && fresh:
+		return Answer{Reply{Kind: berylerror.Expired, Why: "no such job"}}
+	case r.Verb != Submit && !mine:
+		return refuse("jobs are not known here now")
+	case k.Failing > _failing:
+		return refuse("store takes no records")
+	default:
+		return Record{}
+	}
+}
+
+func refuse(why string) Answer {
+	return Answer{Reply{Kind: berylerror.NotRun, Why: why, RetryAfter: _retryAfter}}
+}
+
+// Intake answers requests.
+type Intake struct {
+	View     *berylview.View
+	Producer *berylproducer.Producer
+	Clock    berylclock.Clock
+	Log      *slog.Logger
+}
+
+// Serve answers one request. It returns when ctx ends at the latest.
+func (i *Intake) Serve(ctx context.Context, r Request) Reply {
+	now := i.Clock()
+	known := Known{Job: i.View.Job(r.ID), Failing: i.Producer.Failing(now)}
+	if r.Verb == Count {
+		known.Waiting, known.Job.At = i.View.Waiting(r.Queue.Name)
+	}
+	var reply Reply
+	switch s := Decide(now, r, known).(type) {
+	case Answer:
+		reply = s.Reply
+	case Record:
+		reply = i.record(ctx, now, r)
+	}
+	i.log(now, r, known, reply)
+	return reply
+}
+
+// log writes one line for each request that changes something or fails.
+func (i *Intake) log(now time.Time, r Request, k Known, reply Reply) {
+	if reply.Kind == 0 && (r.Verb == State || r.Verb == Count) {
+		return
+	}
+	outcome := "ok"
+	if reply.Kind != 0 {
+		outcome = reply.Kind.String()
+	}
+	i.Log.Info("request", "verb", r.Verb.String(), "job", r.ID, "queue", r.Queue.Name, "account", r.Account,
+		"outcome", outcome, "why", reply.Why, "known", k.Job.Known, "state", k.Job.State.String(),
+		"age", now.Sub(k.Job.At).Milliseconds(), "ms", i.Clock().Sub(now).Milliseconds())
+}
+
+func (i *Intake) record(ctx context.Context, now time.Time, r Request) Reply {
+	if r.Verb == Cancel {
+		c := berylbook.Cancel{At: now.UnixMilli()}
+		rec, err := c.Record(r.ID)
+		if err != nil {
+			return failure(err)
+		}
+		return failure(i.Producer.Append(ctx, rec))
+	}
+	r.Work.ID = r.ID
+	r.Work.Queue = r.Queue.Name
+	r.Work.Account = r.Account
+	r.Work.Accepted = now.UnixMilli()
+	s := berylbook.Submission{Work: *r.Work}
+	rec, err := s.Record()
+	if err != nil {
+		return failure(err)
+	}
+	return failure(i.Producer.Append(ctx, rec))
+}
+
+func failure(err error) Reply {
+	if err == nil {
+		return Reply{}
+	}
+	return Reply{Kind: berylerror.Of(err), Why: err.Error(), RetryAfter: _retryAfter}
+}
+
+const (
+	// _freshJobs is how old the last read may be to tell that a job is not known.
+	_freshJobs = 2500 * time.Millisecond
+	// _failing is how long appends may fail before requests are refused at once.
+	_failing = 1200 * time.Millisecond
+	// _retryAfter is the time in which another entry is usually in reach.
+	_retryAfter = time.Second
+)
--- /dev/null
+++ b/berylpolicy/policy.go
@@ -0,0 +1,120 @@
+// Package berylpolicy has the operators' desired state in the form in which the
+// system decides with it.
+//
+// A [Policy] is immutable. A process replaces it by one with a higher version
+// and never goes back.
+package berylpolicy
+
+import (
+	"strings"
+	"time"
+)
+
+// Policy is one version of the desired state with the failure domains that are
+// out of service.
+type Policy struct {
+	Version  int64
+	Queues   []Queue
+	Accounts []Account
+	// Services are the known groups of backend servers by name.
+	Services map[string]Service
+	// MaxBody bounds the body of a client's request in bytes.
+	MaxBody int64
+	// MaxHeader bounds the header of a client's request in bytes.
+	MaxHeader int
+	// Out has the failure domains that get no new work.
+	Out map[string]bool
+}
+
+// Queue takes jobs of one kind.
+type Queue struct {
+	Name string
+	// Host and Prefix select the queue for a request.
+	Host, Prefix string
+	// Service names the backend servers that run its tasks.
+	Service string
+	// Priority orders queues; zero is the most urgent and may preempt.
+	Priority int
+	// Attempts is how often a task may fail before its job has failed.
+	Attempts int
+	// Stretch times the longest chain of work, plus Target, is the time in
+	// which a job should be complete.
+	Stretch float64
+	Target  time.Duration
+	// Timeout bounds a request on this queue.
+	Timeout time.Duration
+	// Public queues need no key.
+	Public bool
+	// Advised queues need a ticket from the advice service for each start.
+	Advised bool
+}
+
+// Account is a client account.
+type Account struct {
+	Name string
+	Keys []string
+	// Guaranteed is the number of accelerators that the account's jobs of
+	// priority zero may claim at any time.
+	Guaranteed int
+}
+
+// Service is a group of backend servers.
+type Service struct {
+	Name string
+	// Checks means that its backend servers refuse what does not fit.
+	Checks bool
+	// Spare means that its VMs are switched off.
+	Spare bool
+}
+
+// Find returns the queue for a host and path: the one with the longest prefix.
+func (p *Policy) Find(host, path string) (Queue, bool) {
+	best := -1
+	for i, q := range p.Queues {
+		if q.Host != host || !strings.HasPrefix(path, q.Prefix) {
+			continue
+		}
+		if best < 0 || len(q.Prefix) > len(p.Queues[best].Prefix) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return Queue{}, false
+	}
+	return p.Queues[best], true
+}
+
+// Queue returns the queue with the given name.
+func (p *Policy) Queue(name string) (Queue, bool) {
+	for _, q := range p.Queues {
+		if q.Name == name {
+			return q, true
+		}
+	}
+	return Queue{}, false
+}
+
+// Account returns the client account that holds the key.
+func (p *Policy) Account(key string) (Account, bool) {
+	if key == "" {
+		return Account{}, false
+	}
+	for _, a := range p.Accounts {
+		for _, k := range a.Keys {
+			if k == key {
+				return a, true
+			}
+		}
+	}
+	return Account{}, false
+}
+
+// Guaranteed returns the guarantee of an account by name.
+func (p *Policy) Guaranteed(account string) int {
+	for _, a := range p.Accounts {
+		if a.Name == account {
+			return a.Guaranteed
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/berylproducer/producer.go
@@ -0,0 +1,213 @@
+// Package berylproducer appends records to a topic of the platform's store
+// exactly once, although replies get lost.
+//
+// A [Producer] has at most one append outstanding. It repeats an append without
+// a known outcome under the same sequence number until the store answers; the
+// store carries a number out once. Records that wait meanwhile go into one
+// append together.
+package berylproducer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"berylglade/berylclock"
+	"berylglade/berylerror"
+	"berylglade/berylstore"
+)
+
+// Producer appends under one name. Run must be running for Append to return.
+type Producer struct {
+	store berylstore.Store
+	clock berylclock.Clock
+	topic string
+	name  string
+
+	mu      sync.Mutex
+	epoch   int64
+	seq     int64
+	waiting []*request
+	wake    chan struct{}
+	// failing is since when the outstanding append has no answer; zero if none
+	// is in trouble.
+	failing time.Time
+}
+
+type request struct {
+	records []berylstore.Record
+	done    chan error
+	sent    bool
+}
+
+// New returns a producer. The name must be unique to this process.
+func New(store berylstore.Store, clock berylclock.Clock, topic, name string) *Producer {
+	return &Producer{store: store, clock: clock, topic: topic, name: name, epoch: 1, wake: make(chan struct{}, 1)}
+}
+
+// Failing returns for how long the store has not answered appends.
+func (p *Producer) Failing(now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.failing.IsZero() {
+		return 0
+	}
+	return now.Sub(p.failing)
+}
+
+// Append waits until the records are in the topic. An error of kind NotRun means
+// that they never will be; one of kind Unknown, that ctx ended first.
+func (p *Producer) Append(ctx context.Context, records ...berylstore.Record) error {
+	r := &request{records: records, done: make(chan error, 1)}
+	p.mu.Lock()
+	p.waiting = append(p.waiting, r)
+	p.mu.Unlock()
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+	select {
+	case err := <-r.done:
+		return err
+	case <-ctx.Done():
+		return p.abandon(r)
+	}
+}
+
+// abandon takes a request back that was not sent yet.
+func (p *Producer) abandon(r *request) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if r.sent {
+		return berylerror.Unknown.Errorf("append has no answer yet")
+	}
+	for i, w := range p.waiting {
+		if w == r {
+			p.waiting = append(p.waiting[:i], p.waiting[i+1:]...)
+			break
+		}
+	}
+	return berylerror.NotRun.Errorf("append was not sent")
+}
+
+// Run appends until ctx ends.
+func (p *Producer) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.wake:
+		}
+		for p.appendBatch(ctx) {
+		}
+	}
+}
+
+// appendBatch appends what waits and reports whether there was anything.
+func (p *Producer) appendBatch(ctx context.Context) bool {
+	batch, records := p.take()
+	if len(batch) == 0 {
+		return false
+	}
+	err := p.deliver(ctx, records)
+	for _, r := range batch {
+		r.done <- err
+	}
+	return ctx.Err() == nil
+}
+
+func (p *Producer) take() ([]*request, []berylstore.Record) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var records []berylstore.Record
+	n := 0
+	for _, r := range p.waiting {
+		if n > 0 && len(records)+len(r.records) > _maxRecords {
+			break
+		}
+		r.sent = true
+		records = append(records, r.records...)
+		n++
+	}
+	batch := p.waiting[:n:n]
+	p.waiting = p.waiting[n:]
+	return batch, records
+}
+
+// deliver repeats one append until its outcome is known.
+func (p *Producer) deliver(ctx context.Context, records []berylstore.Record) error {
+	p.seq++
+	unknown := false
+	timeout := _minTimeout
+	for {
+		err := p.try(ctx, records, timeout)
+		switch {
+		case err == nil:
+			p.settled()
+			return nil
+		case ctx.Err() != nil:
+			return berylerror.Unknown.Wrap(err, "process is stopping")
+		case errors.Is(err, berylstore.ErrNotDone) && !unknown:
+			p.seq--
+			p.troubled()
+			return berylerror.NotRun.Wrap(err, "append")
+		case errors.Is(err, berylstore.ErrSequence), errors.Is(err, berylstore.ErrFenced):
+			// The store's memory of this producer differs. The records may be
+			// appended twice, which their readers ignore.
+			p.epoch++
+			p.seq = 1
+		case !errors.Is(err, berylstore.ErrNotDone):
+			unknown = true
+			timeout = min(timeout*2, _maxTimeout)
+		}
+		p.troubled()
+		if !pause(ctx, _pause) {
+			return berylerror.Unknown.Wrap(err, "process is stopping")
+		}
+	}
+}
+
+func (p *Producer) try(ctx context.Context, records []berylstore.Record, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	_, err := p.store.Append(ctx, berylstore.Append{
+		Topic: p.topic, Records: records, Producer: p.name, Epoch: p.epoch, Seq: p.seq, At: -1,
+	})
+	return err
+}
+
+func (p *Producer) troubled() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.failing.IsZero() {
+		p.failing = p.clock()
+	}
+}
+
+func (p *Producer) settled() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.failing = time.Time{}
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+const (
+	// _maxRecords bounds one append; records of jobs are a few kilobytes.
+	_maxRecords = 200
+	// _minTimeout and _maxTimeout bound one try; the store answers within a few
+	// milliseconds, and within a quarter of a second when it is slow.
+	_minTimeout = 800 * time.Millisecond
+	_maxTimeout = 3 * time.Second
+	// _pause is the time between two tries.
+	_pause = 100 * time.Millisecond
+)
--- /dev/null
+++ b/berylreport/report.go
@@ -0,0 +1,141 @@
+// Package berylreport has the messages between an agent and the leader.
+//
+// An agent sends a [Report] of all that it knows of its backend server, often
+// and after each change. The leader answers with an [Answer] and sends
+// [Orders] when it has decided something. Both messages carry whole states, so
+// that a lost or repeated one does no harm.
+package berylreport
+
+import (
+	"berylglade/berylbook"
+	"berylglade/berylmessage"
+	"berylglade/berylroom"
+)
+
+const (
+	// MethodReport carries a Report from an agent to an entry.
+	MethodReport berylmessage.Method = "report"
+	// MethodOrders carries Orders from the leader to an agent.
+	MethodOrders berylmessage.Method = "orders"
+)
+
+// Report is what an agent knows of its backend server.
+type Report struct {
+	Node string `cbor:"n"`
+	// Addr takes Orders.
+	Addr string `cbor:"a"`
+	// Seq grows with each report of one agent process; late ones are dropped.
+	Seq int64 `cbor:"q"`
+	// Boot tells agent processes apart; a later process has a higher one.
+	Boot int64 `cbor:"b"`
+	// Place is the life of the backend server; its Instance is empty while none
+	// is known.
+	Place   berylbook.Place `cbor:"p"`
+	Service string          `cbor:"v,omitempty"`
+	Zone    string          `cbor:"z,omitempty"`
+	Labels  []string        `cbor:"l,omitempty"`
+	Room    berylroom.Room  `cbor:"r"`
+	// Draining means that the backend server is about to leave.
+	Draining bool `cbor:"d,omitempty"`
+	// Remaining is the least time until it leaves, in milliseconds.
+	Remaining int64 `cbor:"m,omitempty"`
+	// Looked is true once Runs and Ends were read in this life.
+	Looked bool `cbor:"k,omitempty"`
+	// Silent is true while the backend server does not answer.
+	Silent bool `cbor:"s,omitempty"`
+	// Lapsed is true if nothing can run on the backend server any more, as its
+	// lease has run out without an answer.
+	Lapsed bool  `cbor:"x,omitempty"`
+	Runs   []Run `cbor:"u,omitempty"`
+	Ends   []End `cbor:"e,omitempty"`
+	// Absent are ordered runs that do not exist and never will.
+	Absent []Key `cbor:"t,omitempty"`
+	// Handled are starts of which the agent has heard, so that the leader need
+	// not send them again.
+	Handled []Key `cbor:"h,omitempty"`
+}
+
+// Key names one run of a task.
+type Key struct {
+	Task string `cbor:"t"`
+	Run  int    `cbor:"r"`
+}
+
+// Run is a run that exists.
+type Run struct {
+	Key
+	// Saved is its newest checkpoint.
+	Saved string `cbor:"s,omitempty"`
+	// Level is the tail latency in milliseconds of a lasting task, otherwise
+	// the processor time in use in thousandths of a core.
+	Level int `cbor:"l,omitempty"`
+}
+
+// How says in which way a run ended.
+type How uint8
+
+const (
+	// Done means that the task is done.
+	Done How = iota + 1
+	// Failed means a fault of the task or of the backend server.
+	Failed
+	// Stopped means that it was stopped on order.
+	Stopped
+	// Lapsed means that the lease ran out.
+	Lapsed
+	// Broken means that another member of the gang ended.
+	Broken
+	// Alone means that the other members of the gang did not come.
+	Alone
+)
+
+// String returns the name in logs.
+func (h How) String() string {
+	return [...]string{"unknown", "done", "failed", "stopped", "lapsed", "broken", "alone"}[min(h, Alone)]
+}
+
+// End is a run that has ended and was not taken note of yet.
+type End struct {
+	Key
+	// N numbers the ends of one life of the backend server, from one.
+	N     int64  `cbor:"n"`
+	How   How    `cbor:"h"`
+	Saved string `cbor:"s,omitempty"`
+}
+
+// Answer is the reply to a report.
+type Answer struct {
+	// Epoch is that of the leader, or of the newest claim known.
+	Epoch int64 `cbor:"e"`
+	// Leader is where reports go; empty if it is not known.
+	Leader string `cbor:"l,omitempty"`
+	// Led is true if the process that answers leads.
+	Led bool `cbor:"d,omitempty"`
+	// Peers are the addresses of all known entries.
+	Peers []string `cbor:"p,omitempty"`
+	// Noted is the number up to which ends are recorded for good.
+	Noted int64 `cbor:"n,omitempty"`
+}
+
+// Start is a task to start.
+type Start struct {
+	Key
+	Spec  string `cbor:"s,omitempty"`
+	Saved string `cbor:"c,omitempty"`
+}
+
+// Orders are what the leader wants of one backend server.
+type Orders struct {
+	Epoch int64           `cbor:"e"`
+	Place berylbook.Place `cbor:"p"`
+	Start []Start         `cbor:"s,omitempty"`
+	Stop  []Key           `cbor:"x,omitempty"`
+	// Noted is the number up to which ends are recorded for good.
+	Noted int64 `cbor:"n,omitempty"`
+}
+
+// Receipt confirms Orders.
+type Receipt struct {
+	// Epoch is the highest one that the agent has seen.
+	Epoch int64 `cbor:"e"`
+}
--- a/berylrpc/client.go
+++ b/berylrpc/client.go
@@ -27,6 +27,8 @@
 // Client calls functions on other processes. It is safe for concurrent use.
 type Client struct {
 	pool *drpcpool.Pool[string, drpcpool.Conn]
+	// closing means that a call that ends by its context closes its connection.
+	closing bool
 }
 
 // NewClient returns a client without connections.
@@ -37,6 +39,14 @@
 	})}
 }
 
+// NewClosingClient returns a client that closes the connection of a call that
+// ended by its context, so that a connection which fell silent is not used again.
+func NewClosingClient() *Client {
+	c := NewClient()
+	c.closing = true
+	return c
+}
+
 // Close closes the idle connections.
 func (c *Client) Close() error { return c.pool.Close() }
 
@@ -46,7 +56,7 @@
 func Call[Req, Resp any](ctx context.Context, c *Client, addr string, m berylmessage.Method, req *Req) (*Resp, error) {
 	dialed := true
 	conn := c.pool.Get(ctx, addr, func(ctx context.Context, addr string) (drpcpool.Conn, error) {
-		conn, err := dial(ctx, addr)
+		conn, err := c.dial(ctx, addr)
 		dialed = err == nil
 		return conn, err
 	})
@@ -81,13 +91,15 @@
 	return berylerror.Unknown.Wrap(err, text)
 }
 
-func dial(ctx context.Context, addr string) (drpcpool.Conn, error) {
+func (c *Client) dial(ctx context.Context, addr string) (drpcpool.Conn, error) {
 	d := net.Dialer{Timeout: _dialTimeout, KeepAlive: _keepAlivePeriod}
 	conn, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	return drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: managerOptions(0)}), nil
+	options := managerOptions(0)
+	options.SoftCancel = !c.closing
+	return drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: options}), nil
 }
 
 var _ drpc.Conn = (*drpcconn.Conn)(nil)
--- /dev/null
+++ b/berylsite/agent.go
@@ -0,0 +1,65 @@
+package berylsite
+
+import (
+	"context"
+	"time"
+
+	"berylglade/berylclock"
+	"berylglade/berylkeeper"
+	"berylglade/berylrpc"
+	"berylglade/berylsidecar"
+	"berylglade/platform"
+)
+
+type agentCmd struct{}
+
+// Run runs an agent until SIGTERM.
+func (agentCmd) Run() error {
+	p, err := newProcess("agent")
+	if err != nil {
+		return err
+	}
+	defer p.sink.Close()
+	s := p.settings
+	agent := berylsidecar.New(berylsidecar.Config{
+		Node: s.Node, Addr: s.Own(), Boot: p.boot,
+		Limits:   keeperLimits(s),
+		Executor: platform.NewRunner(),
+		Store:    platform.NewStore(s.Store),
+		Clock:    berylclock.System(), Log: p.log,
+		Entries: s.Entries(), TopicEntries: platform.TopicEntries,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	agent.Start(ctx)
+	var srv berylrpc.Server
+	agent.Register(&srv)
+	if err := p.serveOwn(ctx, &srv); err != nil {
+		return err
+	}
+	beats := &platform.Beats{Service: s.Service, Take: agent.Beat, Leave: agent.Leave}
+	if _, err := p.serve(ctx, s.Control, beats.Handler()); err != nil {
+		return err
+	}
+	agent.Run(p.ctx)
+	p.log.Info("stop")
+	return nil
+}
+
+func keeperLimits(s platform.Settings) berylkeeper.Limits {
+	return berylkeeper.Limits{
+		Contact: _contact,
+		Lease:   min(s.HoldMax-_holdMargin, _lease),
+		Poll:    _poll,
+	}
+}
+
+const (
+	// _contact is how long tasks run on without a leader; it covers an election
+	// and most outages of the store.
+	_contact = 3500 * time.Millisecond
+	// _lease covers the restart of an agent.
+	_lease      = 5500 * time.Millisecond
+	_holdMargin = 300 * time.Millisecond
+	_poll       = 500 * time.Millisecond
+)
--- /dev/null
+++ b/berylsite/site.go
@@ -0,0 +1,175 @@
+// Package berylsite is the command line of the processes on the users' platform.
+//
+// It wires the adapter in package platform to an entry (berylgateway) or an agent
+// (berylsidecar), opens their listeners, and handles signals.
+package berylsite
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/go-faster/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"berylglade/berylerror"
+	"berylglade/berylrpc"
+	"berylglade/berylsink"
+	"berylglade/platform"
+)
+
+// grammar has the commands. Kong fills it from the arguments.
+type grammar struct {
+	Entry entryCmd `cmd:"" help:"Run an entry, which serves clients and may lead."`
+	Agent agentCmd `cmd:"" help:"Run an agent beside a backend server."`
+	Check checkCmd `cmd:"" help:"Check the settings file and print what was read."`
+}
+
+const _description = `Scheduler for multi-accelerator jobs on the users' platform.
+
+The settings file is named by the environment variable ` + platform.EnvSettings + `.
+Exit codes: 0 success, 1 internal, 2 invalid arguments or settings.`
+
+// Main runs one command and returns the exit code.
+func Main(args []string) int {
+	var g grammar
+	exited := false
+	parser, err := kong.New(&g, kong.Name("berylsite"), kong.Description(_description),
+		kong.Exit(func(int) { exited = true }))
+	if err != nil {
+		return fail(err)
+	}
+	parsed, err := parser.Parse(args)
+	if exited {
+		return 0
+	}
+	if err != nil {
+		return fail(berylerror.Invalid.Wrap(err, "arguments"))
+	}
+	if err := parsed.Run(); err != nil {
+		return fail(err)
+	}
+	return 0
+}
+
+func fail(err error) int {
+	_, _ = fmt.Fprintln(os.Stderr, "berylsite:", err)
+	return berylerror.Of(err).Exit()
+}
+
+type checkCmd struct{}
+
+// Run prints the settings.
+func (checkCmd) Run() error {
+	s, err := platform.Load(os.Getenv(platform.EnvSettings))
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%+v\n", s)
+	return nil
+}
+
+// process is what entry and agent have in common.
+type process struct {
+	settings platform.Settings
+	sink     *berylsink.Sink
+	log      *slog.Logger
+	boot     int64
+	registry *prometheus.Registry
+	// ctx ends with SIGTERM or SIGINT.
+	ctx  context.Context
+	stop context.CancelFunc
+}
+
+func newProcess(role string) (*process, error) {
+	s, err := platform.Load(os.Getenv(platform.EnvSettings))
+	if err != nil {
+		return nil, err
+	}
+	p := &process{settings: s, sink: berylsink.New(os.Stdout), boot: time.Now().UnixMilli(), registry: prometheus.NewRegistry()}
+	p.log = p.sink.Logger("node", s.Node, "role", role)
+	p.ctx, p.stop = signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	p.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "berylglade_log_lines_dropped",
+		Help: "Log lines that were dropped since the last line was written.",
+	}, func() float64 { return float64(p.sink.Dropped()) }))
+	p.log.Info("start", "boot", p.boot, "zone", s.Zone, "own", s.Own(), "store", s.Store, "seeds", s.Seeds)
+	go p.reloads()
+	return p, nil
+}
+
+// reloads reads the settings again on SIGHUP. Addresses and names of a running
+// process do not change; the new values hold from the next start.
+func (p *process) reloads() {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	for range hup {
+		s, err := platform.Load(os.Getenv(platform.EnvSettings))
+		if err != nil {
+			p.log.Error("settings not reloaded", "err", err)
+			continue
+		}
+		p.log.Info("reload", "node", s.Node, "seeds", s.Seeds)
+	}
+}
+
+// serveOwn listens for our own processes and for metrics.
+func (p *process) serveOwn(ctx context.Context, s *berylrpc.Server) error {
+	lis, err := listen(ctx, p.settings.Own())
+	if err != nil {
+		return err
+	}
+	go func() {
+		if err := s.Serve(ctx, lis); err != nil && ctx.Err() == nil {
+			p.log.Error("listener for own processes ended", "err", err)
+			p.stop()
+		}
+	}()
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(p.registry, promhttp.HandlerOpts{}))
+	addr := p.settings.IP + ":" + strconv.Itoa(p.settings.FirstPort+_metricsPort)
+	_, err = p.serve(ctx, addr, mux)
+	return err
+}
+
+// serve starts an HTTP server.
+func (p *process) serve(ctx context.Context, addr string, h http.Handler) (*http.Server, error) {
+	lis, err := listen(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: _headerTimeout, IdleTimeout: _idleTimeout, MaxHeaderBytes: _maxHeader}
+	go func() {
+		if err := srv.Serve(lis); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			p.log.Error("listener ended", "addr", addr, "err", err)
+			p.stop()
+		}
+	}()
+	return srv, nil
+}
+
+func listen(ctx context.Context, addr string) (net.Listener, error) {
+	var cfg net.ListenConfig
+	lis, err := cfg.Listen(ctx, "tcp", addr)
+	if err != nil {
+		return nil, berylerror.Internal.Wrap(err, "listen on "+addr)
+	}
+	return lis, nil
+}
+
+const (
+	// _metricsPort is the offset of the metrics port in the range of free ports.
+	_metricsPort   = 1
+	_headerTimeout = 3 * time.Second
+	_idleTimeout   = 15 * time.Second
+	_maxHeader     = 16 << 10
+)
--- /dev/null
+++ b/berylstore/store.go
@@ -0,0 +1,72 @@
+// Package berylstore is the port to the platform's store: an append-only log
+// whose keyed topics keep the newest record of each key for ever.
+package berylstore
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// Record is one keyed record. A nil value removes the key.
+type Record struct {
+	Key    string
+	Value  []byte
+	Offset int64
+}
+
+// Append adds records to partition zero of a keyed topic, all or none.
+type Append struct {
+	Topic   string
+	Records []Record
+	// Producer, Epoch and Seq make a repeated append idempotent and fence
+	// producers with a lower epoch.
+	Producer string
+	Epoch    int64
+	Seq      int64
+	// At is the offset at which the topic must end; negative means any.
+	At int64
+}
+
+// Read is the reply to a read from an offset.
+type Read struct {
+	Records []Record
+	// End is the offset after the newest record at the time of the reply.
+	End int64
+	// Next is the offset after the last record of this reply.
+	Next int64
+}
+
+// Page is one page of the newest records by key.
+type Page struct {
+	Records []Record
+	// More is true if another page follows after the last key.
+	More bool
+	End  int64
+}
+
+// Errors that are final answers of the store. Every other error leaves open
+// whether an append takes effect.
+var (
+	// ErrFenced means that a higher epoch of the producer has been seen.
+	ErrFenced = errors.New("fenced by a higher epoch")
+	// ErrMoved means that the topic does not end at Append.At.
+	ErrMoved = errors.New("topic ends elsewhere")
+	// ErrSequence means that the sequence number does not follow the last one.
+	ErrSequence = errors.New("sequence number does not follow")
+	// ErrGone means that records at the offset have been deleted.
+	ErrGone = errors.New("records were deleted")
+	// ErrNotDone means that the store refused the call and did nothing.
+	ErrNotDone = errors.New("store refused the call")
+)
+
+// Store is the platform's store. Implementations are safe for concurrent use.
+type Store interface {
+	// Append returns the offset of the first record.
+	Append(ctx context.Context, a Append) (int64, error)
+	// Read waits up to wait for a record at or after from.
+	Read(ctx context.Context, topic string, from int64, wait time.Duration) (Read, error)
+	// Newest returns the newest record of the keys after the given one.
+	Newest(ctx context.Context, topic, after string) (Page, error)
+}
--- /dev/null
+++ b/berylview/view.go
@@ -0,0 +1,96 @@
+// Package berylview has what an entry knows when it answers a client: the jobs
+// and the desired state, each with the time at which it was confirmed.
+package berylview
+
+import (
+	"sync"
+	"time"
+
+	"berylglade/berylbook"
+	"berylglade/berylpolicy"
+	"berylglade/berylstore"
+)
+
+// View is safe for concurrent use. The zero value knows nothing.
+type View struct {
+	mu       sync.Mutex
+	book     berylbook.Book
+	bookAt   time.Time
+	policy   *berylpolicy.Policy
+	policyAt time.Time
+}
+
+// Job is what is known of one job.
+type Job struct {
+	Known   bool
+	State   berylbook.State
+	Account string
+	Queue   string
+	// At is when it was last confirmed that nothing newer exists.
+	At time.Time
+}
+
+// Load replaces the jobs.
+func (v *View) Load(records []berylstore.Record, sent time.Time) {
+	var book berylbook.Book
+	for _, r := range records {
+		book.Apply(r, 0)
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.book = book
+	v.bookAt = sent
+}
+
+// Read folds records in.
+func (v *View) Read(records []berylstore.Record, sent time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, r := range records {
+		v.book.Apply(r, 0)
+	}
+	v.bookAt = sent
+}
+
+// SetPolicy replaces the desired state, which was confirmed at sent.
+func (v *View) SetPolicy(p *berylpolicy.Policy, sent time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.policyAt = sent
+	if p != nil {
+		v.policy = p
+	}
+}
+
+// Policy returns the desired state, nil if there is none, and when it was
+// confirmed.
+func (v *View) Policy() (*berylpolicy.Policy, time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.policy, v.policyAt
+}
+
+// Job returns what is known of a job.
+func (v *View) Job(id string) Job {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	j := v.book.Jobs[id]
+	if j == nil {
+		return Job{At: v.bookAt}
+	}
+	return Job{Known: true, State: j.Shown(), Account: j.Work.Account, Queue: j.Work.Queue, At: v.bookAt}
+}
+
+// Waiting returns how many jobs of a queue have not begun.
+func (v *View) Waiting(queue string) (int, time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.book.Waiting(queue), v.bookAt
+}
+
+// Claim returns the newest claim to lead.
+func (v *View) Claim() berylbook.Claim {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.book.Claim
+}
--- /dev/null
+++ b/berylwork/work.go
@@ -0,0 +1,123 @@
+// Package berylwork describes a job of several steps as a client submitted it.
+//
+// A [Work] never changes after it was accepted. Its progress is kept apart, in
+// package berylbook.
+package berylwork
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"berylglade/berylroom"
+)
+
+// Work is a submitted job.
+type Work struct {
+	// ID is chosen by the client and unique over all queues.
+	ID string `cbor:"i"`
+	// Queue is the name of the queue in the policy.
+	Queue string `cbor:"q"`
+	// Account is the client account that owns the job; empty on a public queue.
+	Account string `cbor:"o,omitempty"`
+	// Spec is passed to the backend server unread.
+	Spec string `cbor:"s,omitempty"`
+	// Steps has at least one element.
+	Steps []Step `cbor:"t"`
+	// Times is the number of occurrences of a scheduled job; zero for a job
+	// that runs once, at once.
+	Times int `cbor:"n,omitempty"`
+	// First is the due time of occurrence zero in Unix milliseconds.
+	First int64 `cbor:"f,omitempty"`
+	// Interval is the time between two occurrences in milliseconds.
+	Interval int64 `cbor:"v,omitempty"`
+	// Accepted is when the entry took the job, in Unix milliseconds of its clock.
+	Accepted int64 `cbor:"a"`
+}
+
+// Step is a number of tasks that are alike.
+type Step struct {
+	Count    int            `cbor:"n"`
+	Need     berylroom.Room `cbor:"r"`
+	Estimate int64          `cbor:"e,omitempty"` // Milliseconds, as declared.
+	// After lists earlier steps that must have ended first.
+	After []int `cbor:"a,omitempty"`
+	// Gang means that all tasks start together and end together.
+	Gang bool `cbor:"g,omitempty"`
+	// OneRack means that the tasks are slower when spread over racks.
+	OneRack bool `cbor:"k,omitempty"`
+	// Saves means that the tasks write checkpoints.
+	Saves bool `cbor:"s,omitempty"`
+	// Copies means that several runs of one task may overlap.
+	Copies bool `cbor:"c,omitempty"`
+	// Lasting means that the tasks run until the job is cancelled.
+	Lasting bool `cbor:"l,omitempty"`
+	// Label is one that the backend server must have; empty for any.
+	Label string `cbor:"b,omitempty"`
+	// Rack is where the data lies; elsewhere the tasks are slower.
+	Rack string `cbor:"d,omitempty"`
+	// Apart is the highest number of tasks on one backend server; zero means
+	// no limit.
+	Apart int `cbor:"p,omitempty"`
+	// Fills means that Need.Millicores is not taken from the capacity of the
+	// backend server.
+	Fills bool `cbor:"f,omitempty"`
+	// Image names what the tasks run.
+	Image string `cbor:"i,omitempty"`
+	// Latency is the bound on the tail latency of a lasting task in milliseconds.
+	Latency int64 `cbor:"y,omitempty"`
+	// MayMiss is how many lasting tasks may be away by the system's doing.
+	MayMiss int `cbor:"m,omitempty"`
+}
+
+// Room returns what one task takes from the capacity of a backend server.
+func (s Step) Room() berylroom.Room {
+	r := s.Need
+	if s.Fills {
+		r.Millicores = 0
+	}
+	return r
+}
+
+// Occurrences returns how often the steps run, at least once.
+func (w *Work) Occurrences() int { return max(w.Times, 1) }
+
+// Due returns when occurrence k may start. It is the zero time for a job that
+// may start at once.
+func (w *Work) Due(k int) time.Time {
+	if w.Times == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(w.First + int64(k)*w.Interval)
+}
+
+// Ref names a task: occurrence, step and index of a job.
+type Ref struct {
+	Job                     string
+	Occurrence, Step, Index int
+}
+
+// String returns the name of the task towards backend servers.
+func (r Ref) String() string {
+	return r.Job + "." + strconv.Itoa(r.Occurrence) + "." + strconv.Itoa(r.Step) + "." + strconv.Itoa(r.Index)
+}
+
+// _refParts is the number of parts of a task's name.
+const _refParts = 4
+
+// ParseRef reads the name of a task. It returns false if s is not such a name.
+func ParseRef(s string) (Ref, bool) {
+	parts := strings.Split(s, ".")
+	if len(parts) != _refParts {
+		return Ref{}, false
+	}
+	var n [_refParts - 1]int
+	for i, p := range parts[1:] {
+		v, err := strconv.Atoi(p)
+		if err != nil || v < 0 {
+			return Ref{}, false
+		}
+		n[i] = v
+	}
+	return Ref{Job: parts[0], Occurrence: n[0], Step: n[1], Index: n[2]}, true
+}
--- /dev/null
+++ b/cmd/berylsite/main.go
@@ -0,0 +1,12 @@
+// Command berylsite runs the processes of the scheduler on the users' platform:
+// an entry on each VM that clients reach, and an agent beside each backend
+// server.
+package main
+
+import (
+	"os"
+
+	"berylglade/berylsite"
+)
+
+func main() { os.Exit(berylsite.Main(os.Args[1:])) }
