beryldirector: keep the leader's book when the topic is read again

A leader that had to reload the topic applied progress of earlier leaders over its own, and a deposed leader could claim again before its book was read again. Besides: members of a done gang were taken for unknown runs and stopped, starts were given up while the store was away, and an append that hung in an outage outlasted it by seconds.

--- a/berylbook/book.go
+++ b/berylbook/book.go
@@ -188,9 +188,14 @@
 	return berylstore.Record{Key: key, Value: value}, err
 }
 
-// Apply folds one record in. Progress of the epoch own is skipped, as its
-// writer has it already. It returns the id of the job that changed, if any.
-func (b *Book) Apply(r berylstore.Record, own int64) string {
+// IsProgress reports whether r is a record of a job's progress.
+func IsProgress(r berylstore.Record) bool { return strings.HasPrefix(r.Key, _progress) }
+
+// IsClaim reports whether r is a record of a claim.
+func IsClaim(r berylstore.Record) bool { return r.Key == _leader }
+
+// Apply folds one record in. It returns the id of the job that changed, if any.
+func (b *Book) Apply(r berylstore.Record) string {
 	if b.Jobs == nil {
 		b.Jobs = map[string]*Job{}
 		b.early = map[string]*pending{}
@@ -203,7 +208,7 @@
 	case strings.HasPrefix(r.Key, _cancel):
 		return b.applyCancel(r)
 	case strings.HasPrefix(r.Key, _progress):
-		return b.applyProgress(r, own)
+		return b.applyProgress(r)
 	}
 	return ""
 }
@@ -291,10 +296,10 @@
 	j.Cancelled = at
 }
 
-func (b *Book) applyProgress(r berylstore.Record, own int64) string {
+func (b *Book) applyProgress(r berylstore.Record) string {
 	id := strings.TrimPrefix(r.Key, _progress)
 	var p Progress
-	if len(r.Value) == 0 || !b.decode(r, &p) || (own != 0 && p.Epoch == own) {
+	if len(r.Value) == 0 || !b.decode(r, &p) {
 		return ""
 	}
 	j := b.Jobs[id]
--- a/beryldirector/director.go
+++ b/beryldirector/director.go
@@ -84,6 +84,8 @@
 	Book   berylbook.Book
 	Policy *berylpolicy.Policy
 
+	// stale means that the book may hold changes that were never recorded.
+	stale bool
 	// retired means that the process stops and never claims again.
 	retired bool
 	epoch   int64
@@ -142,8 +144,13 @@
 	d.readAt = now
 	d.end = end
 	for _, r := range records {
+		if d.Leading() && berylbook.IsProgress(r) {
+			// Only the leader writes progress and it has its own already. What
+			// an earlier one wrote is older than the book.
+			continue
+		}
 		before := d.Book.Claim
-		id := d.Book.Apply(r, d.epoch)
+		id := d.Book.Apply(r)
 		if d.Book.Claim != before || d.fromLeader(r) {
 			d.heardAt = now
 		}
@@ -181,6 +188,7 @@
 func (d *Director) Deposed() {
 	d.note("deposed", "epoch", d.epoch, "claim", d.Book.Claim.Epoch, "leader", d.Book.Claim.Node)
 	d.epoch = 0
+	d.stale = true
 	d.flying = false
 	clear(d.dirty)
 	clear(d.flight)
@@ -192,6 +200,7 @@
 // Restore replaces the book with one read from the topic.
 func (d *Director) Restore(now time.Time, book berylbook.Book, end int64) {
 	d.Book = book
+	d.stale = false
 	d.end = end
 	d.readAt = now
 	d.heardAt = now
--- /dev/null
+++ b/beryldirector/director_test.go
@@ -0,0 +1,439 @@
+package beryldirector
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"berylglade/berylbook"
+	"berylglade/berylpolicy"
+	"berylglade/berylreport"
+	"berylglade/berylroom"
+	"berylglade/berylstore"
+	"berylglade/berylwork"
+)
+
+func testLimits() Limits {
+	return Limits{
+		Lost: 9 * time.Second, Takeover: 2 * time.Second, Sure: 1800 * time.Millisecond,
+		Gang: 3 * time.Second, Kept: 2 * time.Minute,
+	}
+}
+
+func begin() time.Time { return time.UnixMilli(1_000_000) }
+
+func testPolicy() *berylpolicy.Policy {
+	return &berylpolicy.Policy{
+		Version: 1,
+		Queues: []berylpolicy.Queue{
+			{Name: "urgent", Service: "s", Priority: 0, Attempts: 2, Stretch: 1.5},
+			{Name: "routine", Service: "s", Priority: 2, Attempts: 2, Stretch: 3},
+		},
+		Services: map[string]berylpolicy.Service{"s": {Name: "s"}},
+	}
+}
+
+// bench drives one director as its entry would, with a topic in memory.
+type bench struct {
+	is     *is.I
+	d      *Director
+	now    time.Time
+	end    int64
+	seq    int64
+	boots  map[string]int64
+	claims int
+	// hold keeps appends outstanding.
+	hold bool
+}
+
+func newBench(t *testing.T) *bench {
+	b := &bench{is: is.New(t), now: begin(), boots: map[string]int64{}}
+	b.d = New(Self{Node: "entry-1", Boot: 1, Addr: "10.0.0.9:7000"}, testLimits())
+	b.d.Policy = testPolicy()
+	b.d.Restore(b.now, berylbook.Book{}, 0)
+	b.pass(time.Second)
+	b.is.True(b.d.Leading())
+	return b
+}
+
+// pass lets time go by in steps and carries the effects out.
+func (b *bench) pass(total time.Duration) {
+	const step = 50 * time.Millisecond
+	for range max(1, int(total/step)) {
+		b.now = b.now.Add(min(step, total))
+		b.d.Read(b.now, nil, b.end)
+		b.settle()
+	}
+}
+
+func (b *bench) settle() {
+	for range 10 {
+		b.d.Step(b.now)
+		effects := b.d.Effects()
+		done := true
+		for _, e := range effects {
+			switch e := e.(type) {
+			case Claim:
+				b.claims++
+				r, err := e.Claim.Record()
+				b.is.NoErr(err)
+				b.append(r)
+				done = false
+			case Persist:
+				if b.hold {
+					continue
+				}
+				b.append(e.Records...)
+				b.d.Committed(b.now)
+				done = false
+			}
+		}
+		if done {
+			return
+		}
+	}
+}
+
+func (b *bench) append(records ...berylstore.Record) {
+	b.end += int64(len(records))
+	b.d.Read(b.now, records, b.end)
+}
+
+func (b *bench) submit(id, queue string, steps ...berylwork.Step) {
+	s := berylbook.Submission{Work: berylwork.Work{ID: id, Queue: queue, Steps: steps, Accepted: b.now.UnixMilli()}}
+	r, err := s.Record()
+	b.is.NoErr(err)
+	b.append(r)
+	b.settle()
+}
+
+func place(node string) berylbook.Place {
+	return berylbook.Place{Node: node, Instance: "i-" + node, Born: 5}
+}
+
+// report sends a report of a backend server with eight accelerators.
+func (b *bench) report(node string, change func(r *berylreport.Report)) berylreport.Answer {
+	b.seq++
+	r := berylreport.Report{
+		Node: node, Addr: node + ":7000", Seq: b.seq, Boot: 1, Place: place(node), Service: "s", Zone: "z1",
+		Labels: []string{"a", "r1-1"}, Room: berylroom.Room{Millicores: 64000, Megabytes: 128000, Accelerators: 8}, Looked: true,
+	}
+	if change != nil {
+		change(&r)
+	}
+	a := b.d.Report(b.now, r)
+	b.settle()
+	return a
+}
+
+func step(count, accelerators int) berylwork.Step {
+	return berylwork.Step{Count: count, Need: berylroom.Room{Millicores: 1000, Accelerators: accelerators}, Estimate: 2000}
+}
+
+func gang(count, accelerators int) berylwork.Step {
+	s := step(count, accelerators)
+	s.Gang = true
+	return s
+}
+
+func (b *bench) phase(id string, index int) berylbook.Phase {
+	return b.d.Book.Jobs[id].Tasks[0][0][index].Phase
+}
+
+func end(n int64, task string, run int, how berylreport.How) berylreport.End {
+	return berylreport.End{N: n, Key: berylreport.Key{Task: task, Run: run}, How: how}
+}
+
+// Guards against a start that is ordered before its record is in the topic: a
+// successor would not know of the run and start the task again.
+func TestStartIsOrderedAfterItsRecord(t *testing.T) {
+	b := newBench(t)
+	b.report("n1", nil)
+	b.hold = true
+	b.submit("j1", "routine", step(1, 1))
+	b.is.Equal(b.phase("j1", 0), berylbook.Ordered)
+	b.is.Equal(len(b.d.Orders(b.now)["n1"].Start), 0)
+	b.hold = false
+	b.d.Committed(b.now)
+	b.settle()
+	b.is.Equal(len(b.d.Orders(b.now)["n1"].Start), 1)
+}
+
+// Guards against an end that the backend server forgets before it is recorded.
+func TestEndIsNotedAfterItsRecord(t *testing.T) {
+	b := newBench(t)
+	b.report("n1", nil)
+	b.submit("j1", "routine", step(1, 1))
+	b.hold = true
+	a := b.report("n1", func(r *berylreport.Report) {
+		r.Ends = []berylreport.End{end(1, "j1.0.0.0", 1, berylreport.Done)}
+	})
+	b.is.Equal(b.d.Book.Jobs["j1"].State, berylbook.Completed)
+	b.is.Equal(a.Noted, int64(0))
+	b.hold = false
+	b.d.Committed(b.now)
+	b.settle()
+	b.is.Equal(b.d.Orders(b.now)["n1"].Noted, int64(1))
+}
+
+// Guards against a second run while the first may exist, for each way in which a
+// run may or may not be over.
+func TestNextRunWaitsForTheLast(t *testing.T) {
+	tests := []struct {
+		name   string
+		wait   time.Duration
+		change func(r *berylreport.Report)
+		want   int
+	}{
+		{name: "agent silent for a short time", wait: 8 * time.Second, want: 1},
+		{name: "agent silent for longer than the lease", wait: 10 * time.Second, want: 2},
+		{name: "run does not exist", change: func(r *berylreport.Report) {
+			r.Absent = []berylreport.Key{{Task: "j1.0.0.0", Run: 1}}
+		}, want: 2},
+		{name: "run was stopped", change: func(r *berylreport.Report) {
+			r.Ends = []berylreport.End{end(1, "j1.0.0.0", 1, berylreport.Stopped)}
+		}, want: 2},
+		{name: "born again", change: func(r *berylreport.Report) { r.Place.Born = 6 }, want: 2},
+		{name: "lease ran out", change: func(r *berylreport.Report) { r.Lapsed = true }, want: 2},
+		{name: "end of another run", change: func(r *berylreport.Report) {
+			r.Runs = []berylreport.Run{{Key: berylreport.Key{Task: "j1.0.0.0", Run: 1}}}
+			r.Ends = []berylreport.End{end(1, "j1.0.0.0", 7, berylreport.Failed)}
+		}, want: 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBench(t)
+			b.report("n1", nil)
+			b.submit("j1", "routine", step(1, 1))
+			b.report("n1", func(r *berylreport.Report) {
+				r.Runs = []berylreport.Run{{Key: berylreport.Key{Task: "j1.0.0.0", Run: 1}}}
+			})
+			b.is.Equal(b.phase("j1", 0), berylbook.Working)
+			if tt.wait > 0 {
+				b.pass(tt.wait)
+			}
+			b.report("n2", nil)
+			if tt.change != nil {
+				b.report("n1", tt.change)
+			}
+			b.is.Equal(b.d.Book.Jobs["j1"].Tasks[0][0][0].Run, tt.want)
+		})
+	}
+}
+
+// Guards against a job that fails before its attempts are used up, and against a
+// gang whose members each count the same failure.
+func TestAttempts(t *testing.T) {
+	tests := []struct {
+		name string
+		step berylwork.Step
+		ends []berylreport.End
+		want berylbook.State
+	}{
+		{name: "one failure", step: step(2, 1), ends: []berylreport.End{end(1, "j1.0.0.0", 1, berylreport.Failed)}, want: berylbook.Pending},
+		{name: "two failures of one task", step: step(2, 1), ends: []berylreport.End{
+			end(1, "j1.0.0.0", 1, berylreport.Failed), end(2, "j1.0.0.0", 2, berylreport.Failed),
+		}, want: berylbook.Failed},
+		{name: "one failure of each of two tasks", step: step(2, 1), ends: []berylreport.End{
+			end(1, "j1.0.0.0", 1, berylreport.Failed), end(2, "j1.0.0.1", 1, berylreport.Failed),
+		}, want: berylbook.Pending},
+		{name: "both members of a gang", step: gang(2, 1), ends: []berylreport.End{
+			end(1, "j1.0.0.0", 1, berylreport.Failed), end(2, "j1.0.0.1", 1, berylreport.Failed),
+		}, want: berylbook.Pending},
+		{name: "lapsed runs", step: step(2, 1), ends: []berylreport.End{
+			end(1, "j1.0.0.0", 1, berylreport.Lapsed), end(2, "j1.0.0.0", 2, berylreport.Lapsed),
+		}, want: berylbook.Pending},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBench(t)
+			b.report("n1", nil)
+			b.submit("j1", "routine", tt.step)
+			for i := range tt.ends {
+				b.report("n1", func(r *berylreport.Report) { r.Ends = tt.ends[:i+1] })
+			}
+			b.is.Equal(b.d.Book.Jobs["j1"].State, tt.want)
+		})
+	}
+}
+
+// Guards against members of a finished gang being taken for unknown runs: they
+// were stopped, and their hosts got no work.
+func TestMembersOfADoneGangAreKnown(t *testing.T) {
+	b := newBench(t)
+	b.report("n1", nil)
+	b.submit("j1", "routine", gang(2, 4))
+	runs := []berylreport.Run{{Key: berylreport.Key{Task: "j1.0.0.0", Run: 1}}, {Key: berylreport.Key{Task: "j1.0.0.1", Run: 1}}}
+	b.report("n1", func(r *berylreport.Report) { r.Runs = runs })
+	b.report("n1", func(r *berylreport.Report) {
+		r.Runs = runs[1:]
+		r.Ends = []berylreport.End{end(1, "j1.0.0.0", 1, berylreport.Done)}
+	})
+	b.is.Equal(b.d.Book.Jobs["j1"].State, berylbook.Completed)
+	b.is.Equal(len(b.d.Orders(b.now)["n1"].Stop), 0)
+}
+
+// Guards against starts that are given up because the store is slow: they were
+// never sent.
+func TestStartPatienceBeginsWithTheRecord(t *testing.T) {
+	b := newBench(t)
+	b.report("n1", nil)
+	b.hold = true
+	b.submit("j1", "routine", step(1, 1))
+	b.pass(3 * time.Second)
+	b.is.Equal(b.phase("j1", 0), berylbook.Ordered)
+	b.hold = false
+	b.d.Committed(b.now)
+	b.pass(time.Second)
+	b.is.Equal(b.phase("j1", 0), berylbook.Ordered)
+	b.pass(time.Second)
+	b.is.Equal(b.phase("j1", 0), berylbook.Stopping)
+}
+
+// Guards against a job whose tasks go on after its cancel, or that is shown as
+// cancelled while they may.
+func TestCancelStopsAndSettles(t *testing.T) {
+	b := newBench(t)
+	b.report("n1", nil)
+	b.submit("j1", "routine", step(1, 1))
+	b.report("n1", func(r *berylreport.Report) {
+		r.Runs = []berylreport.Run{{Key: berylreport.Key{Task: "j1.0.0.0", Run: 1}}}
+	})
+	c := berylbook.Cancel{At: b.now.UnixMilli()}
+	r, err := c.Record("j1")
+	b.is.NoErr(err)
+	b.append(r)
+	b.settle()
+	b.is.Equal(len(b.d.Orders(b.now)["n1"].Stop), 1)
+	b.is.Equal(b.d.Book.Jobs["j1"].State, berylbook.Pending)
+	b.report("n1", func(r *berylreport.Report) {
+		r.Ends = []berylreport.End{end(1, "j1.0.0.0", 1, berylreport.Stopped)}
+	})
+	b.is.Equal(b.d.Book.Jobs["j1"].State, berylbook.Cancelled)
+}
+
+// Guards against progress that an earlier leader wrote undoing what this one
+// knows, when the topic is read again from its newest records.
+func TestReloadKeepsTheLeadersBook(t *testing.T) {
+	b := newBench(t)
+	b.report("n1", nil)
+	b.submit("j1", "routine", step(1, 1))
+	old, err := b.d.Book.Jobs["j1"].Record(0)
+	b.is.NoErr(err)
+	b.hold = true
+	b.report("n1", func(r *berylreport.Report) {
+		r.Ends = []berylreport.End{end(1, "j1.0.0.0", 1, berylreport.Done)}
+	})
+	b.d.Read(b.now, []berylstore.Record{old}, b.end)
+	b.is.Equal(b.phase("j1", 0), berylbook.Done)
+}
+
+// Guards against a claim by an entry whose book may hold what was never
+// recorded.
+func TestNoClaimBeforeTheBookIsReadAgain(t *testing.T) {
+	b := newBench(t)
+	b.d.Deposed()
+	claims := b.claims
+	b.pass(5 * time.Second)
+	b.is.Equal(b.claims, claims)
+	b.d.Restore(b.now, b.d.Book, b.end)
+	b.pass(5 * time.Second)
+	b.is.True(b.claims > claims)
+}
+
+// Guards against an answer that extends leases after another entry may lead.
+func TestAnswerCountsOnlyWhileSure(t *testing.T) {
+	b := newBench(t)
+	b.is.True(b.report("n1", nil).Led)
+	b.hold = true
+	b.pass(3 * time.Second)
+	b.is.True(!b.report("n1", nil).Led)
+}
+
+// Guards against urgent work that waits while routine work holds every
+// accelerator, and against stopping more than is needed.
+func TestUrgentWorkPreempts(t *testing.T) {
+	b := newBench(t)
+	b.report("n1", nil)
+	b.submit("j1", "routine", step(8, 1))
+	var runs []berylreport.Run
+	for i := range 8 {
+		runs = append(runs, berylreport.Run{Key: berylreport.Key{Task: "j1.0.0." + strconv.Itoa(i), Run: 1}})
+	}
+	b.report("n1", func(r *berylreport.Report) { r.Runs = runs })
+	b.submit("j2", "urgent", gang(2, 2))
+	stops := b.d.Orders(b.now)["n1"].Stop
+	b.is.Equal(len(stops), 4)
+	b.report("n1", func(r *berylreport.Report) {
+		r.Runs = nil
+		for _, run := range runs {
+			stopped := false
+			for _, s := range stops {
+				stopped = stopped || s == run.Key
+			}
+			if stopped {
+				r.Ends = append(r.Ends, berylreport.End{N: int64(len(r.Ends) + 1), Key: run.Key, How: berylreport.Stopped})
+			} else {
+				r.Runs = append(r.Runs, run)
+			}
+		}
+	})
+	b.is.Equal(b.phase("j2", 0), berylbook.Ordered)
+	b.is.Equal(b.phase("j2", 1), berylbook.Ordered)
+}
+
+// Guards against work in a failure domain that is out of service and on a
+// backend server that leaves.
+func TestNoStartWhereNothingMayStart(t *testing.T) {
+	tests := []struct {
+		name   string
+		out    bool
+		change func(r *berylreport.Report)
+	}{
+		{name: "out of service", out: true},
+		{name: "draining", change: func(r *berylreport.Report) { r.Draining = true }},
+		{name: "silent", change: func(r *berylreport.Report) { r.Silent = true }},
+		{name: "not listed yet", change: func(r *berylreport.Report) { r.Looked = false }},
+		{name: "other service", change: func(r *berylreport.Report) { r.Service = "t" }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBench(t)
+			b.d.Policy.Out = map[string]bool{"z1": tt.out}
+			b.report("n1", tt.change)
+			b.submit("j1", "urgent", step(1, 1))
+			b.is.Equal(b.phase("j1", 0), berylbook.Idle)
+		})
+	}
+}
+
+// Guards against a step that starts before the steps it is after have ended, and
+// an occurrence before its time.
+func TestOrderAndTime(t *testing.T) {
+	b := newBench(t)
+	b.report("n1", nil)
+	second := step(1, 1)
+	second.After = []int{0}
+	b.submit("j1", "routine", step(1, 1), second)
+	b.is.Equal(b.d.Book.Jobs["j1"].Tasks[0][1][0].Phase, berylbook.Idle)
+	b.report("n1", func(r *berylreport.Report) {
+		r.Ends = []berylreport.End{end(1, "j1.0.0.0", 1, berylreport.Done)}
+	})
+	b.is.Equal(b.d.Book.Jobs["j1"].Tasks[0][1][0].Phase, berylbook.Ordered)
+
+	s := berylbook.Submission{Work: berylwork.Work{
+		ID: "j2", Queue: "routine", Steps: []berylwork.Step{step(1, 1)}, Times: 2,
+		First: b.now.Add(time.Second).UnixMilli(), Interval: 2000,
+	}}
+	r, err := s.Record()
+	b.is.NoErr(err)
+	b.append(r)
+	b.pass(900 * time.Millisecond)
+	b.is.Equal(b.d.Book.Jobs["j2"].Tasks[0][0][0].Phase, berylbook.Idle)
+	b.report("n1", nil)
+	b.pass(200 * time.Millisecond)
+	b.is.Equal(b.d.Book.Jobs["j2"].Tasks[0][0][0].Phase, berylbook.Ordered)
+	b.is.Equal(b.d.Book.Jobs["j2"].Tasks[1][0][0].Phase, berylbook.Idle)
+}
--- a/beryldirector/election.go
+++ b/beryldirector/election.go
@@ -2,7 +2,6 @@
 
 import (
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -25,7 +24,7 @@
 
 // fromLeader reports whether only the current leader can have written r.
 func (d *Director) fromLeader(r berylstore.Record) bool {
-	return r.Key == "leader" || strings.HasPrefix(r.Key, "s/")
+	return berylbook.IsClaim(r) || berylbook.IsProgress(r)
 }
 
 // claimChanged follows a new claim in the topic.
@@ -61,7 +60,7 @@
 
 // campaign claims to lead if the leader is silent or has resigned.
 func (d *Director) campaign(now time.Time) {
-	if d.retired || now.Sub(d.readAt) > _fresh || now.Sub(d.triedAt) < _retryClaim {
+	if d.retired || d.stale || now.Sub(d.readAt) > _fresh || now.Sub(d.triedAt) < _retryClaim {
 		return
 	}
 	c := d.Book.Claim
--- a/beryldirector/place.go
+++ b/beryldirector/place.go
@@ -39,7 +39,7 @@
 
 // place starts what is ready, the most urgent first.
 func (d *Director) place(now time.Time) {
-	if d.Policy == nil {
+	if d.Policy == nil || (d.flying && now.Sub(d.flewAt) > _storePatience) {
 		return
 	}
 	units := d.waitingUnits(now)
@@ -351,6 +351,9 @@
 const (
 	// _quiet is how long an agent may be silent and still get work.
 	_quiet = 1500 * time.Millisecond
+	// _storePatience is how long an append may take before nothing more is
+	// placed: what is chosen now would be stale when it can be ordered.
+	_storePatience = 700 * time.Millisecond
 	// _rackPatience is how long a gang waits for one rack with enough room.
 	_rackPatience = 1500 * time.Millisecond
 	// _checkpoint is how often tasks save their progress.
--- a/beryldirector/report.go
+++ b/beryldirector/report.go
@@ -315,6 +315,10 @@
 func (d *Director) takeRun(_ time.Time, m *member, run berylreport.Run) {
 	ref, ok := berylwork.ParseRef(run.Task)
 	j, t := d.Book.Task(ref)
+	if t != nil && t.Run == run.Run && t.Phase == berylbook.Done && j.Work.Steps[ref.Step].Gang {
+		// Another member was listed as done first; this one ends by itself.
+		return
+	}
 	if !ok || t == nil || t.Run != run.Run || !t.Phase.Active() || t.Place != m.last.Place {
 		m.unknown = append(m.unknown, run.Key)
 		return
@@ -408,7 +412,8 @@
 	}
 	k := orderKey{ref, t.Run}
 	since, ok := d.ordered[k]
-	if !ok {
+	if !ok || !d.clean(j.Work.ID) {
+		// A start is not sent before it is recorded.
 		d.ordered[k] = now
 		return
 	}
--- a/berylgateway/gateway.go
+++ b/berylgateway/gateway.go
@@ -251,7 +251,7 @@
 		}
 		var book berylbook.Book
 		for _, r := range e.Records {
-			book.Apply(r, 0)
+			book.Apply(r)
 		}
 		g.director.Restore(now, book, e.End)
 	case berylfollower.Read:
--- a/berylgateway/persist.go
+++ b/berylgateway/persist.go
@@ -13,7 +13,7 @@
 // carries a sequence number out once, so repeats do no harm.
 func (g *Gateway) persist(e beryldirector.Persist, seq int64) {
 	for tries := 1; ; tries++ {
-		err := g.append(e, seq, -1, _appendTimeout*time.Duration(min(tries, _timeoutSteps)))
+		err := g.append(e, seq, -1, _appendTimeout)
 		switch {
 		case err == nil:
 			g.loop.Tell(persisted{epoch: e.Epoch})
@@ -34,6 +34,3 @@
 		time.Sleep(_pause)
 	}
 }
-
-// _timeoutSteps is how often the timeout of an append grows.
-const _timeoutSteps = 3
--- a/berylkeeper/keeper.go
+++ b/berylkeeper/keeper.go
@@ -112,7 +112,9 @@
 	// newest is the number of the latest listing call whose reply was used.
 	newest  int64
 	issue   int64
-	holding bool
+	// holding is the number of the listing call that waits for ends; zero if
+	// none does.
+	holding int64
 	recheck bool
 	nextAt  time.Time
 
@@ -355,13 +357,14 @@
 		k.recheck = false
 		tasks = append(tasks, k.hold(now, 0))
 	}
-	if !k.holding && !now.Before(k.nextAt) {
-		k.holding = true
+	if k.holding == 0 && !now.Before(k.nextAt) {
 		wait := k.Limits.Poll
 		if !k.looked {
 			wait = 0
 		}
-		tasks = append(tasks, k.hold(now, wait))
+		t := k.hold(now, wait)
+		k.holding = t.Issue
+		tasks = append(tasks, t)
 	}
 	return tasks
 }
@@ -387,8 +390,8 @@
 			k.stopOutcome(now, c, o)
 		}
 	case berylexecutor.HoldCall:
-		if c.Wait > 0 || !k.looked {
-			k.holding = false
+		if o.Issue == k.holding {
+			k.holding = 0
 		}
 		if c.Target.Instance == k.beat.Place.Instance {
 			k.heard(now, o)
--- a/berylproducer/producer.go
+++ b/berylproducer/producer.go
@@ -140,9 +140,8 @@
 func (p *Producer) deliver(ctx context.Context, records []berylstore.Record) error {
 	p.seq++
 	unknown := false
-	timeout := _minTimeout
 	for {
-		err := p.try(ctx, records, timeout)
+		err := p.try(ctx, records)
 		switch {
 		case err == nil:
 			p.settled()
@@ -160,7 +159,6 @@
 			p.seq = 1
 		case !errors.Is(err, berylstore.ErrNotDone):
 			unknown = true
-			timeout = min(timeout*2, _maxTimeout)
 		}
 		p.troubled()
 		if !pause(ctx, _pause) {
@@ -169,8 +167,8 @@
 	}
 }
 
-func (p *Producer) try(ctx context.Context, records []berylstore.Record, timeout time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+func (p *Producer) try(ctx context.Context, records []berylstore.Record) error {
+	ctx, cancel := context.WithTimeout(ctx, _timeout)
 	defer cancel()
 	_, err := p.store.Append(ctx, berylstore.Append{
 		Topic: p.topic, Records: records, Producer: p.name, Epoch: p.epoch, Seq: p.seq, At: -1,
@@ -204,10 +202,9 @@
 const (
 	// _maxRecords bounds one append; records of jobs are a few kilobytes.
 	_maxRecords = 200
-	// _minTimeout and _maxTimeout bound one try; the store answers within a few
-	// milliseconds, and within a quarter of a second when it is slow.
-	_minTimeout = 800 * time.Millisecond
-	_maxTimeout = 3 * time.Second
+	// _timeout bounds one try. A slow store answers within a quarter of a second,
+	// and a try that hangs in an outage must not outlast it by much.
+	_timeout = 900 * time.Millisecond
 	// _pause is the time between two tries.
 	_pause = 100 * time.Millisecond
 )
--- a/berylview/view.go
+++ b/berylview/view.go
@@ -34,7 +34,7 @@
 func (v *View) Load(records []berylstore.Record, sent time.Time) {
 	var book berylbook.Book
 	for _, r := range records {
-		book.Apply(r, 0)
+		book.Apply(r)
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -47,7 +47,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for _, r := range records {
-		v.book.Apply(r, 0)
+		v.book.Apply(r)
 	}
 	v.bookAt = sent
 }
