beryldirector: preempt only when an urgent job would be late

Now an urgent unit waits while its job can still be in time, keeps the room that comes free for itself, and wide steps are given the time of their waves; guaranteed work waits 1.3 s at most. While the store is away, Retry-After grows with the outage and requests that were not sent are refused as soon as the store is silent.

Ruled out: machine-seconds are the next largest price and are given by the site.

--- a/beryldirector/director_test.go
+++ b/beryldirector/director_test.go
@@ -352,8 +352,9 @@
 	b.is.True(!b.report("n1", nil).Led)
 }
 
-// Guards against urgent work that waits while routine work holds every
-// accelerator, and against stopping more than is needed.
+// Replays urgent work that arrives while routine work holds every accelerator.
+// Guards against urgent work that waits until it is late, against stopping work
+// before that, and against stopping more than is needed.
 func TestUrgentWorkPreempts(t *testing.T) {
 	b := newBench(t)
 	b.report("n1", nil)
@@ -364,6 +365,8 @@
 	}
 	b.report("n1", func(r *berylreport.Report) { r.Runs = runs })
 	b.submit("j2", "urgent", gang(2, 2))
+	b.is.Equal(len(b.d.Orders(b.now)["n1"].Stop), 0)
+	b.pass(400 * time.Millisecond)
 	stops := b.d.Orders(b.now)["n1"].Stop
 	b.is.Equal(len(stops), 4)
 	b.report("n1", func(r *berylreport.Report) {
@@ -437,3 +440,32 @@
 	b.is.Equal(b.d.Book.Jobs["j2"].Tasks[0][0][0].Phase, berylbook.Ordered)
 	b.is.Equal(b.d.Book.Jobs["j2"].Tasks[1][0][0].Phase, berylbook.Idle)
 }
+
+// Guards against preemption for a wide job whose time allows it to run in waves,
+// and against a guarantee that waits until its job is late.
+func TestPreemptAfter(t *testing.T) {
+	tests := []struct {
+		name       string
+		step       berylwork.Step
+		guaranteed int
+		want       time.Duration
+	}{
+		{name: "narrow", step: step(1, 2), want: 300 * time.Millisecond},
+		{name: "two waves", step: step(4, 1), want: 1300 * time.Millisecond},
+		{name: "long", step: berylwork.Step{Count: 1, Need: berylroom.Room{Accelerators: 1}, Estimate: 10_000}, want: 4300 * time.Millisecond},
+		{name: "long and guaranteed", step: berylwork.Step{Count: 1, Need: berylroom.Room{Accelerators: 1}, Estimate: 10_000}, guaranteed: 8, want: _guaranteePatience},
+		{name: "short", step: berylwork.Step{Count: 1, Need: berylroom.Room{Accelerators: 1}, Estimate: 500}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBench(t)
+			b.report("n1", nil)
+			b.d.Policy.Accounts = []berylpolicy.Account{{Name: "a", Guaranteed: tt.guaranteed}}
+			w := berylwork.Work{ID: "j1", Queue: "urgent", Account: "a", Steps: []berylwork.Step{tt.step}, Accepted: b.now.UnixMilli()}
+			u := unit{job: berylbook.NewJob(&w), queue: b.d.Policy.Queues[0]}
+			b.d.Book.Jobs = map[string]*berylbook.Job{"j1": u.job}
+			b.d.times(&u, 8)
+			b.is.Equal(b.d.preemptAfter(&u), tt.want)
+		})
+	}
+}
--- a/beryldirector/place.go
+++ b/beryldirector/place.go
@@ -22,7 +22,11 @@
 	step       int
 	tasks      []int
 	// due is when the job should be complete, for the order among equals.
-	due     time.Time
+	due time.Time
+	// from is when the job could have started at the earliest.
+	from time.Time
+	// chain is the declared time of the job's longest chain in milliseconds.
+	chain   int64
 	waiting time.Duration
 }
 
@@ -99,16 +103,19 @@
 }
 
 func (d *Director) jobUnits(now time.Time, j *berylbook.Job, q berylpolicy.Queue, units []unit) []unit {
+	capacity := d.capacity(q.Service)
 	for k := range j.Tasks {
 		if j.Work.Due(k).After(now) {
 			break
 		}
-		due := d.dueOf(j, q, k)
+		proto := unit{job: j, queue: q, occurrence: k}
+		d.times(&proto, capacity)
 		for s := range j.Tasks[k] {
 			if !unblocked(j, k, s) {
 				continue
 			}
-			base := unit{job: j, queue: q, occurrence: k, step: s, due: due}
+			base := proto
+			base.step = s
 			units = appendUnits(units, base, j.Tasks[k][s])
 		}
 	}
@@ -145,33 +152,57 @@
 	return units
 }
 
-// dueOf returns when the occurrence should be complete.
-func (d *Director) dueOf(j *berylbook.Job, q berylpolicy.Queue, occurrence int) time.Time {
-	start := time.UnixMilli(j.Work.Accepted)
-	if j.Work.Times > 0 {
-		start = j.Work.Due(occurrence)
-	}
-	chain := float64(chainOf(j.Work)) * q.Stretch
-	return start.Add(time.Duration(chain)*time.Millisecond + q.Target)
+// times sets when the unit's occurrence could start and should be complete.
+func (d *Director) times(u *unit, capacity int) {
+	w := u.job.Work
+	u.from = time.UnixMilli(w.Accepted)
+	if w.Times > 0 {
+		u.from = w.Due(u.occurrence)
+	}
+	u.chain = chainOf(w, capacity)
+	allowed := time.Duration(float64(u.chain)*u.queue.Stretch) * time.Millisecond
+	u.due = u.from.Add(allowed + u.queue.Target)
 }
 
 // chainOf returns the declared time of the longest chain of steps, in
-// milliseconds.
-func chainOf(w *berylwork.Work) int64 {
+// milliseconds. A step that is wider than a quarter of the capacity in
+// accelerators runs in waves.
+func chainOf(w *berylwork.Work, capacity int) int64 {
 	longest := int64(0)
 	ends := make([]int64, len(w.Steps))
 	for s := range w.Steps {
-		for _, before := range w.Steps[s].After {
+		step := &w.Steps[s]
+		for _, before := range step.After {
 			if before < s {
 				ends[s] = max(ends[s], ends[before])
 			}
 		}
-		ends[s] += w.Steps[s].Estimate
+		ends[s] += step.Estimate * waves(step, capacity)
 		longest = max(longest, ends[s])
 	}
 	return longest
 }
 
+func waves(step *berylwork.Step, capacity int) int64 {
+	wave := capacity / _waveShare
+	width := step.Count * step.Need.Accelerators
+	if step.Gang || wave <= 0 || width <= wave {
+		return 1
+	}
+	return int64((width + wave - 1) / wave)
+}
+
+// capacity returns the accelerators of a service.
+func (d *Director) capacity(service string) int {
+	n := 0
+	for _, m := range d.members {
+		if m.last.Service == service {
+			n += m.last.Room.Accelerators
+		}
+	}
+	return n
+}
+
 // hosts returns the backend servers of a service that may get work.
 func (d *Director) hosts(now time.Time, service string) []berylfit.Host {
 	held, coming := d.used()
@@ -259,12 +290,53 @@
 		return
 	}
 	demand.Spread = true
-	if units, ok := demand.Evict(hosts); ok {
+	units, places, ok := demand.Evict(hosts)
+	if !ok {
+		return
+	}
+	if u.waiting >= d.preemptAfter(u) {
 		d.evict(u, hosts, units)
-		if places, ok := demand.Awaited(hosts); ok {
-			take(hosts, places, &demand)
+	}
+	take(hosts, places, &demand)
+}
+
+// preemptAfter returns how long an urgent unit waits for room that comes free by
+// itself. Stopped work is lost, so a unit waits as long as its job can still be
+// in time. Work within the account's guarantee waits for a bounded time.
+func (d *Director) preemptAfter(u *unit) time.Duration {
+	latest := u.due.Add(-time.Duration(u.chain) * time.Millisecond)
+	slack := latest.Sub(u.from) - _stopAndStart
+	if d.guaranteed(u) {
+		slack = min(slack, _guaranteePatience)
+	}
+	return max(slack, 0)
+}
+
+// guaranteed reports whether all urgent jobs of the unit's account fit into its
+// guarantee.
+func (d *Director) guaranteed(u *unit) bool {
+	limit := d.Policy.Guaranteed(u.job.Work.Account)
+	if limit == 0 {
+		return false
+	}
+	need := 0
+	for _, j := range d.Book.Jobs {
+		q, ok := d.Policy.Queue(j.Work.Queue)
+		if !ok || q.Priority != 0 || j.State.Final() || j.Cancelled != 0 || j.Work.Account != u.job.Work.Account {
+			continue
 		}
+		need += widest(j.Work)
 	}
+	return need <= limit
+}
+
+// widest returns the accelerators of the job's largest step.
+func widest(w *berylwork.Work) int {
+	n := 0
+	for _, s := range w.Steps {
+		n = max(n, s.Count*s.Need.Accelerators)
+	}
+	return n
 }
 
 // present counts the tasks of the unit's step on each node.
@@ -356,6 +428,15 @@
 	_storePatience = 700 * time.Millisecond
 	// _rackPatience is how long a gang waits for one rack with enough room.
 	_rackPatience = 1500 * time.Millisecond
+	// _stopAndStart covers the stop of a run, 400 ms at most, and the start of
+	// another one.
+	_stopAndStart = 700 * time.Millisecond
+	// _guaranteePatience leaves time to stop and start within the 2.9 s in which
+	// guaranteed work has to begin.
+	_guaranteePatience = 1300 * time.Millisecond
+	// _waveShare is the part of the capacity, one in so many, that one wave of a
+	// step takes.
+	_waveShare = 4
 	// _checkpoint is how often tasks save their progress.
 	_checkpoint = 2 * time.Second
 	// _coresPerAccelerator is the users' price of an accelerator.
--- a/berylfit/fit.go
+++ b/berylfit/fit.go
@@ -190,37 +190,45 @@
 }
 
 // Evict returns the units to stop so that the tasks fit, those with the least
-// loss first, or false if no choice makes enough room.
-func (d *Demand) Evict(hosts []Host) ([]string, bool) {
-	trial := slices.Clone(hosts)
-	for i := range trial {
-		trial[i].Free = trial[i].Free.Add(trial[i].Coming)
-	}
+// loss first, and the places that they leave. It returns false if no choice makes
+// enough room.
+func (d *Demand) Evict(hosts []Host) (units []string, places []int, ok bool) {
 	loss := map[string]float64{}
-	for i := range trial {
-		if !d.May(&trial[i]) {
+	for i := range hosts {
+		if !d.May(&hosts[i]) {
 			continue
 		}
-		for _, v := range trial[i].Victims {
+		for _, v := range hosts[i].Victims {
 			loss[v.Unit] = v.Loss
 		}
 	}
-	units := make([]string, 0, len(loss))
+	order := make([]string, 0, len(loss))
 	for u := range loss {
-		units = append(units, u)
+		order = append(order, u)
 	}
-	slices.SortFunc(units, func(a, b string) int {
+	slices.SortFunc(order, func(a, b string) int {
 		return cmp.Or(cmp.Compare(loss[a], loss[b]), cmp.Compare(a, b))
 	})
-	var chosen []string
+	for i := range order {
+		if _, ok := d.without(hosts, order[:i+1]); ok {
+			units = d.prune(hosts, order[:i+1])
+			places, ok = d.without(hosts, units)
+			return units, places, ok
+		}
+	}
+	return nil, nil, false
+}
+
+// without places the tasks as if the units had been stopped.
+func (d *Demand) without(hosts []Host, units []string) ([]int, bool) {
+	trial := slices.Clone(hosts)
+	for i := range trial {
+		trial[i].Free = trial[i].Free.Add(trial[i].Coming)
+	}
 	for _, u := range units {
 		release(trial, u)
-		chosen = append(chosen, u)
-		if _, ok := d.Place(trial); ok {
-			return d.prune(hosts, chosen), true
-		}
 	}
-	return nil, false
+	return d.Place(trial)
 }
 
 // release gives the room of one unit back.
@@ -238,14 +246,7 @@
 func (d *Demand) prune(hosts []Host, chosen []string) []string {
 	for i := len(chosen) - 1; i >= 0; i-- {
 		fewer := slices.Delete(slices.Clone(chosen), i, i+1)
-		trial := slices.Clone(hosts)
-		for k := range trial {
-			trial[k].Free = trial[k].Free.Add(trial[k].Coming)
-		}
-		for _, u := range fewer {
-			release(trial, u)
-		}
-		if _, ok := d.Place(trial); ok {
+		if _, ok := d.without(hosts, fewer); ok {
 			chosen = fewer
 		}
 	}
--- a/berylintake/intake.go
+++ b/berylintake/intake.go
@@ -108,7 +108,7 @@
 	case r.Verb != Submit && !mine:
 		return refuse("jobs are not known here now")
 	case k.Failing > _failing:
-		return refuse("store takes no records")
+		return Answer{Reply{Kind: berylerror.NotRun, Why: "store takes no records", RetryAfter: comeBack(k.Failing)}}
 	default:
 		return Record{}
 	}
@@ -118,6 +118,13 @@
 	return Answer{Reply{Kind: berylerror.NotRun, Why: why, RetryAfter: _retryAfter}}
 }
 
+// comeBack returns when a client should try again while the store is away. An
+// outage that has lasted for some time is taken to last as long again, so that
+// clients with few retries do not use them up.
+func comeBack(failing time.Duration) time.Duration {
+	return min(max(failing, _retryAfter), _retryMost)
+}
+
 // Intake answers requests.
 type Intake struct {
 	View     *berylview.View
@@ -183,7 +190,7 @@
 	if err == nil {
 		return Reply{}
 	}
-	return Reply{Kind: berylerror.Of(err), Why: err.Error(), RetryAfter: _retryAfter}
+	return Reply{Kind: berylerror.Of(err), Why: err.Error(), RetryAfter: 2 * _retryAfter}
 }
 
 const (
@@ -193,4 +200,5 @@
 	_failing = 1200 * time.Millisecond
 	// _retryAfter is the time in which another entry is usually in reach.
 	_retryAfter = time.Second
+	_retryMost  = 4 * time.Second
 )
--- a/berylproducer/producer.go
+++ b/berylproducer/producer.go
@@ -32,7 +32,7 @@
 	waiting []*request
 	wake    chan struct{}
 	// failing is since when the outstanding append has no answer; zero if none
-	// is in trouble.
+	// is outstanding.
 	failing time.Time
 }
 
@@ -140,6 +140,7 @@
 func (p *Producer) deliver(ctx context.Context, records []berylstore.Record) error {
 	p.seq++
 	unknown := false
+	p.outstanding()
 	for {
 		err := p.try(ctx, records)
 		switch {
@@ -150,7 +151,6 @@
 			return berylerror.Unknown.Wrap(err, "process is stopping")
 		case errors.Is(err, berylstore.ErrNotDone) && !unknown:
 			p.seq--
-			p.troubled()
 			return berylerror.NotRun.Wrap(err, "append")
 		case errors.Is(err, berylstore.ErrSequence), errors.Is(err, berylstore.ErrFenced):
 			// The store's memory of this producer differs. The records may be
@@ -160,7 +160,7 @@
 		case !errors.Is(err, berylstore.ErrNotDone):
 			unknown = true
 		}
-		p.troubled()
+		p.refuseWaiting(err)
 		if !pause(ctx, _pause) {
 			return berylerror.Unknown.Wrap(err, "process is stopping")
 		}
@@ -176,7 +176,7 @@
 	return err
 }
 
-func (p *Producer) troubled() {
+func (p *Producer) outstanding() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.failing.IsZero() {
@@ -184,6 +184,18 @@
 	}
 }
 
+// refuseWaiting answers the requests that were not sent: the store does not
+// answer, and their callers can turn elsewhere.
+func (p *Producer) refuseWaiting(err error) {
+	p.mu.Lock()
+	waiting := p.waiting
+	p.waiting = nil
+	p.mu.Unlock()
+	for _, r := range waiting {
+		r.done <- berylerror.NotRun.Wrap(err, "append was not sent")
+	}
+}
+
 func (p *Producer) settled() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
