--- a/berylfollower/follower.go
+++ b/berylfollower/follower.go
@@ -55,6 +55,8 @@
 	Handle func(e Event)
 
 	reload atomic.Bool
+	// failing is true while the last read had no answer.
+	failing bool
 }
 
 // Reload makes the follower start over with the newest records.
@@ -125,10 +127,18 @@
 	return nil
 }
 
+// read waits for records, unless the store is in trouble: then it only asks
+// whether the store is back, which a read that hangs would notice late.
 func (f *Follower) read(ctx context.Context, from int64) (berylstore.Read, error) {
-	ctx, cancel := context.WithTimeout(ctx, f.Wait+_readTimeout)
+	wait, timeout := f.Wait, f.Wait+_readTimeout
+	if f.failing {
+		wait, timeout = 0, _probeTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return f.Store.Read(ctx, f.Topic, from, f.Wait)
+	r, err := f.Store.Read(ctx, f.Topic, from, wait)
+	f.failing = err != nil && !errors.Is(err, berylstore.ErrGone)
+	return r, err
 }
 
 func pause(ctx context.Context, d time.Duration) {
@@ -140,7 +150,9 @@
 
 const (
 	_pause       = 150 * time.Millisecond
-	_pageTimeout = 2 * time.Second
+	_pageTimeout = time.Second
 	// _readTimeout is added to the time for which a read waits for a record.
-	_readTimeout = 700 * time.Millisecond
+	_readTimeout = 600 * time.Millisecond
+	// _probeTimeout is above the answer time of a slow store, 250 ms.
+	_probeTimeout = 500 * time.Millisecond
 )
--- a/berylgateway/gateway.go
+++ b/berylgateway/gateway.go
@@ -358,6 +358,9 @@
 	// _appendTimeout bounds one try; a slow store answers within a quarter of
 	// a second.
 	_appendTimeout = 900 * time.Millisecond
+	// _repeatTimeout is shorter, so that a repeat that hangs in an outage does
+	// not outlast it by much.
+	_repeatTimeout = 500 * time.Millisecond
 	_orderTimeout  = 700 * time.Millisecond
 	_resignTimeout = 500 * time.Millisecond
 	_resignTries   = 3
--- a/berylgateway/persist.go
+++ b/berylgateway/persist.go
@@ -13,7 +13,11 @@
 // carries a sequence number out once, so repeats do no harm.
 func (g *Gateway) persist(e beryldirector.Persist, seq int64) {
 	for tries := 1; ; tries++ {
-		err := g.append(e, seq, -1, _appendTimeout)
+		timeout := _appendTimeout
+		if tries > 1 {
+			timeout = _repeatTimeout
+		}
+		err := g.append(e, seq, -1, timeout)
 		switch {
 		case err == nil:
 			g.loop.Tell(persisted{epoch: e.Epoch})
--- a/berylproducer/producer.go
+++ b/berylproducer/producer.go
@@ -140,9 +140,10 @@
 func (p *Producer) deliver(ctx context.Context, records []berylstore.Record) error {
 	p.seq++
 	unknown := false
+	timeout := _firstTimeout
 	p.outstanding()
 	for {
-		err := p.try(ctx, records)
+		err := p.try(ctx, records, timeout)
 		switch {
 		case err == nil:
 			p.settled()
@@ -159,6 +160,7 @@
 			p.seq = 1
 		case !errors.Is(err, berylstore.ErrNotDone):
 			unknown = true
+			timeout = _repeatTimeout
 		}
 		p.refuseWaiting(err)
 		if !pause(ctx, _pause) {
@@ -167,8 +169,8 @@
 	}
 }
 
-func (p *Producer) try(ctx context.Context, records []berylstore.Record) error {
-	ctx, cancel := context.WithTimeout(ctx, _timeout)
+func (p *Producer) try(ctx context.Context, records []berylstore.Record, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	_, err := p.store.Append(ctx, berylstore.Append{
 		Topic: p.topic, Records: records, Producer: p.name, Epoch: p.epoch, Seq: p.seq, At: -1,
@@ -214,9 +216,11 @@
 const (
 	// _maxRecords bounds one append; records of jobs are a few kilobytes.
 	_maxRecords = 200
-	// _timeout bounds one try. A slow store answers within a quarter of a second,
-	// and a try that hangs in an outage must not outlast it by much.
-	_timeout = 900 * time.Millisecond
+	// _firstTimeout bounds the first try, _repeatTimeout the others. A slow store
+	// answers within a quarter of a second, and a try that hangs in an outage
+	// must not outlast it by much.
+	_firstTimeout  = 900 * time.Millisecond
+	_repeatTimeout = 500 * time.Millisecond
 	// _pause is the time between two tries.
 	_pause = 100 * time.Millisecond
 )
