beryldirector: make room for a gang in one rack

Now room is made in one rack if the gang fits into one, and a gang waits up to twice its run time before it is spread.

--- a/beryldirector/director_test.go
+++ b/beryldirector/director_test.go
@@ -469,3 +469,30 @@
 		})
 	}
 }
+
+// Replays an urgent gang that wants one rack while routine work holds one rack
+// and half of another one. Guards against members in two racks, where they take
+// three times as long, when stopping work makes room in one.
+func TestUrgentGangIsGivenOneRack(t *testing.T) {
+	b := newBench(t)
+	racks := map[string]string{"n1": "r1-1", "n2": "r1-1", "n3": "r1-2", "n4": "r1-2"}
+	nodes := []string{"n1", "n2", "n3", "n4"}
+	for _, node := range nodes[:3] {
+		b.report(node, func(r *berylreport.Report) { r.Labels = []string{racks[node]} })
+	}
+	for i := range 3 {
+		b.submit("j"+strconv.Itoa(i), "routine", step(1, 8))
+	}
+	b.report("n4", func(r *berylreport.Report) { r.Labels = []string{racks["n4"]} })
+	urgent := gang(2, 8)
+	urgent.OneRack = true
+	b.submit("u", "urgent", urgent)
+	b.pass(400 * time.Millisecond)
+	var stopped []string
+	for node, o := range b.d.Orders(b.now) {
+		if len(o.Stop) > 0 {
+			stopped = append(stopped, node)
+		}
+	}
+	b.is.Equal(stopped, []string{"n3"})
+}
--- a/beryldirector/place.go
+++ b/beryldirector/place.go
@@ -277,7 +277,7 @@
 		Count: len(u.tasks), Room: step.Room(), Label: step.Label, Rack: step.Rack,
 		OneRack: step.OneRack, Apart: step.Apart, Present: present(u),
 	}
-	demand.Spread = u.waiting > _rackPatience || !demand.InRack(hosts)
+	demand.Spread = u.waiting > d.rackPatience(u) || !demand.InRack(hosts)
 	if places, ok := demand.Place(hosts); ok {
 		d.start(now, u, hosts, places)
 		return
@@ -289,7 +289,6 @@
 	if u.queue.Priority != 0 {
 		return
 	}
-	demand.Spread = true
 	units, places, ok := demand.Evict(hosts)
 	if !ok {
 		return
@@ -312,6 +311,17 @@
 	return max(slack, 0)
 }
 
+// rackPatience returns how long a gang waits for one rack with enough room. Over
+// several racks it takes three times as long, so it may wait for twice its run
+// time; guaranteed work has to begin sooner.
+func (d *Director) rackPatience(u *unit) time.Duration {
+	if u.queue.Priority == 0 && d.guaranteed(u) {
+		return _rackPatience
+	}
+	extra := 2 * time.Duration(u.spec().Estimate) * time.Millisecond
+	return min(max(extra, _rackPatience), _rackPatienceMost)
+}
+
 // guaranteed reports whether all urgent jobs of the unit's account fit into its
 // guarantee.
 func (d *Director) guaranteed(u *unit) bool {
@@ -426,8 +436,10 @@
 	// _storePatience is how long an append may take before nothing more is
 	// placed: what is chosen now would be stale when it can be ordered.
 	_storePatience = 700 * time.Millisecond
-	// _rackPatience is how long a gang waits for one rack with enough room.
-	_rackPatience = 1500 * time.Millisecond
+	// _rackPatience and _rackPatienceMost bound how long a gang waits for one
+	// rack with enough room.
+	_rackPatience     = 2 * time.Second
+	_rackPatienceMost = 8 * time.Second
 	// _stopAndStart covers the stop of a run, 400 ms at most, and the start of
 	// another one.
 	_stopAndStart = 700 * time.Millisecond
