berylfit: choose what to stop by host and by rack

Cause: units were stopped in the order of their loss over all hosts, which stopped two units where one on another host was enough (test TestEvict).

--- a/berylfit/fit.go
+++ b/berylfit/fit.go
@@ -7,6 +7,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"berylglade/berylroom"
@@ -189,12 +190,58 @@
 	return nil, false
 }
 
-// Evict returns the units to stop so that the tasks fit, those with the least
-// loss first, and the places that they leave. It returns false if no choice makes
-// enough room.
+// Evict returns the units to stop so that the tasks fit, those whose stop throws
+// the least work away, and the places that they leave. It returns false if no
+// choice makes enough room.
 func (d *Demand) Evict(hosts []Host) (units []string, places []int, ok bool) {
-	loss := map[string]float64{}
+	best := math.Inf(1)
+	for _, among := range d.groups(hosts) {
+		chosen, lost, fits := d.evictAmong(hosts, among)
+		if fits && lost < best {
+			units, best, ok = chosen, lost, true
+		}
+	}
+	if !ok {
+		return nil, nil, false
+	}
+	places, ok = d.without(hosts, units)
+	return units, places, ok
+}
+
+// groups returns the sets of hosts that can take all tasks: each host for a
+// single task, each rack for tasks that want one rack, otherwise all hosts.
+func (d *Demand) groups(hosts []Host) [][]int {
+	if d.Count == 1 {
+		single := make([][]int, len(hosts))
+		for i := range hosts {
+			single[i] = []int{i}
+		}
+		return single
+	}
+	if !d.OneRack || d.Spread {
+		return [][]int{all(hosts)}
+	}
+	racks := map[string][]int{}
+	var names []string
 	for i := range hosts {
+		if racks[hosts[i].Rack] == nil {
+			names = append(names, hosts[i].Rack)
+		}
+		racks[hosts[i].Rack] = append(racks[hosts[i].Rack], i)
+	}
+	list := make([][]int, 0, len(names))
+	for _, name := range names {
+		list = append(list, racks[name])
+	}
+	return list
+}
+
+// evictAmong finds units on the given hosts only.
+func (d *Demand) evictAmong(hosts []Host, among []int) (units []string, lost float64, ok bool) {
+	loss := map[string]float64{}
+	part := make([]Host, 0, len(among))
+	for _, i := range among {
+		part = append(part, hosts[i])
 		if !d.May(&hosts[i]) {
 			continue
 		}
@@ -210,13 +257,16 @@
 		return cmp.Or(cmp.Compare(loss[a], loss[b]), cmp.Compare(a, b))
 	})
 	for i := range order {
-		if _, ok := d.without(hosts, order[:i+1]); ok {
-			units = d.prune(hosts, order[:i+1])
-			places, ok = d.without(hosts, units)
-			return units, places, ok
+		if _, fits := d.without(part, order[:i+1]); !fits {
+			continue
+		}
+		units = d.prune(part, order[:i+1])
+		for _, u := range units {
+			lost += loss[u]
 		}
+		return units, lost, true
 	}
-	return nil, nil, false
+	return nil, 0, false
 }
 
 // without places the tasks as if the units had been stopped.
--- /dev/null
+++ b/berylfit/fit_test.go
@@ -0,0 +1,131 @@
+package berylfit
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"berylglade/berylroom"
+)
+
+func room(n int) berylroom.Room {
+	return berylroom.Room{Millicores: 1000 * n, Megabytes: 1000 * n, Accelerators: n}
+}
+
+func host(node, rack string, free int, victims ...Victim) Host {
+	return Host{Node: node, Rack: rack, Labels: []string{"a", rack}, Total: room(8), Free: room(free), Victims: victims}
+}
+
+func victim(unit string, n int, loss float64) Victim {
+	return Victim{Unit: unit, Room: room(n), Loss: loss}
+}
+
+func names(hosts []Host, places []int) []string {
+	var list []string
+	for _, i := range places {
+		list = append(list, hosts[i].Node)
+	}
+	return list
+}
+
+// Guards against placements that break a constraint or split free hosts that
+// larger gangs will need.
+func TestPlace(t *testing.T) {
+	hosts := []Host{host("n1", "r1", 8), host("n2", "r1", 2), host("n3", "r2", 4), host("n4", "r2", 4)}
+	tests := []struct {
+		name string
+		give Demand
+		want []string
+	}{
+		{name: "fullest host first", give: Demand{Count: 1, Room: room(1)}, want: []string{"n2"}},
+		{name: "whole host", give: Demand{Count: 1, Room: room(8)}, want: []string{"n1"}},
+		{name: "rack of the data", give: Demand{Count: 1, Room: room(1), Rack: "r2"}, want: []string{"n3"}},
+		{name: "one rack", give: Demand{Count: 2, Room: room(4), OneRack: true}, want: []string{"n3", "n4"}},
+		{name: "no rack has room", give: Demand{Count: 3, Room: room(4), OneRack: true, Rack: "r2"}},
+		{name: "spread permitted", give: Demand{Count: 3, Room: room(4), OneRack: true, Spread: true, Rack: "r2"}, want: []string{"n3", "n4", "n1"}},
+		{name: "label", give: Demand{Count: 1, Room: room(1), Label: "r2"}, want: []string{"n3"}},
+		{name: "label that no host has", give: Demand{Count: 1, Room: room(1), Label: "b"}},
+		{name: "apart", give: Demand{Count: 2, Room: room(1), Apart: 1}, want: []string{"n2", "n3"}},
+		{name: "apart with tasks present", give: Demand{Count: 1, Room: room(1), Apart: 1, Present: map[string]int{"n2": 1}}, want: []string{"n3"}},
+		{name: "avoided", give: Demand{Count: 1, Room: room(1), Avoid: map[string]bool{"n2": true}}, want: []string{"n3"}},
+		{name: "too many", give: Demand{Count: 19, Room: room(1)}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			places, ok := tt.give.Place(hosts)
+			is.Equal(ok, tt.want != nil)
+			is.Equal(names(hosts, places), tt.want)
+		})
+	}
+}
+
+// Replays urgent work that finds every accelerator held. Guards against stopping
+// more work than is needed, or work whose loss is higher.
+func TestEvict(t *testing.T) {
+	tests := []struct {
+		name  string
+		hosts []Host
+		give  Demand
+		want  []string
+	}{
+		{
+			name:  "least loss",
+			hosts: []Host{host("n1", "r1", 0, victim("a", 8, 50)), host("n2", "r1", 0, victim("b", 8, 9))},
+			give:  Demand{Count: 1, Room: room(8)}, want: []string{"b"},
+		},
+		{
+			name: "one large loss below many small ones",
+			hosts: []Host{
+				host("n1", "r1", 0, victim("a", 2, 4), victim("b", 2, 4), victim("c", 2, 4), victim("d", 2, 4)),
+				host("n2", "r1", 0, victim("e", 8, 9)),
+			},
+			give: Demand{Count: 1, Room: room(8)}, want: []string{"e"},
+		},
+		{
+			name:  "only what is needed",
+			hosts: []Host{host("n1", "r1", 1, victim("a", 1, 1), victim("b", 2, 2), victim("c", 4, 3))},
+			give:  Demand{Count: 1, Room: room(5)}, want: []string{"c"},
+		},
+		{
+			name:  "one rack with fewer victims",
+			hosts: []Host{host("n1", "r1", 0, victim("a", 8, 5)), host("n2", "r1", 0, victim("b", 8, 5)), host("n3", "r2", 0, victim("c", 8, 5)), host("n4", "r2", 8)},
+			give:  Demand{Count: 2, Room: room(8), OneRack: true}, want: []string{"c"},
+		},
+		{
+			name:  "a gang on two hosts is stopped once",
+			hosts: []Host{host("n1", "r1", 0, victim("a", 8, 5)), host("n2", "r1", 0, victim("a", 8, 5))},
+			give:  Demand{Count: 2, Room: room(8)}, want: []string{"a"},
+		},
+		{
+			name:  "nothing helps",
+			hosts: []Host{host("n1", "r1", 0, victim("a", 4, 5))},
+			give:  Demand{Count: 1, Room: room(8)},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			units, places, ok := tt.give.Evict(tt.hosts)
+			is.Equal(ok, tt.want != nil)
+			is.Equal(units, tt.want)
+			is.Equal(len(places) == tt.give.Count, ok)
+		})
+	}
+}
+
+// Guards against room of runs that are being stopped being given away twice.
+func TestAwaited(t *testing.T) {
+	is := is.New(t)
+	h := host("n1", "r1", 2)
+	h.Coming = room(4)
+	hosts := []Host{h}
+	d := Demand{Count: 1, Room: room(6)}
+	_, ok := d.Place(hosts)
+	is.True(!ok)
+	_, ok = d.Awaited(hosts)
+	is.True(ok)
+	hosts[0].Free = hosts[0].Free.Sub(room(6))
+	_, ok = d.Awaited(hosts)
+	is.True(!ok)
+}
