beryldirector: follow the progress of runs and restart what a sick server holds

Cause: the fourth value of a listed run is the part of its work that is done. With it a run that stands still or crawls beside its siblings shows; it is restarted on a sound backend server when it would end sooner there, twice at most, and new work avoids that server.

Ruled out: judging runs by declared times.

Conclusion: kept for hung servers; its worth is not shown yet.

--- a/berylclock/clock.go
+++ b/berylclock/clock.go
@@ -10,3 +10,10 @@
 
 // System returns the clock of the operating system.
 func System() Clock { return time.Now }
+
+// Age returns how long ago then was. The steady clock stands still while a VM is
+// suspended and the time of day may jump, so the larger difference counts: a
+// belief may be taken for older than it is, but not for fresher.
+func Age(now, then time.Time) time.Duration {
+	return max(now.Sub(then), now.Round(0).Sub(then.Round(0)))
+}
--- a/beryldirector/director.go
+++ b/beryldirector/director.go
@@ -20,6 +20,7 @@
 	"berylglade/berylbook"
 	"berylglade/berylpolicy"
 	"berylglade/berylstore"
+	"berylglade/berylwork"
 )
 
 // Limits are the times that the director works with.
@@ -94,20 +95,27 @@
 
 	// Jobs whose state differs from the topic, and those in the outstanding
 	// append.
-	dirty   map[string]bool
-	flight  map[string]bool
-	flying  bool
-	flewAt  time.Time
-	sureAt  time.Time
-	leadAt  time.Time
-	heardAt time.Time
-	readAt  time.Time
-	triedAt time.Time
-	end     int64
+	dirty    map[string]bool
+	flight   map[string]bool
+	flying   bool
+	flewAt   time.Time
+	sureAt   time.Time
+	leadAt   time.Time
+	heardAt  time.Time
+	readAt   time.Time
+	triedAt  time.Time
+	end      int64
+	judgedAt time.Time
 
+	// now is the time of the event that is being handled.
+	now     time.Time
 	ordered map[orderKey]time.Time
 	ready   map[string]time.Time
 	speed   map[string]float64
+	// best has the shortest run time that a task's rate has shown, rescued how
+	// often it was restarted for being slow.
+	best    map[berylwork.Ref]time.Duration
+	rescued map[berylwork.Ref]int
 }
 
 // New returns a director that does not lead.
@@ -121,6 +129,8 @@
 		ordered: map[orderKey]time.Time{},
 		ready:   map[string]time.Time{},
 		speed:   map[string]float64{},
+		best:    map[berylwork.Ref]time.Duration{},
+		rescued: map[berylwork.Ref]int{},
 	}
 }
 
@@ -193,6 +203,8 @@
 	clear(d.dirty)
 	clear(d.flight)
 	clear(d.ordered)
+	clear(d.best)
+	clear(d.rescued)
 	clear(d.members)
 	d.effects = append(d.effects, Reload{})
 }
@@ -267,7 +279,13 @@
 		d.campaign(now)
 		return
 	}
+	d.now = now
 	d.expire(now)
+	if now.Sub(d.judgedAt) >= _judgeEvery {
+		d.judgedAt = now
+		d.judge(now)
+		d.rescue(now)
+	}
 	d.place(now)
 	d.flush(now)
 }
@@ -275,6 +293,8 @@
 const (
 	// _renew is how often an idle leader appends; Takeover covers several.
 	_renew = 600 * time.Millisecond
+	// _judgeEvery is the pause between two looks at the progress of all runs.
+	_judgeEvery = 250 * time.Millisecond
 	// _removals bounds the records of ended jobs removed by one append.
 	_removals = 300
 )
--- a/beryldirector/election.go
+++ b/beryldirector/election.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"berylglade/berylbook"
+	"berylglade/berylclock"
 	"berylglade/berylstore"
 )
 
@@ -119,7 +120,7 @@
 
 // sure reports whether no other entry can have taken the lead over yet.
 func (d *Director) sure(now time.Time) bool {
-	return d.Leading() && now.Sub(d.sureAt) < d.Limits.Sure
+	return d.Leading() && berylclock.Age(now, d.sureAt) < d.Limits.Sure
 }
 
 // Epoch returns the epoch under which this entry leads, or zero.
--- a/beryldirector/place.go
+++ b/beryldirector/place.go
@@ -230,6 +230,9 @@
 
 // doubt fades with time, so that a host that has recovered is tried again.
 func (d *Director) doubt(now time.Time, m *member) float64 {
+	if m.slow {
+		return _doubtSlow + m.doubt
+	}
 	if m.doubt < _doubtMatters || now.Sub(m.doubted) > _doubtFades {
 		return 0
 	}
@@ -272,11 +275,7 @@
 }
 
 func (d *Director) placeUnit(now time.Time, u *unit, hosts []berylfit.Host) {
-	step := u.spec()
-	demand := berylfit.Demand{
-		Count: len(u.tasks), Room: step.Room(), Label: step.Label, Rack: step.Rack,
-		OneRack: step.OneRack, Apart: step.Apart, Present: present(u),
-	}
+	demand := demandOf(u.job, u.occurrence, u.step, len(u.tasks))
 	demand.Spread = u.waiting > d.rackPatience(u) || !demand.InRack(hosts)
 	if places, ok := demand.Place(hosts); ok {
 		d.start(now, u, hosts, places)
@@ -289,6 +288,12 @@
 	if u.queue.Priority != 0 {
 		return
 	}
+	d.makeRoom(u, hosts, &demand)
+}
+
+// makeRoom keeps the room that an urgent unit will need and stops what holds it
+// once the unit can wait no longer.
+func (d *Director) makeRoom(u *unit, hosts []berylfit.Host, demand *berylfit.Demand) {
 	units, places, ok := demand.Evict(hosts)
 	if !ok {
 		return
@@ -296,7 +301,7 @@
 	if u.waiting >= d.preemptAfter(u) {
 		d.evict(u, hosts, units)
 	}
-	take(hosts, places, &demand)
+	take(hosts, places, demand)
 }
 
 // preemptAfter returns how long an urgent unit waits for room that comes free by
@@ -349,12 +354,21 @@
 	return n
 }
 
-// present counts the tasks of the unit's step on each node.
-func present(u *unit) map[string]int {
+// demandOf returns what the placement of count tasks of a step asks for.
+func demandOf(j *berylbook.Job, occurrence, step, count int) berylfit.Demand {
+	spec := &j.Work.Steps[step]
+	return berylfit.Demand{
+		Count: count, Room: spec.Room(), Label: spec.Label, Rack: spec.Rack,
+		OneRack: spec.OneRack, Apart: spec.Apart, Present: present(j.Tasks[occurrence][step]),
+	}
+}
+
+// present counts the tasks that are on each node.
+func present(tasks []berylbook.Task) map[string]int {
 	n := map[string]int{}
-	for _, t := range u.job.Tasks[u.occurrence][u.step] {
-		if t.Phase.Active() {
-			n[t.Place.Node]++
+	for i := range tasks {
+		if tasks[i].Phase.Active() {
+			n[tasks[i].Place.Node]++
 		}
 	}
 	return n
@@ -455,6 +469,8 @@
 	_coresPerAccelerator = 8.0
 	// _doubtMatters is two failed runs without good ones between them.
 	_doubtMatters = 2.0
+	// _doubtSlow comes with a run that stands still or crawls.
+	_doubtSlow = 2.0
 	// _doubtFades is after how long a host in doubt is tried again.
 	_doubtFades = 8 * time.Second
 )
--- a/beryldirector/report.go
+++ b/beryldirector/report.go
@@ -30,6 +30,10 @@
 	noted int64
 	sent  time.Time
 	told  string
+	// tracks has the progress of the listed runs.
+	tracks map[berylreport.Key]*track
+	// slow is true while a run here stands still or crawls.
+	slow bool
 	// doubt grows with failed and late runs and shrinks with good ones.
 	doubt   float64
 	doubted time.Time
@@ -65,6 +69,7 @@
 		return a
 	}
 	m.heard = now
+	d.now = now
 	d.takeReport(now, m, r)
 	if d.sure(now) {
 		a.Led = true
@@ -103,6 +108,7 @@
 	for _, k := range r.Absent {
 		d.takeAbsent(now, m, k)
 	}
+	m.observe(now, r.Runs)
 	for _, run := range r.Runs {
 		m.running[run.Key] = true
 		d.takeRun(now, m, run)
--- a/berylfollower/follower.go
+++ b/berylfollower/follower.go
@@ -29,8 +29,8 @@
 // Read has records in the order of the topic; none if nothing was appended.
 type Read struct {
 	Records []berylstore.Record
-	// Sent is when the read was sent: at that time at the earliest the topic
-	// ended at End.
+	// Sent is the latest time at which the topic is known to have ended at End:
+	// when the read was sent, or, if it waited in vain, when its wait was over.
 	Sent time.Time
 	End  int64
 }
@@ -110,6 +110,10 @@
 func (f *Follower) follow(ctx context.Context, from int64) error {
 	for ctx.Err() == nil && !f.reload.Load() {
 		sent := f.Clock()
+		waited := f.Wait
+		if f.failing {
+			waited = 0
+		}
 		r, err := f.read(ctx, from)
 		switch {
 		case errors.Is(err, berylstore.ErrGone):
@@ -122,11 +126,21 @@
 			continue
 		}
 		from = max(from, r.Next)
+		if len(r.Records) == 0 {
+			sent = earlier(sent.Add(waited), f.Clock())
+		}
 		f.Handle(Read{Records: r.Records, Sent: sent, End: r.End})
 	}
 	return nil
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // read waits for records, unless the store is in trouble: then it only asks
 // whether the store is back, which a read that hangs would notice late.
 func (f *Follower) read(ctx context.Context, from int64) (berylstore.Read, error) {
--- a/berylintake/intake.go
+++ b/berylintake/intake.go
@@ -7,7 +7,9 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
+	"strings"
 	"time"
 
 	"berylglade/berylbook"
@@ -90,7 +92,7 @@
 // that a job exists. While the store takes no appends, a job that needs one is
 // refused at once, so that its client can turn to another entry.
 func Decide(now time.Time, r Request, k Known) Step {
-	fresh := now.Sub(k.Job.At) < _freshJobs
+	fresh := berylclock.Age(now, k.Job.At) < _freshJobs
 	mine := k.Job.Known && (r.Account == "" || k.Job.Account == r.Account)
 	switch {
 	case r.Verb == Count && !fresh:
@@ -160,19 +162,47 @@
 	if reply.Kind != 0 {
 		outcome = reply.Kind.String()
 	}
-	i.Log.Info("request", "verb", r.Verb.String(), "job", r.ID, "queue", r.Queue.Name, "account", r.Account,
+	i.Log.Info("request", "shape", shape(r.Work), "verb", r.Verb.String(), "job", r.ID, "queue", r.Queue.Name, "account", r.Account,
 		"outcome", outcome, "why", reply.Why, "known", k.Job.Known, "state", k.Job.State.String(),
 		"age", now.Sub(k.Job.At).Milliseconds(), "ms", i.Clock().Sub(now).Milliseconds())
 }
 
+// shape returns a short text of what a job asks for, for the log.
+func shape(w *berylwork.Work) string {
+	if w == nil {
+		return ""
+	}
+	var b strings.Builder
+	if w.Times > 0 {
+		fmt.Fprintf(&b, "%d times ", w.Times)
+	}
+	for _, s := range w.Steps {
+		fmt.Fprintf(&b, "%dx%d", s.Count, s.Need.Accelerators)
+		flags := []struct {
+			set  bool
+			mark string
+		}{
+			{s.Gang, " gang"}, {s.OneRack, " rack"}, {s.Lasting, " lasting"}, {s.Fills, " fills"},
+			{s.Copies, " copies"}, {s.Saves, " saves"}, {s.Apart > 0, " apart"}, {s.Label != "", " label"}, {s.MayMiss > 0, " away"},
+		}
+		for _, f := range flags {
+			if f.set {
+				b.WriteString(f.mark)
+			}
+		}
+		b.WriteString("; ")
+	}
+	return b.String()
+}
+
 func (i *Intake) record(ctx context.Context, now time.Time, r Request) Reply {
 	if r.Verb == Cancel {
 		c := berylbook.Cancel{At: now.UnixMilli()}
 		rec, err := c.Record(r.ID)
 		if err != nil {
-			return failure(err)
+			return i.failure(err)
 		}
-		return failure(i.Producer.Append(ctx, rec))
+		return i.failure(i.Producer.Append(ctx, rec))
 	}
 	r.Work.ID = r.ID
 	r.Work.Queue = r.Queue.Name
@@ -181,16 +211,16 @@
 	s := berylbook.Submission{Work: *r.Work}
 	rec, err := s.Record()
 	if err != nil {
-		return failure(err)
+		return i.failure(err)
 	}
-	return failure(i.Producer.Append(ctx, rec))
+	return i.failure(i.Producer.Append(ctx, rec))
 }
 
-func failure(err error) Reply {
+func (i *Intake) failure(err error) Reply {
 	if err == nil {
 		return Reply{}
 	}
-	return Reply{Kind: berylerror.Of(err), Why: err.Error(), RetryAfter: 2 * _retryAfter}
+	return Reply{Kind: berylerror.Of(err), Why: err.Error(), RetryAfter: comeBack(i.Producer.Trouble(i.Clock()))}
 }
 
 const (
--- a/berylkeeper/keeper.go
+++ b/berylkeeper/keeper.go
@@ -110,8 +110,8 @@
 	list   berylexecutor.Listing
 	looked bool
 	// newest is the number of the latest listing call whose reply was used.
-	newest  int64
-	issue   int64
+	newest int64
+	issue  int64
 	// holding is the number of the listing call that waits for ends; zero if
 	// none does.
 	holding int64
--- a/berylproducer/producer.go
+++ b/berylproducer/producer.go
@@ -31,9 +31,11 @@
 	seq     int64
 	waiting []*request
 	wake    chan struct{}
-	// failing is since when the outstanding append has no answer; zero if none
-	// is outstanding.
-	failing time.Time
+	// since is when the first append after the last success was sent; zero if
+	// the last one succeeded.
+	since time.Time
+	// busy is true while an append is outstanding.
+	busy bool
 }
 
 type request struct {
@@ -47,14 +49,25 @@
 	return &Producer{store: store, clock: clock, topic: topic, name: name, epoch: 1, wake: make(chan struct{}, 1)}
 }
 
-// Failing returns for how long the store has not answered appends.
+// Failing returns for how long the outstanding append has had no answer; zero if
+// none is outstanding, so that the next request tries the store.
 func (p *Producer) Failing(now time.Time) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.failing.IsZero() {
+	if !p.busy {
 		return 0
 	}
-	return now.Sub(p.failing)
+	return now.Sub(p.since)
+}
+
+// Trouble returns for how long no append has succeeded although some were sent.
+func (p *Producer) Trouble(now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.since.IsZero() {
+		return 0
+	}
+	return now.Sub(p.since)
 }
 
 // Append waits until the records are in the topic. An error of kind NotRun means
@@ -152,6 +165,7 @@
 			return berylerror.Unknown.Wrap(err, "process is stopping")
 		case errors.Is(err, berylstore.ErrNotDone) && !unknown:
 			p.seq--
+			p.refused()
 			return berylerror.NotRun.Wrap(err, "append")
 		case errors.Is(err, berylstore.ErrSequence), errors.Is(err, berylstore.ErrFenced):
 			// The store's memory of this producer differs. The records may be
@@ -181,11 +195,19 @@
 func (p *Producer) outstanding() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.failing.IsZero() {
-		p.failing = p.clock()
+	p.busy = true
+	if p.since.IsZero() {
+		p.since = p.clock()
 	}
 }
 
+// refused notes that the store did nothing. The next append is tried anew.
+func (p *Producer) refused() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.busy = false
+}
+
 // refuseWaiting answers the requests that were not sent: the store does not
 // answer, and their callers can turn elsewhere.
 func (p *Producer) refuseWaiting(err error) {
@@ -201,7 +223,8 @@
 func (p *Producer) settled() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.failing = time.Time{}
+	p.busy = false
+	p.since = time.Time{}
 }
 
 func pause(ctx context.Context, d time.Duration) bool {
--- a/berylreport/report.go
+++ b/berylreport/report.go
@@ -66,9 +66,13 @@
 	Key
 	// Saved is its newest checkpoint.
 	Saved string `cbor:"s,omitempty"`
-	// Level is the tail latency in milliseconds of a lasting task, otherwise
-	// the processor time in use in thousandths of a core.
-	Level int `cbor:"l,omitempty"`
+	// Progress is the part of its work that is done, in percent; for a lasting
+	// task, the share at which it works.
+	Progress float64 `cbor:"p,omitempty"`
+	// Level is a rough figure for the last half second: the tail latency in
+	// milliseconds of a task that serves, otherwise the processor time in use in
+	// thousandths of a core.
+	Level float64 `cbor:"l,omitempty"`
 }
 
 // How says in which way a run ended.
--- a/berylsidecar/sidecar.go
+++ b/berylsidecar/sidecar.go
@@ -348,8 +348,8 @@
 	_askTimeout = 800 * time.Millisecond
 	// _reportEvery is the interval of reports without news, _reportGap the
 	// least time between two reports.
-	_reportEvery   = 500 * time.Millisecond
-	_reportGap     = 5 * time.Millisecond
+	_reportEvery = 500 * time.Millisecond
+	_reportGap   = 5 * time.Millisecond
 	// _retryGap is the pause before the next entry is tried.
 	_retryGap      = 100 * time.Millisecond
 	_reportTimeout = 700 * time.Millisecond
--- a/berylsite/entry.go
+++ b/berylsite/entry.go
@@ -83,7 +83,7 @@
 
 func (e *entry) listeners(ctx context.Context) (*http.Server, error) {
 	ingress := &platform.Ingress{
-		View: e.gateway.View, Clock: berylclock.System(), KeyAge: e.settings.Revoke - _keyMargin,
+		View: e.gateway.View, Clock: berylclock.System(), Log: e.log, KeyAge: e.settings.Revoke - _keyMargin,
 		Serve: e.gateway.Intake.Serve, Leaving: e.leaving.Load,
 		Observe: func(verb string, status int, took time.Duration) {
 			e.requests.WithLabelValues(verb, strconv.Itoa(status)).Observe(took.Seconds())
@@ -113,7 +113,7 @@
 // ready tells the balancer whether this entry takes new connections.
 func (e *entry) ready(w http.ResponseWriter, _ *http.Request) {
 	policy, confirmed := e.gateway.View.Policy()
-	if e.leaving.Load() || policy == nil || time.Since(confirmed) > _readyAge {
+	if e.leaving.Load() || policy == nil || berylclock.Age(berylclock.System()(), confirmed) > _readyAge {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
@@ -141,8 +141,9 @@
 }
 
 const (
-	// _keyMargin covers the time of a request and of its answer.
-	_keyMargin = 1200 * time.Millisecond
+	// _keyMargin covers the difference between the clocks of the entry and of
+	// the store.
+	_keyMargin = 500 * time.Millisecond
 	// _readyAge is how old the desired state may be for new connections.
 	_readyAge = 2500 * time.Millisecond
 	// _closeTime is the part of the grace in which connections are ended,
