--- a/berylbook/book.go
+++ b/berylbook/book.go
@@ -9,6 +9,7 @@
 package berylbook
 
 import (
+	"slices"
 	"strings"
 
 	"github.com/fxamacker/cbor/v2"
@@ -119,6 +120,9 @@
 	// Broken counts records that could not be decoded.
 	Broken int
 
+	// order has the jobs sorted; moved is true when it has to be made again.
+	order []*Job
+	moved bool
 	// early holds progress and cancels whose submission is not known yet; pages
 	// of the newest records come in the order of keys.
 	early map[string]*pending
@@ -233,6 +237,7 @@
 	id := strings.TrimPrefix(r.Key, _submission)
 	if len(r.Value) == 0 {
 		delete(b.Jobs, id)
+		b.moved = true
 		delete(b.early, id)
 		return id
 	}
@@ -245,6 +250,7 @@
 	}
 	j := NewJob(&s.Work)
 	b.Jobs[id] = j
+	b.moved = true
 	if e := b.early[id]; e != nil {
 		delete(b.early, id)
 		j.cancel(e.cancel)
@@ -422,6 +428,21 @@
 	return true
 }
 
+// Sorted returns the jobs in the order of their ids, so that decisions do not
+// depend on the order of a map.
+func (b *Book) Sorted() []*Job {
+	if len(b.order) == len(b.Jobs) && !b.moved {
+		return b.order
+	}
+	b.order = b.order[:0:0]
+	for _, j := range b.Jobs {
+		b.order = append(b.order, j)
+	}
+	slices.SortFunc(b.order, func(x, y *Job) int { return strings.Compare(x.Work.ID, y.Work.ID) })
+	b.moved = false
+	return b.order
+}
+
 // Waiting returns how many jobs of a queue, not counting scheduled ones, have
 // not begun.
 func (b *Book) Waiting(queue string) int {
--- /dev/null
+++ b/berylbook/book_test.go
@@ -0,0 +1,103 @@
+package berylbook
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"berylglade/berylstore"
+	"berylglade/berylwork"
+)
+
+func records(is *is.I) []berylstore.Record {
+	work := berylwork.Work{ID: "j1", Queue: "q", Account: "a", Steps: []berylwork.Step{{Count: 2}}, Times: 2}
+	j := NewJob(&work)
+	first, err := (&Submission{Work: work}).Record()
+	is.NoErr(err)
+	j.Tasks[0][0][1] = Task{Run: 3, Phase: Working, Place: Place{Node: "n", Instance: "i", Born: 4}, Failures: 1, Saved: "s"}
+	second, err := j.Record(7)
+	is.NoErr(err)
+	j.Tasks[0][0][1].Phase = Done
+	third, err := j.Record(7)
+	is.NoErr(err)
+	cancel, err := (&Cancel{At: 9}).Record("j1")
+	is.NoErr(err)
+	claim, err := (&Claim{Epoch: 7, Node: "e"}).Record()
+	is.NoErr(err)
+	return []berylstore.Record{first, second, third, cancel, claim}
+}
+
+// Guards against a state that depends on how the records were read: the newest
+// ones in any order, as after a restart, must have the same outcome as all.
+func TestNewestRecordsSuffice(t *testing.T) {
+	is := is.New(t)
+	var all Book
+	for _, r := range records(is) {
+		all.Apply(r)
+	}
+	newest := append(records(is)[:1:1], records(is)[2:]...)
+	for range 20 {
+		rand.Shuffle(len(newest), func(i, j int) { newest[i], newest[j] = newest[j], newest[i] })
+		var some Book
+		for _, r := range newest {
+			some.Apply(r)
+		}
+		is.Equal(some.Jobs["j1"].Tasks, all.Jobs["j1"].Tasks)
+		is.Equal(some.Jobs["j1"].Shown(), Cancelled)
+		is.Equal(some.Claim, all.Claim)
+	}
+}
+
+// Guards against a second submission under one id that resets its job, and
+// against a job that stays after its removal.
+func TestSubmissionAndRemoval(t *testing.T) {
+	is := is.New(t)
+	var b Book
+	list := records(is)
+	for _, r := range list[:2] {
+		b.Apply(r)
+	}
+	b.Apply(list[0])
+	is.Equal(b.Jobs["j1"].Tasks[0][0][1].Run, 3)
+	is.Equal(len(b.Sorted()), 1)
+	for _, r := range Removal("j1") {
+		b.Apply(r)
+	}
+	is.Equal(len(b.Jobs), 0)
+	is.Equal(len(b.Sorted()), 0)
+}
+
+// Guards against a record of another writer that takes the state down.
+func TestBrokenRecords(t *testing.T) {
+	is := is.New(t)
+	var b Book
+	list := records(is)
+	b.Apply(list[0])
+	for _, key := range []string{"j/j1", "s/j1", "c/j1", "leader", "other"} {
+		b.Apply(berylstore.Record{Key: key, Value: []byte{0xff, 0x00}})
+	}
+	is.Equal(b.Broken, 3)
+	is.Equal(b.Jobs["j1"].Shown(), Pending)
+}
+
+// Guards against a job that counts as waiting after it has begun or ended, or
+// that is scheduled.
+func TestWaiting(t *testing.T) {
+	is := is.New(t)
+	var b Book
+	for _, id := range []string{"j1", "j2", "j3", "j4"} {
+		w := berylwork.Work{ID: id, Queue: "q", Steps: []berylwork.Step{{Count: 1}}}
+		if id == "j4" {
+			w.Times = 3
+		}
+		r, err := (&Submission{Work: w}).Record()
+		is.NoErr(err)
+		b.Apply(r)
+	}
+	is.Equal(b.Waiting("q"), 3)
+	b.Jobs["j1"].Tasks[0][0][0].Run = 1
+	b.Jobs["j2"].Cancelled = 5
+	is.Equal(b.Waiting("q"), 1)
+	is.Equal(b.Waiting("other"), 0)
+}
--- a/beryldirector/director.go
+++ b/beryldirector/director.go
@@ -15,6 +15,8 @@
 package beryldirector
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"berylglade/berylbook"
@@ -234,7 +236,7 @@
 		return
 	}
 	var records []berylstore.Record
-	for id := range d.dirty {
+	for _, id := range slices.Sorted(maps.Keys(d.dirty)) {
 		j := d.Book.Jobs[id]
 		if j == nil {
 			continue
@@ -261,7 +263,8 @@
 func (d *Director) expired(now time.Time) []berylstore.Record {
 	var records []berylstore.Record
 	limit := now.Add(-d.Limits.Kept).UnixMilli()
-	for id, j := range d.Book.Jobs {
+	for _, j := range d.Book.Sorted() {
+		id := j.Work.ID
 		if j.State.Final() && j.Ended < limit && !j.Active() {
 			records = append(records, berylbook.Removal(id)...)
 		}
--- a/beryldirector/election.go
+++ b/beryldirector/election.go
@@ -48,7 +48,7 @@
 
 // takeUp settles the jobs that changed while nobody led.
 func (d *Director) takeUp(now time.Time) {
-	for _, j := range d.Book.Jobs {
+	for _, j := range d.Book.Sorted() {
 		if j.State.Final() {
 			continue
 		}
--- a/beryldirector/place.go
+++ b/beryldirector/place.go
@@ -65,7 +65,7 @@
 func (d *Director) waitingUnits(now time.Time) []unit {
 	var units []unit
 	seen := map[string]bool{}
-	for _, j := range d.Book.Jobs {
+	for _, j := range d.Book.Sorted() {
 		if j.State.Final() || j.Cancelled != 0 {
 			continue
 		}
@@ -213,7 +213,7 @@
 		if r.Service != service || r.Place.Instance == "" || r.Draining || r.Silent || r.Lapsed || !r.Looked {
 			continue
 		}
-		if d.Policy.Out[r.Zone] || now.Sub(m.heard) > _quiet || len(m.unknown) > 0 {
+		if d.Policy.Out[r.Zone] || now.Sub(m.heard) > _quiet || len(m.unknown) > 0 || now.Sub(m.refused) < _afterRefusal {
 			continue
 		}
 		hosts = append(hosts, berylfit.Host{
@@ -242,7 +242,7 @@
 // victims returns the units of work that priority zero may stop, by node.
 func (d *Director) victims(now time.Time) map[string][]berylfit.Victim {
 	victims := map[string][]berylfit.Victim{}
-	for _, j := range d.Book.Jobs {
+	for _, j := range d.Book.Sorted() {
 		q, ok := d.Policy.Queue(j.Work.Queue)
 		if !ok || q.Priority == 0 || j.State.Final() {
 			continue
@@ -335,7 +335,7 @@
 		return false
 	}
 	need := 0
-	for _, j := range d.Book.Jobs {
+	for _, j := range d.Book.Sorted() {
 		q, ok := d.Policy.Queue(j.Work.Queue)
 		if !ok || q.Priority != 0 || j.State.Final() || j.Cancelled != 0 || j.Work.Account != u.job.Work.Account {
 			continue
@@ -447,6 +447,9 @@
 const (
 	// _quiet is how long an agent may be silent and still get work.
 	_quiet = 1500 * time.Millisecond
+	// _afterRefusal is how long a backend server that refused a start gets none:
+	// it is fuller than it is taken for.
+	_afterRefusal = 400 * time.Millisecond
 	// _storePatience is how long an append may take before nothing more is
 	// placed: what is chosen now would be stale when it can be ordered.
 	_storePatience = 700 * time.Millisecond
--- a/beryldirector/progress.go
+++ b/beryldirector/progress.go
@@ -162,7 +162,7 @@
 	for _, m := range d.members {
 		m.slow = false
 	}
-	for _, j := range d.Book.Jobs {
+	for _, j := range d.Book.Sorted() {
 		if j.State.Final() {
 			continue
 		}
@@ -194,7 +194,7 @@
 	if d.Policy == nil {
 		return
 	}
-	for _, j := range d.Book.Jobs {
+	for _, j := range d.Book.Sorted() {
 		q, ok := d.Policy.Queue(j.Work.Queue)
 		if !ok || j.State.Final() || j.Cancelled != 0 {
 			continue
--- a/beryldirector/report.go
+++ b/beryldirector/report.go
@@ -25,15 +25,16 @@
 	running map[berylreport.Key]bool
 	// unknown are runs that the book does not have.
 	unknown []berylreport.Key
-	// unknownRoom counts them as if each held a whole accelerator server.
-	ends  []endOf
-	noted int64
-	sent  time.Time
-	told  string
+	ends    []endOf
+	noted   int64
+	sent    time.Time
+	told    string
 	// tracks has the progress of the listed runs.
 	tracks map[berylreport.Key]*track
 	// slow is true while a run here stands still or crawls.
 	slow bool
+	// refused is when a start was refused here last.
+	refused time.Time
 	// doubt grows with failed and late runs and shrinks with good ones.
 	doubt   float64
 	doubted time.Time
@@ -75,7 +76,7 @@
 		a.Led = true
 		m.contact = now
 	}
-	d.note2(now, m)
+	d.moveNoted(m)
 	a.Noted = m.noted
 	return a
 }
@@ -114,7 +115,7 @@
 		d.takeRun(now, m, run)
 	}
 	if r.Looked && !r.Silent {
-		d.findVanished(now, m)
+		d.findVanished(m)
 	}
 }
 
@@ -137,7 +138,7 @@
 
 // eachOn calls f for each task whose newest run may exist on the node.
 func (d *Director) eachOn(node string, f func(j *berylbook.Job, ref berylwork.Ref, t *berylbook.Task)) {
-	for _, j := range d.Book.Jobs {
+	for _, j := range d.Book.Sorted() {
 		j.Each(func(ref berylwork.Ref, t *berylbook.Task) {
 			if t.Phase.Active() && t.Place.Node == node {
 				f(j, ref, t)
@@ -167,12 +168,12 @@
 	d.note("run over", "task", ref.String(), "run", t.Run, "node", t.Place.Node, "why", why)
 	t.Phase = berylbook.Idle
 	delete(d.ordered, orderKey{ref, t.Run})
-	d.breakGang(now, j, ref, t.Run, why)
+	d.breakGang(j, ref, t.Run)
 	d.settle(now, j)
 }
 
 // breakGang stops the other members of a gang's run.
-func (d *Director) breakGang(now time.Time, j *berylbook.Job, ref berylwork.Ref, run int, why string) {
+func (d *Director) breakGang(j *berylbook.Job, ref berylwork.Ref, run int) {
 	if !j.Work.Steps[ref.Step].Gang {
 		return
 	}
@@ -211,7 +212,7 @@
 		d.failed(now, m, j, ref, t)
 	default:
 		t.Phase = berylbook.Idle
-		d.breakGang(now, j, ref, e.Run, e.How.String())
+		d.breakGang(j, ref, e.Run)
 	}
 	d.mark(j.Work.ID)
 	d.settle(now, j)
@@ -268,7 +269,7 @@
 	t.Phase = berylbook.Idle
 	m.doubt += _doubtFailed
 	m.doubted = now
-	d.breakGang(now, j, ref, run, "failed")
+	d.breakGang(j, ref, run)
 	if step.Lasting {
 		return
 	}
@@ -314,6 +315,7 @@
 	if t.Phase == berylbook.Ordered {
 		m.doubt += _doubtRefused
 		m.doubted = now
+		m.refused = now
 	}
 	d.over(now, j, ref, t, "never ran or gone")
 }
@@ -341,7 +343,7 @@
 
 // findVanished looks for runs that were listed before and are not any more. They
 // are stopped, which makes sure that they do not exist.
-func (d *Director) findVanished(now time.Time, m *member) {
+func (d *Director) findVanished(m *member) {
 	d.eachOn(m.last.Node, func(j *berylbook.Job, ref berylwork.Ref, t *berylbook.Task) {
 		k := berylreport.Key{Task: ref.String(), Run: t.Run}
 		if t.Phase == berylbook.Working && !m.running[k] {
@@ -352,8 +354,8 @@
 	})
 }
 
-// note2 moves the number up to which ends are recorded.
-func (d *Director) note2(_ time.Time, m *member) {
+// moveNoted moves the number up to which ends are recorded.
+func (d *Director) moveNoted(m *member) {
 	slices.SortFunc(m.ends, func(a, b endOf) int { return int(a.n - b.n) })
 	for len(m.ends) > 0 && (m.ends[0].job == "" || d.clean(m.ends[0].job)) {
 		m.noted = m.ends[0].n
@@ -393,7 +395,7 @@
 // expire gives up starts that were not carried out in time and runs on backend
 // servers whose lease must have run out.
 func (d *Director) expire(now time.Time) {
-	for _, j := range d.Book.Jobs {
+	for _, j := range d.Book.Sorted() {
 		j.Each(func(ref berylwork.Ref, t *berylbook.Task) {
 			if !t.Phase.Active() {
 				return
@@ -430,7 +432,7 @@
 			m.doubt += _doubtRefused
 			m.doubted = now
 		}
-		d.breakGang(now, j, ref, t.Run, "start not confirmed")
+		d.breakGang(j, ref, t.Run)
 		d.mark(j.Work.ID)
 	}
 }
@@ -445,11 +447,11 @@
 		if m.last.Place.Instance == "" {
 			continue
 		}
-		d.note2(now, m)
+		d.moveNoted(m)
 		orders[node] = berylreport.Orders{Epoch: d.epoch, Place: m.last.Place, Noted: m.noted, Stop: slices.Clone(m.unknown)}
 	}
-	for id, j := range d.Book.Jobs {
-		clean := d.clean(id)
+	for _, j := range d.Book.Sorted() {
+		clean := d.clean(j.Work.ID)
 		j.Each(func(ref berylwork.Ref, t *berylbook.Task) { d.order(orders, j, ref, t, clean) })
 	}
 	return d.pending(now, orders)
@@ -520,7 +522,7 @@
 func (d *Director) used() (held, coming map[string]berylroom.Room) {
 	held = map[string]berylroom.Room{}
 	coming = map[string]berylroom.Room{}
-	for _, j := range d.Book.Jobs {
+	for _, j := range d.Book.Sorted() {
 		j.Each(func(ref berylwork.Ref, t *berylbook.Task) {
 			if !t.Phase.Active() {
 				return
--- a/berylfit/fit.go
+++ b/berylfit/fit.go
@@ -91,14 +91,6 @@
 	return d.search(hosts, func(h *Host) berylroom.Room { return h.Free.Add(h.Coming) })
 }
 
-// Ever reports whether the tasks would fit if nothing else ran.
-func (d *Demand) Ever(hosts []Host) bool {
-	any := *d
-	any.Spread = true
-	_, ok := any.search(hosts, func(h *Host) berylroom.Room { return h.Total })
-	return ok
-}
-
 // InRack reports whether the tasks would fit into one rack if nothing else ran.
 func (d *Demand) InRack(hosts []Host) bool {
 	one := *d
--- a/berylfollower/follower.go
+++ b/berylfollower/follower.go
@@ -67,7 +67,7 @@
 	for ctx.Err() == nil {
 		from, err := f.load(ctx)
 		if err == nil {
-			err = f.follow(ctx, from)
+			f.follow(ctx, from)
 		}
 		if ctx.Err() == nil && err != nil {
 			f.Handle(Failed{Err: err})
@@ -106,8 +106,8 @@
 	return f.Store.Newest(ctx, f.Topic, after)
 }
 
-// follow returns nil when the topic has to be loaded again.
-func (f *Follower) follow(ctx context.Context, from int64) error {
+// follow returns when the topic has to be loaded again.
+func (f *Follower) follow(ctx context.Context, from int64) {
 	for ctx.Err() == nil && !f.reload.Load() {
 		sent := f.Clock()
 		waited := f.Wait
@@ -117,9 +117,9 @@
 		r, err := f.read(ctx, from)
 		switch {
 		case errors.Is(err, berylstore.ErrGone):
-			return nil
+			return
 		case err != nil && ctx.Err() != nil:
-			return nil
+			return
 		case err != nil:
 			f.Handle(Failed{Err: err})
 			pause(ctx, _pause)
@@ -131,7 +131,6 @@
 		}
 		f.Handle(Read{Records: r.Records, Sent: sent, End: r.End})
 	}
-	return nil
 }
 
 func earlier(a, b time.Time) time.Time {
--- /dev/null
+++ b/berylfollower/follower_test.go
@@ -0,0 +1,76 @@
+package berylfollower
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+
+	"berylglade/berylstore"
+)
+
+// script is a store whose reads answer in the order of a list.
+type script struct {
+	reads []answer
+	waits []time.Duration
+	pages int
+	now   time.Time
+	stop  context.CancelFunc
+}
+
+type answer struct {
+	read berylstore.Read
+	err  error
+	took time.Duration
+}
+
+func (s *script) Append(context.Context, berylstore.Append) (int64, error) { return 0, nil }
+
+func (s *script) Newest(context.Context, string, string) (berylstore.Page, error) {
+	s.pages++
+	return berylstore.Page{End: 5}, nil
+}
+
+func (s *script) Read(_ context.Context, _ string, _ int64, wait time.Duration) (berylstore.Read, error) {
+	s.waits = append(s.waits, wait)
+	if len(s.reads) == 0 {
+		s.stop()
+		return berylstore.Read{}, errors.New("end of script")
+	}
+	a := s.reads[0]
+	s.reads = s.reads[1:]
+	s.now = s.now.Add(a.took)
+	return a.read, a.err
+}
+
+// Guards against reads that hang when the store is silent, against records that
+// are missed when the store has dropped them, and against a state that is taken
+// for fresher than it is.
+func TestFollow(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	begin := time.UnixMilli(1_000_000)
+	s := &script{now: begin, stop: cancel, reads: []answer{
+		{read: berylstore.Read{Records: []berylstore.Record{{Key: "a"}}, Next: 6, End: 6}, took: 100 * time.Millisecond},
+		{read: berylstore.Read{Next: 6, End: 6}, took: 900 * time.Millisecond},
+		{err: errors.New("no answer"), took: time.Second},
+		{read: berylstore.Read{Next: 6, End: 6}},
+		{err: berylstore.ErrGone},
+	}}
+	var events []Event
+	f := &Follower{
+		Store: s, Clock: func() time.Time { return s.now }, Topic: "t", Wait: 800 * time.Millisecond,
+		Handle: func(e Event) { events = append(events, e) },
+	}
+	f.Run(ctx)
+	is.Equal(s.waits[:5], []time.Duration{800 * time.Millisecond, 800 * time.Millisecond, 800 * time.Millisecond, 0, 800 * time.Millisecond})
+	is.Equal(s.pages, 2)
+	first := events[1].(Read)
+	is.Equal(first.Sent, begin)
+	// A read that waited in vain shows that nothing came while it waited.
+	is.Equal(events[2].(Read).Sent, begin.Add(900*time.Millisecond))
+	// A probe waits for nothing and shows nothing beyond its start.
+	is.Equal(events[4].(Read).Sent, begin.Add(2*time.Second))
+}
--- a/berylintake/intake.go
+++ b/berylintake/intake.go
@@ -101,6 +101,10 @@
 		return Answer{Reply{Waiting: k.Waiting}}
 	case r.Verb == State && mine:
 		return Answer{Reply{State: k.Job.State}}
+	case r.Verb == Submit && !mine && r.Queue.Advised:
+		// Starts on such a queue need tickets, which the system does not ask
+		// for; the job would wait for ever.
+		return refuse("queue needs advice, which is not supported")
 	case r.Verb == Submit && mine:
 		return Answer{Reply{Why: "known already"}}
 	case r.Verb == Cancel && mine && k.Job.State.Final():
@@ -182,8 +186,15 @@
 			set  bool
 			mark string
 		}{
-			{s.Gang, " gang"}, {s.OneRack, " rack"}, {s.Lasting, " lasting"}, {s.Fills, " fills"},
-			{s.Copies, " copies"}, {s.Saves, " saves"}, {s.Apart > 0, " apart"}, {s.Label != "", " label"}, {s.MayMiss > 0, " away"},
+			{s.Gang, " gang"},
+			{s.OneRack, " rack"},
+			{s.Lasting, " lasting"},
+			{s.Fills, " fills"},
+			{s.Copies, " copies"},
+			{s.Saves, " saves"},
+			{s.Apart > 0, " apart"},
+			{s.Label != "", " label"},
+			{s.MayMiss > 0, " away"},
 		}
 		for _, f := range flags {
 			if f.set {
--- a/berylkeeper/keeper.go
+++ b/berylkeeper/keeper.go
@@ -11,7 +11,11 @@
 package berylkeeper
 
 import (
+	"cmp"
 	"errors"
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"berylglade/berylbook"
@@ -178,6 +182,7 @@
 	k.list = berylexecutor.Listing{}
 	k.looked = false
 	k.newest = k.issue
+	k.holding = 0
 	k.clock, k.deadline, k.contact = 0, 0, 0
 	k.silent, k.down = 0, false
 	k.noted = 0
@@ -303,7 +308,8 @@
 		return nil
 	}
 	var tasks []Task
-	for key, r := range k.runs {
+	for _, key := range k.keys() {
+		r := k.runs[key]
 		if k.forget(now, r) {
 			delete(k.runs, key)
 			continue
@@ -315,6 +321,13 @@
 	return append(tasks, k.holdCalls(now)...)
 }
 
+// keys returns the known runs in a fixed order.
+func (k *Keeper) keys() []berylreport.Key {
+	return slices.SortedFunc(maps.Keys(k.runs), func(a, b berylreport.Key) int {
+		return cmp.Or(strings.Compare(a.Task, b.Task), cmp.Compare(a.Run, b.Run))
+	})
+}
+
 func (k *Keeper) forget(now time.Time, r *run) bool {
 	if r.busy || r.phase == wanted || r.phase == stopping || r.phase == stopped {
 		return false
@@ -380,12 +393,12 @@
 func (k *Keeper) Outcome(now time.Time, o Outcome) {
 	switch c := o.Call.(type) {
 	case berylexecutor.StartCall:
-		if c.Target.Instance == k.beat.Place.Instance {
+		if c.Instance == k.beat.Place.Instance {
 			k.heard(now, o)
 			k.startOutcome(now, c, o.Err)
 		}
 	case berylexecutor.StopCall:
-		if c.Target.Instance == k.beat.Place.Instance {
+		if c.Instance == k.beat.Place.Instance {
 			k.heard(now, o)
 			k.stopOutcome(now, c, o)
 		}
@@ -393,7 +406,7 @@
 		if o.Issue == k.holding {
 			k.holding = 0
 		}
-		if c.Target.Instance == k.beat.Place.Instance {
+		if c.Instance == k.beat.Place.Instance {
 			k.heard(now, o)
 			k.holdOutcome(now, o)
 		}
@@ -530,7 +543,8 @@
 	for _, e := range o.Listing.Ends {
 		ended[e.Key] = true
 	}
-	for key, r := range k.runs {
+	for _, key := range k.keys() {
+		r := k.runs[key]
 		if listed[key] || ended[key] {
 			r.seen = true
 		}
@@ -590,7 +604,8 @@
 			r.Ends = append(r.Ends, e)
 		}
 	}
-	for key, run := range k.runs {
+	for _, key := range k.keys() {
+		run := k.runs[key]
 		switch {
 		case run.phase == absent:
 			r.Absent = append(r.Absent, key)
--- a/berylkeeper/keeper_test.go
+++ b/berylkeeper/keeper_test.go
@@ -201,9 +201,12 @@
 	is := is.New(t)
 	now := start()
 	k := ready(is, now)
+	k.Calls(now)
 	old := k.target().Fence
 	is.True(k.Beat(now, Beat{Place: berylbook.Place{Instance: "i-1", Born: 9}, Addr: "10.0.0.1:80", Seq: 1, Clock: 50}))
 	is.True(k.target().Fence > old)
+	// The listing that raises the fence does not wait for the one under way.
+	is.True(of[berylexecutor.HoldCall](k.Calls(now))[0].Call.(berylexecutor.HoldCall).Fence > old)
 	is.True(!k.Beat(now, Beat{Place: berylbook.Place{Instance: "i-1", Born: 5}, Addr: "10.0.0.1:80", Seq: 9, Clock: 10_500}))
 	is.Equal(k.Place().Born, int64(9))
 }
--- a/berylsite/entry.go
+++ b/berylsite/entry.go
@@ -123,11 +123,13 @@
 func (e *entry) leave(front *http.Server) {
 	e.log.Info("stop", "grace", e.settings.Grace.Milliseconds())
 	e.leaving.Store(true)
-	time.Sleep(e.settings.Grace - _closeTime - _stopMargin)
+	time.Sleep(min(_noticeTime, e.settings.Grace/2))
 	ctx, cancel := context.WithTimeout(context.Background(), _closeTime)
 	defer cancel()
 	if err := front.Shutdown(ctx); err != nil {
-		e.log.Warn("connections were cut", "err", err)
+		// Connections without a request are left over: answers take less time.
+		e.log.Info("connections closed", "err", err)
+		_ = front.Close()
 	}
 }
 
@@ -146,10 +148,10 @@
 	_keyMargin = 500 * time.Millisecond
 	// _readyAge is how old the desired state may be for new connections.
 	_readyAge = 2500 * time.Millisecond
-	// _closeTime is the part of the grace in which connections are ended,
-	// _stopMargin what is kept for the end of the process.
-	_closeTime  = 2 * time.Second
-	_stopMargin = 500 * time.Millisecond
+	// _noticeTime is how long the balancer takes to notice: two checks, a second
+	// apart. _closeTime lets requests end that came until then.
+	_noticeTime = 2300 * time.Millisecond
+	_closeTime  = 2700 * time.Millisecond
 	// _takeover covers three renewals of a leader.
 	_takeover   = 2 * time.Second
 	_sureMargin = 200 * time.Millisecond
--- a/berylsite/site.go
+++ b/berylsite/site.go
@@ -96,7 +96,7 @@
 		return nil, err
 	}
 	p := &process{settings: s, sink: berylsink.New(os.Stdout), boot: time.Now().UnixMilli(), registry: prometheus.NewRegistry()}
-	p.log = p.sink.Logger("node", s.Node, "role", role)
+	p.log = p.sink.Logger("vm", s.Node, "role", role)
 	p.ctx, p.stop = signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	p.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "berylglade_log_lines_dropped",
