--- a/berylbook/book_test.go
+++ b/berylbook/book_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
@@ -36,7 +37,7 @@
 	for _, r := range records(is) {
 		all.Apply(r)
 	}
-	newest := append(records(is)[:1:1], records(is)[2:]...)
+	newest := slices.Delete(records(is), 1, 2)
 	for range 20 {
 		rand.Shuffle(len(newest), func(i, j int) { newest[i], newest[j] = newest[j], newest[i] })
 		var some Book
