beryldirector: keep room for gangs that wait

A unit that has waited a second and needs two accelerators or more now keeps the room that comes free soonest. A task that failed is placed on another host first.

The test TestGangIsNotStarvedBySmallTasks fails without the reservation. Conclusion: kept for the users' complaint of head-of-line blocking.

--- a/beryldirector/director_test.go
+++ b/beryldirector/director_test.go
@@ -564,3 +564,48 @@
 		})
 	}
 }
+
+// Replays routine tasks of one accelerator that come faster than they end, and a
+// gang that needs a whole host. Guards against a gang that waits for ever because
+// each accelerator that comes free is given to a small task.
+func TestGangIsNotStarvedBySmallTasks(t *testing.T) {
+	b := newBench(t)
+	b.d.Policy.Queues = append(b.d.Policy.Queues, berylpolicy.Queue{Name: "gangs", Service: "s", Priority: 1, Attempts: 2, Stretch: 3})
+	b.report("n1", nil)
+	n := int64(0)
+	next := 0
+	begun := map[berylreport.Key]time.Time{}
+	for tick := range 120 {
+		if tick%2 == 0 {
+			b.submit("small"+strconv.Itoa(next), "routine", step(1, 1))
+			next++
+		}
+		if tick == 20 {
+			b.submit("gang", "gangs", gang(2, 4))
+		}
+		b.pass(250 * time.Millisecond)
+		b.report("n1", func(r *berylreport.Report) {
+			for _, j := range b.d.Book.Sorted() {
+				j.Each(func(ref berylwork.Ref, task *berylbook.Task) {
+					if !task.Phase.Active() {
+						return
+					}
+					k := berylreport.Key{Task: ref.String(), Run: task.Run}
+					if begun[k].IsZero() {
+						begun[k] = b.now
+					}
+					if b.now.Sub(begun[k]) > 5*time.Second {
+						n++
+						r.Ends = append(r.Ends, end(n, k.Task, k.Run, berylreport.Done))
+						return
+					}
+					r.Runs = append(r.Runs, berylreport.Run{Key: k})
+				})
+			}
+		})
+		if tick > 20 && b.phase("gang", 0) != berylbook.Idle {
+			return
+		}
+	}
+	t.Fatal("the gang never started")
+}
--- a/beryldirector/place.go
+++ b/beryldirector/place.go
@@ -34,6 +34,18 @@
 
 func (u *unit) name() string { return unitName(u.job, u.occurrence, u.step, u.tasks[0]) }
 
+// shun returns the hosts on which the last run of the unit's tasks failed.
+func (u *unit) shun() map[string]bool {
+	hosts := map[string]bool{}
+	for _, i := range u.tasks {
+		t := &u.job.Tasks[u.occurrence][u.step][i]
+		if t.Failures > 0 && t.Faulted == t.Run {
+			hosts[t.Place.Node] = true
+		}
+	}
+	return hosts
+}
+
 func unitName(j *berylbook.Job, occurrence, step, index int) string {
 	if j.Work.Steps[step].Gang {
 		index = 0
@@ -276,6 +288,7 @@
 
 func (d *Director) placeUnit(now time.Time, u *unit, hosts []berylfit.Host) {
 	demand := demandOf(u.job, u.occurrence, u.step, len(u.tasks))
+	demand.Shun = u.shun()
 	demand.Spread = u.waiting > d.rackPatience(u) || !demand.InRack(hosts)
 	if places, ok := demand.Place(hosts); ok {
 		d.start(now, u, hosts, places)
@@ -286,11 +299,47 @@
 		return
 	}
 	if u.queue.Priority != 0 {
+		d.reserve(now, u, hosts, &demand)
 		return
 	}
 	d.makeRoom(u, hosts, &demand)
 }
 
+// reserve keeps the room that comes free soonest for a gang, or for a task that
+// needs much of a host. Small tasks that are placed after it would otherwise take
+// each accelerator as it comes free, and the gang would never find enough at once.
+func (d *Director) reserve(now time.Time, u *unit, hosts []berylfit.Host, demand *berylfit.Demand) {
+	if u.waiting < _reserveAfter || demand.Count*demand.Room.Accelerators < _reserveFrom {
+		return
+	}
+	ending := d.endings(now)
+	later := slices.Clone(hosts)
+	for i := range later {
+		later[i].Victims = ending[later[i].Node]
+	}
+	if _, places, ok := demand.Evict(later); ok {
+		take(hosts, places, demand)
+	}
+}
+
+// endings returns all runs by node, each with the time until its end as its loss.
+func (d *Director) endings(now time.Time) map[string][]berylfit.Victim {
+	ending := map[string][]berylfit.Victim{}
+	for _, j := range d.Book.Sorted() {
+		j.Each(func(ref berylwork.Ref, t *berylbook.Task) {
+			if t.Phase != berylbook.Ordered && t.Phase != berylbook.Working {
+				return
+			}
+			room := j.Work.Steps[ref.Step].Room()
+			ending[t.Place.Node] = append(ending[t.Place.Node], berylfit.Victim{
+				Unit: ref.String(), Room: room,
+				Loss: d.leftOf(now, j, ref, t).Seconds() * float64(max(room.Accelerators, 1)),
+			})
+		})
+	}
+	return ending
+}
+
 // makeRoom keeps the room that an urgent unit will need and stops what holds it
 // once the unit can wait no longer.
 func (d *Director) makeRoom(u *unit, hosts []berylfit.Host, demand *berylfit.Demand) {
@@ -447,6 +496,11 @@
 const (
 	// _quiet is how long an agent may be silent and still get work.
 	_quiet = 1500 * time.Millisecond
+	// _reserveAfter is how long a unit waits before room is kept for it, and
+	// _reserveFrom how many accelerators it must need: fewer come free at once
+	// often enough.
+	_reserveAfter = time.Second
+	_reserveFrom  = 2
 	// _afterRefusal is how long a backend server that refused a start gets none:
 	// it is fuller than it is taken for.
 	_afterRefusal = 400 * time.Millisecond
--- a/beryldirector/progress.go
+++ b/beryldirector/progress.go
@@ -272,9 +272,10 @@
 	// _stallMatters is after how long without progress a run stands still:
 	// two listings may miss a step of one percent.
 	_stallMatters = 1500 * time.Millisecond
-	// _slowFactor is how many times slower than its siblings a run is slow; run
-	// times within a step differ by less on sound backend servers.
-	_slowFactor = 2.5
+	// _slowFactor is how many times slower than its siblings a run is slow. Away
+	// from its data a task takes three times as long, and some backend servers
+	// are a third slower than others.
+	_slowFactor = 4.5
 	// _siblings is how many siblings tell more than a declared time.
 	_siblings = 2
 	// _rescueGain and _rescueCost say how much sooner a new run must end.
--- a/berylfit/fit.go
+++ b/berylfit/fit.go
@@ -56,6 +56,8 @@
 	Apart int
 	// Present counts the tasks of the step that are on a host already.
 	Present map[string]int
+	// Shun has hosts that are tried last: a run of these tasks failed there.
+	Shun map[string]bool
 	// Avoid has hosts that get none of these tasks.
 	Avoid map[string]bool
 }
@@ -164,6 +166,7 @@
 		x, y := &hosts[a], &hosts[b]
 		return cmp.Or(
 			cmp.Compare(x.Doubt, y.Doubt),
+			cmp.Compare(b2i(d.Shun[x.Node]), b2i(d.Shun[y.Node])),
 			-cmp.Compare(b2i(x.Rack == d.Rack), b2i(y.Rack == d.Rack)),
 			cmp.Compare(room(x).Accelerators, room(y).Accelerators),
 			cmp.Compare(x.Node, y.Node),
