--- /dev/null
+++ b/beryldirector/end.go
@@ -0,0 +1,242 @@
+package beryldirector
+
+import (
+	"slices"
+	"time"
+
+	"berylglade/berylbook"
+	"berylglade/berylreport"
+	"berylglade/berylwork"
+)
+
+// over frees a task whose newest run is known to be over without an end that
+// counts.
+func (d *Director) over(now time.Time, j *berylbook.Job, ref berylwork.Ref, t *berylbook.Task, why string) {
+	d.note("run over", "task", ref.String(), "run", t.Run, "node", t.Place.Node, "why", why)
+	t.Phase = berylbook.Idle
+	delete(d.ordered, orderKey{ref, t.Run})
+	d.breakGang(j, ref, t.Run)
+	d.settle(now, j)
+}
+
+// breakGang stops the other members of a gang's run.
+func (d *Director) breakGang(j *berylbook.Job, ref berylwork.Ref, run int) {
+	if !j.Work.Steps[ref.Step].Gang {
+		return
+	}
+	tasks := j.Tasks[ref.Occurrence][ref.Step]
+	for i := range tasks {
+		t := &tasks[i]
+		if t.Run == run && (t.Phase == berylbook.Ordered || t.Phase == berylbook.Working) {
+			t.Phase = berylbook.Stopping
+		}
+	}
+	d.mark(j.Work.ID)
+}
+
+func (d *Director) takeEnd(now time.Time, m *member, e berylreport.End) {
+	if e.N <= m.noted || slices.ContainsFunc(m.ends, func(o endOf) bool { return o.n == e.N }) {
+		return
+	}
+	ref, ok := berylwork.ParseRef(e.Task)
+	m.ends = append(m.ends, endOf{n: e.N, job: ref.Job})
+	if !ok {
+		return
+	}
+	j, t := d.Book.Task(ref)
+	if t == nil || t.Run != e.Run || !t.Phase.Active() || t.Place != m.last.Place {
+		return
+	}
+	d.note("end", "task", e.Task, "run", e.Run, "how", e.How.String(), "node", m.last.Node, "n", e.N,
+		"ms", now.UnixMilli()-t.Since)
+	if e.Saved != "" {
+		d.save(j, ref, e.Saved)
+	}
+	switch e.How {
+	case berylreport.Done:
+		d.done(now, m, j, ref, t)
+	case berylreport.Failed:
+		d.failed(now, m, j, ref, t)
+	default:
+		t.Phase = berylbook.Idle
+		d.breakGang(j, ref, e.Run)
+	}
+	d.mark(j.Work.ID)
+	d.settle(now, j)
+}
+
+// save keeps a checkpoint; one of any member is valid for the whole gang.
+func (d *Director) save(j *berylbook.Job, ref berylwork.Ref, saved string) {
+	tasks := j.Tasks[ref.Occurrence][ref.Step]
+	if !j.Work.Steps[ref.Step].Gang {
+		tasks[ref.Index].Saved = saved
+		return
+	}
+	for i := range tasks {
+		tasks[i].Saved = saved
+	}
+}
+
+func (d *Director) done(now time.Time, m *member, j *berylbook.Job, ref berylwork.Ref, t *berylbook.Task) {
+	if j.Work.Steps[ref.Step].Lasting {
+		t.Phase = berylbook.Idle
+		return
+	}
+	m.doubt = max(m.doubt-_doubtDone, 0)
+	d.learn(now, j, ref, t)
+	t.Phase = berylbook.Done
+	if !j.Work.Steps[ref.Step].Gang {
+		return
+	}
+	tasks := j.Tasks[ref.Occurrence][ref.Step]
+	for i := range tasks {
+		if tasks[i].Run == t.Run {
+			tasks[i].Phase = berylbook.Done
+		}
+	}
+}
+
+// learn keeps the ratio of real to declared run times of a queue.
+func (d *Director) learn(now time.Time, j *berylbook.Job, ref berylwork.Ref, t *berylbook.Task) {
+	estimate := j.Work.Steps[ref.Step].Estimate
+	if estimate <= 0 || t.Saved != "" {
+		return
+	}
+	ratio := float64(now.UnixMilli()-t.Since) / float64(estimate)
+	old, ok := d.speed[j.Work.Queue]
+	if !ok {
+		old = ratio
+	}
+	d.speed[j.Work.Queue] = old + (ratio-old)*_learning
+}
+
+func (d *Director) failed(now time.Time, m *member, j *berylbook.Job, ref berylwork.Ref, t *berylbook.Task) {
+	step := j.Work.Steps[ref.Step]
+	run := t.Run
+	t.Phase = berylbook.Idle
+	m.doubt += _doubtFailed
+	m.doubted = now
+	d.breakGang(j, ref, run)
+	if step.Lasting {
+		return
+	}
+	tasks := j.Tasks[ref.Occurrence][ref.Step]
+	if !step.Gang {
+		tasks = tasks[ref.Index : ref.Index+1]
+	}
+	if tasks[0].Faulted == run {
+		return
+	}
+	for i := range tasks {
+		tasks[i].Faulted = run
+		tasks[i].Failures++
+	}
+	if t.Failures >= d.attempts(j) {
+		d.note("job failed", "job", j.Work.ID, "task", ref.String(), "failures", t.Failures)
+		j.State = berylbook.Failed
+		j.Ended = now.UnixMilli()
+		d.stopJob(j, "failed")
+	}
+}
+
+func (d *Director) attempts(j *berylbook.Job) int {
+	if d.Policy == nil {
+		return _attempts
+	}
+	q, ok := d.Policy.Queue(j.Work.Queue)
+	if !ok || q.Attempts <= 0 {
+		return _attempts
+	}
+	return q.Attempts
+}
+
+func (d *Director) takeAbsent(now time.Time, m *member, k berylreport.Key) {
+	ref, ok := berylwork.ParseRef(k.Task)
+	if !ok {
+		return
+	}
+	j, t := d.Book.Task(ref)
+	if t == nil || t.Run != k.Run || !t.Phase.Active() || t.Place != m.last.Place {
+		return
+	}
+	if t.Phase == berylbook.Ordered {
+		m.doubt += _doubtRefused
+		m.doubted = now
+		m.refused = now
+	}
+	d.over(now, j, ref, t, "never ran or gone")
+}
+
+// settle moves a job to its final state if it has come to one.
+func (d *Director) settle(now time.Time, j *berylbook.Job) {
+	d.mark(j.Work.ID)
+	if j.State.Final() {
+		return
+	}
+	switch {
+	case j.Complete():
+		j.State = berylbook.Completed
+	case j.Cancelled != 0 && !j.Active():
+		j.State = berylbook.Cancelled
+	default:
+		return
+	}
+	j.Ended = now.UnixMilli()
+	d.note("job ended", "job", j.Work.ID, "state", j.State.String(), "ms", now.UnixMilli()-j.Work.Accepted)
+}
+
+// stopJob stops all runs of a job.
+func (d *Director) stopJob(j *berylbook.Job, why string) {
+	j.Each(func(_ berylwork.Ref, t *berylbook.Task) {
+		if t.Phase == berylbook.Ordered || t.Phase == berylbook.Working {
+			t.Phase = berylbook.Stopping
+		}
+	})
+	d.note("stop job", "job", j.Work.ID, "why", why)
+	d.mark(j.Work.ID)
+}
+
+// expire gives up starts that were not carried out in time and runs on backend
+// servers whose lease must have run out.
+func (d *Director) expire(now time.Time) {
+	for _, j := range d.Book.Sorted() {
+		j.Each(func(ref berylwork.Ref, t *berylbook.Task) {
+			if !t.Phase.Active() {
+				return
+			}
+			d.expireRun(now, j, ref, t)
+		})
+	}
+}
+
+func (d *Director) expireRun(now time.Time, j *berylbook.Job, ref berylwork.Ref, t *berylbook.Task) {
+	m := d.members[t.Place.Node]
+	contact := d.leadAt
+	if m != nil {
+		contact = m.contact
+	}
+	if now.Sub(contact) > d.Limits.Lost {
+		d.over(now, j, ref, t, "lease must have run out")
+		return
+	}
+	if t.Phase != berylbook.Ordered {
+		return
+	}
+	k := orderKey{ref, t.Run}
+	since, ok := d.ordered[k]
+	if !ok || !d.clean(j.Work.ID) {
+		// A start is not sent before it is recorded.
+		d.ordered[k] = now
+		return
+	}
+	if now.Sub(since) > _startPatience {
+		d.note("start not confirmed", "task", ref.String(), "run", t.Run, "node", t.Place.Node, "ms", now.Sub(since).Milliseconds())
+		t.Phase = berylbook.Stopping
+		if m != nil {
+			m.doubt += _doubtRefused
+			m.doubted = now
+		}
+		d.breakGang(j, ref, t.Run)
+		d.mark(j.Work.ID)
+	}
+}
--- /dev/null
+++ b/beryldirector/orders.go
@@ -0,0 +1,121 @@
+package beryldirector
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"berylglade/berylbook"
+	"berylglade/berylreport"
+	"berylglade/berylroom"
+	"berylglade/berylwork"
+)
+
+// moveNoted moves the number up to which ends are recorded.
+func (d *Director) moveNoted(m *member) {
+	slices.SortFunc(m.ends, func(a, b endOf) int { return int(a.n - b.n) })
+	for len(m.ends) > 0 && (m.ends[0].job == "" || d.clean(m.ends[0].job)) {
+		m.noted = m.ends[0].n
+		m.ends = m.ends[1:]
+	}
+}
+
+// Orders returns what to send to the agent of each node.
+func (d *Director) Orders(now time.Time) map[string]berylreport.Orders {
+	if !d.Leading() {
+		return nil
+	}
+	orders := map[string]berylreport.Orders{}
+	for node, m := range d.members {
+		if m.last.Place.Instance == "" {
+			continue
+		}
+		d.moveNoted(m)
+		orders[node] = berylreport.Orders{Epoch: d.epoch, Place: m.last.Place, Noted: m.noted, Stop: slices.Clone(m.unknown)}
+	}
+	for _, j := range d.Book.Sorted() {
+		clean := d.clean(j.Work.ID)
+		j.Each(func(ref berylwork.Ref, t *berylbook.Task) { d.order(orders, j, ref, t, clean) })
+	}
+	return d.pending(now, orders)
+}
+
+func (d *Director) order(orders map[string]berylreport.Orders, j *berylbook.Job, ref berylwork.Ref, t *berylbook.Task, clean bool) {
+	o, ok := orders[t.Place.Node]
+	if !ok || o.Place != t.Place || !t.Phase.Active() {
+		return
+	}
+	k := berylreport.Key{Task: ref.String(), Run: t.Run}
+	switch {
+	case t.Phase == berylbook.Stopping:
+		o.Stop = append(o.Stop, k)
+	case t.Phase == berylbook.Ordered && clean && !d.members[t.Place.Node].handled[k]:
+		o.Start = append(o.Start, berylreport.Start{Key: k, Spec: j.Work.Spec, Saved: t.Saved})
+	default:
+		return
+	}
+	orders[t.Place.Node] = o
+}
+
+// pending drops orders that the agent has heard already.
+func (d *Director) pending(now time.Time, orders map[string]berylreport.Orders) map[string]berylreport.Orders {
+	for node, o := range orders {
+		m := d.members[node]
+		told := fingerprint(o)
+		same := told == m.told
+		idle := len(o.Start) == 0 && len(o.Stop) == 0
+		if same && (idle || now.Sub(m.sent) < _resend) {
+			delete(orders, node)
+			continue
+		}
+		m.told = told
+		m.sent = now
+	}
+	return orders
+}
+
+func fingerprint(o berylreport.Orders) string {
+	var b strings.Builder
+	keys := make([]string, 0, len(o.Start)+len(o.Stop))
+	for _, s := range o.Start {
+		keys = append(keys, "s"+s.Task+"#"+itoa(s.Run))
+	}
+	for _, s := range o.Stop {
+		keys = append(keys, "x"+s.Task+"#"+itoa(s.Run))
+	}
+	slices.Sort(keys)
+	for _, k := range keys {
+		b.WriteString(k)
+		b.WriteByte(' ')
+	}
+	b.WriteString(itoa(int(o.Noted)))
+	return b.String()
+}
+
+// Addr returns the address of the agent of a node.
+func (d *Director) Addr(node string) string {
+	m := d.members[node]
+	if m == nil {
+		return ""
+	}
+	return m.last.Addr
+}
+
+// used returns what the runs known to the book hold on each node.
+func (d *Director) used() (held, coming map[string]berylroom.Room) {
+	held = map[string]berylroom.Room{}
+	coming = map[string]berylroom.Room{}
+	for _, j := range d.Book.Sorted() {
+		j.Each(func(ref berylwork.Ref, t *berylbook.Task) {
+			if !t.Phase.Active() {
+				return
+			}
+			room := j.Work.Steps[ref.Step].Room()
+			held[t.Place.Node] = held[t.Place.Node].Add(room)
+			if t.Phase == berylbook.Stopping {
+				coming[t.Place.Node] = coming[t.Place.Node].Add(room)
+			}
+		})
+	}
+	return held, coming
+}
--- /dev/null
+++ b/beryldirector/preempt.go
@@ -0,0 +1,180 @@
+package beryldirector
+
+import (
+	"slices"
+	"time"
+
+	"berylglade/berylbook"
+	"berylglade/berylfit"
+	"berylglade/berylwork"
+)
+
+// victims returns the units of work that priority zero may stop, by node.
+func (d *Director) victims(now time.Time) map[string][]berylfit.Victim {
+	victims := map[string][]berylfit.Victim{}
+	for _, j := range d.Book.Sorted() {
+		q, ok := d.Policy.Queue(j.Work.Queue)
+		if !ok || q.Priority == 0 || j.State.Final() {
+			continue
+		}
+		j.Each(func(ref berylwork.Ref, t *berylbook.Task) {
+			if t.Phase != berylbook.Ordered && t.Phase != berylbook.Working {
+				return
+			}
+			victims[t.Place.Node] = append(victims[t.Place.Node], d.victim(now, j, ref, t))
+		})
+	}
+	return victims
+}
+
+func (d *Director) victim(now time.Time, j *berylbook.Job, ref berylwork.Ref, t *berylbook.Task) berylfit.Victim {
+	step := &j.Work.Steps[ref.Step]
+	lost := float64(now.UnixMilli()-t.Since) / 1000
+	if step.Saves {
+		lost = min(lost, _checkpoint.Seconds())
+	}
+	weight := float64(step.Need.Millicores)/1000 + _coresPerAccelerator*float64(step.Need.Accelerators)
+	if step.Gang {
+		weight *= float64(step.Count)
+	}
+	return berylfit.Victim{
+		Unit: unitName(j, ref.Occurrence, ref.Step, ref.Index),
+		Room: step.Room(),
+		Loss: lost * weight,
+	}
+}
+
+// reserve keeps the room that comes free soonest for a gang, or for a task that
+// needs much of a host. Small tasks that are placed after it would otherwise take
+// each accelerator as it comes free, and the gang would never find enough at once.
+func (d *Director) reserve(now time.Time, u *unit, hosts []berylfit.Host, demand *berylfit.Demand) {
+	if u.waiting < _reserveAfter || demand.Count*demand.Room.Accelerators < _reserveFrom {
+		return
+	}
+	ending := d.endings(now)
+	later := slices.Clone(hosts)
+	for i := range later {
+		later[i].Victims = ending[later[i].Node]
+	}
+	if _, places, ok := demand.Evict(later); ok {
+		take(hosts, places, demand)
+	}
+}
+
+// endings returns all runs by node, each with the time until its end as its loss.
+func (d *Director) endings(now time.Time) map[string][]berylfit.Victim {
+	ending := map[string][]berylfit.Victim{}
+	for _, j := range d.Book.Sorted() {
+		j.Each(func(ref berylwork.Ref, t *berylbook.Task) {
+			if t.Phase != berylbook.Ordered && t.Phase != berylbook.Working {
+				return
+			}
+			room := j.Work.Steps[ref.Step].Room()
+			ending[t.Place.Node] = append(ending[t.Place.Node], berylfit.Victim{
+				Unit: ref.String(), Room: room,
+				Loss: d.leftOf(now, j, ref, t).Seconds() * float64(max(room.Accelerators, 1)),
+			})
+		})
+	}
+	return ending
+}
+
+// makeRoom keeps the room that an urgent unit will need and stops what holds it
+// once the unit can wait no longer.
+func (d *Director) makeRoom(u *unit, hosts []berylfit.Host, demand *berylfit.Demand) {
+	units, places, ok := demand.Evict(hosts)
+	if !ok {
+		return
+	}
+	if u.waiting >= d.preemptAfter(u) {
+		d.evict(u, hosts, units)
+	}
+	take(hosts, places, demand)
+}
+
+// preemptAfter returns how long an urgent unit waits for room that comes free by
+// itself. Stopped work is lost, so a unit waits as long as its job can still be
+// in time. Work within the account's guarantee waits for a bounded time.
+func (d *Director) preemptAfter(u *unit) time.Duration {
+	latest := u.due.Add(-time.Duration(u.chain) * time.Millisecond)
+	slack := latest.Sub(u.from) - _stopAndStart
+	if d.guaranteed(u) {
+		slack = min(slack, _guaranteePatience)
+	}
+	return max(slack, 0)
+}
+
+// rackPatience returns how long a gang waits for one rack with enough room. Over
+// several racks it takes three times as long, so it may wait for twice its run
+// time; guaranteed work has to begin sooner.
+func (d *Director) rackPatience(u *unit) time.Duration {
+	if u.queue.Priority == 0 && d.guaranteed(u) {
+		return _rackPatience
+	}
+	extra := 2 * time.Duration(u.spec().Estimate) * time.Millisecond
+	return min(max(extra, _rackPatience), _rackPatienceMost)
+}
+
+// guaranteed reports whether all urgent jobs of the unit's account fit into its
+// guarantee.
+func (d *Director) guaranteed(u *unit) bool {
+	limit := d.Policy.Guaranteed(u.job.Work.Account)
+	if limit == 0 {
+		return false
+	}
+	need := 0
+	for _, j := range d.Book.Sorted() {
+		q, ok := d.Policy.Queue(j.Work.Queue)
+		if !ok || q.Priority != 0 || j.State.Final() || j.Cancelled != 0 || j.Work.Account != u.job.Work.Account {
+			continue
+		}
+		need += widest(j.Work)
+	}
+	return need <= limit
+}
+
+// widest returns the accelerators of the job's largest step.
+func widest(w *berylwork.Work) int {
+	n := 0
+	for _, s := range w.Steps {
+		n = max(n, s.Count*s.Need.Accelerators)
+	}
+	return n
+}
+
+// evict stops the units and counts their room as coming.
+func (d *Director) evict(u *unit, hosts []berylfit.Host, units []string) {
+	for _, name := range units {
+		d.note("preempt", "unit", name, "for", u.name(), "waited", u.waiting.Milliseconds())
+		d.stopUnit(name)
+		for i := range hosts {
+			for _, v := range hosts[i].Victims {
+				if v.Unit == name {
+					hosts[i].Coming = hosts[i].Coming.Add(v.Room)
+				}
+			}
+			hosts[i].Victims = slices.DeleteFunc(slices.Clone(hosts[i].Victims), func(v berylfit.Victim) bool { return v.Unit == name })
+		}
+	}
+}
+
+func (d *Director) stopUnit(name string) {
+	ref, ok := berylwork.ParseRef(name)
+	if !ok {
+		return
+	}
+	j, t := d.Book.Task(ref)
+	if t == nil {
+		return
+	}
+	tasks := j.Tasks[ref.Occurrence][ref.Step]
+	if !j.Work.Steps[ref.Step].Gang {
+		tasks = tasks[ref.Index : ref.Index+1]
+	}
+	for i := range tasks {
+		if tasks[i].Phase == berylbook.Ordered || tasks[i].Phase == berylbook.Working {
+			tasks[i].Phase = berylbook.Stopping
+		}
+	}
+	d.mark(j.Work.ID)
+}
--- /dev/null
+++ b/beryldirector/unit.go
@@ -0,0 +1,213 @@
+package beryldirector
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"berylglade/berylbook"
+	"berylglade/berylfit"
+	"berylglade/berylpolicy"
+	"berylglade/berylwork"
+)
+
+// unit is what is placed together: a task, or all tasks of a gang.
+type unit struct {
+	job        *berylbook.Job
+	queue      berylpolicy.Queue
+	occurrence int
+	step       int
+	tasks      []int
+	// due is when the job should be complete, for the order among equals.
+	due time.Time
+	// from is when the job could have started at the earliest.
+	from time.Time
+	// chain is the declared time of the job's longest chain in milliseconds.
+	chain   int64
+	waiting time.Duration
+}
+
+func (u *unit) spec() *berylwork.Step { return &u.job.Work.Steps[u.step] }
+
+func (u *unit) name() string { return unitName(u.job, u.occurrence, u.step, u.tasks[0]) }
+
+// shun returns the hosts on which the last run of the unit's tasks failed.
+func (u *unit) shun() map[string]bool {
+	hosts := map[string]bool{}
+	for _, i := range u.tasks {
+		t := &u.job.Tasks[u.occurrence][u.step][i]
+		if t.Failures > 0 && t.Faulted == t.Run {
+			hosts[t.Place.Node] = true
+		}
+	}
+	return hosts
+}
+
+func unitName(j *berylbook.Job, occurrence, step, index int) string {
+	if j.Work.Steps[step].Gang {
+		index = 0
+	}
+	return berylwork.Ref{Job: j.Work.ID, Occurrence: occurrence, Step: step, Index: index}.String()
+}
+
+// waitingUnits returns what may start now in the order of its claim to room.
+func (d *Director) waitingUnits(now time.Time) []unit {
+	var units []unit
+	seen := map[string]bool{}
+	for _, j := range d.Book.Sorted() {
+		if j.State.Final() || j.Cancelled != 0 {
+			continue
+		}
+		q, ok := d.Policy.Queue(j.Work.Queue)
+		if !ok {
+			continue
+		}
+		units = d.jobUnits(now, j, q, units)
+	}
+	for i := range units {
+		name := units[i].name()
+		seen[name] = true
+		since, ok := d.ready[name]
+		if !ok {
+			since = now
+			d.ready[name] = now
+		}
+		units[i].waiting = now.Sub(since)
+	}
+	for name := range d.ready {
+		if !seen[name] {
+			delete(d.ready, name)
+		}
+	}
+	slices.SortFunc(units, func(a, b unit) int {
+		return cmp.Or(
+			cmp.Compare(a.queue.Priority, b.queue.Priority),
+			a.due.Compare(b.due),
+			cmp.Compare(a.job.Work.ID, b.job.Work.ID),
+			cmp.Compare(a.occurrence, b.occurrence),
+			cmp.Compare(a.step, b.step),
+		)
+	})
+	return units
+}
+
+func (d *Director) jobUnits(now time.Time, j *berylbook.Job, q berylpolicy.Queue, units []unit) []unit {
+	capacity := d.capacity(q.Service)
+	for k := range j.Tasks {
+		if j.Work.Due(k).After(now) {
+			break
+		}
+		proto := unit{job: j, queue: q, occurrence: k}
+		d.times(&proto, capacity)
+		for s := range j.Tasks[k] {
+			if !unblocked(j, k, s) {
+				continue
+			}
+			base := proto
+			base.step = s
+			units = appendUnits(units, base, j.Tasks[k][s])
+		}
+	}
+	return units
+}
+
+// unblocked reports whether all steps before s have ended.
+func unblocked(j *berylbook.Job, occurrence, s int) bool {
+	for _, before := range j.Work.Steps[s].After {
+		if !j.Finished(occurrence, before) {
+			return false
+		}
+	}
+	return true
+}
+
+func appendUnits(units []unit, base unit, tasks []berylbook.Task) []unit {
+	if base.spec().Gang {
+		for i := range tasks {
+			if tasks[i].Phase != berylbook.Idle {
+				return units
+			}
+			base.tasks = append(base.tasks, i)
+		}
+		return append(units, base)
+	}
+	for i := range tasks {
+		if tasks[i].Phase == berylbook.Idle {
+			u := base
+			u.tasks = []int{i}
+			units = append(units, u)
+		}
+	}
+	return units
+}
+
+// times sets when the unit's occurrence could start and should be complete.
+func (d *Director) times(u *unit, capacity int) {
+	w := u.job.Work
+	u.from = time.UnixMilli(w.Accepted)
+	if w.Times > 0 {
+		u.from = w.Due(u.occurrence)
+	}
+	u.chain = chainOf(w, capacity)
+	allowed := time.Duration(float64(u.chain)*u.queue.Stretch) * time.Millisecond
+	u.due = u.from.Add(allowed + u.queue.Target)
+}
+
+// chainOf returns the declared time of the longest chain of steps, in
+// milliseconds. A step that is wider than a quarter of the capacity in
+// accelerators runs in waves.
+func chainOf(w *berylwork.Work, capacity int) int64 {
+	longest := int64(0)
+	ends := make([]int64, len(w.Steps))
+	for s := range w.Steps {
+		step := &w.Steps[s]
+		for _, before := range step.After {
+			if before < s {
+				ends[s] = max(ends[s], ends[before])
+			}
+		}
+		ends[s] += step.Estimate * waves(step, capacity)
+		longest = max(longest, ends[s])
+	}
+	return longest
+}
+
+func waves(step *berylwork.Step, capacity int) int64 {
+	wave := capacity / _waveShare
+	width := step.Count * step.Need.Accelerators
+	if step.Gang || wave <= 0 || width <= wave {
+		return 1
+	}
+	return int64((width + wave - 1) / wave)
+}
+
+// capacity returns the accelerators of a service.
+func (d *Director) capacity(service string) int {
+	n := 0
+	for _, m := range d.members {
+		if m.last.Service == service {
+			n += m.last.Room.Accelerators
+		}
+	}
+	return n
+}
+
+// demandOf returns what the placement of count tasks of a step asks for.
+func demandOf(j *berylbook.Job, occurrence, step, count int) berylfit.Demand {
+	spec := &j.Work.Steps[step]
+	return berylfit.Demand{
+		Count: count, Room: spec.Room(), Label: spec.Label, Rack: spec.Rack,
+		OneRack: spec.OneRack, Apart: spec.Apart, Present: present(j.Tasks[occurrence][step]),
+	}
+}
+
+// present counts the tasks that are on each node.
+func present(tasks []berylbook.Task) map[string]int {
+	n := map[string]int{}
+	for i := range tasks {
+		if tasks[i].Phase.Active() {
+			n[tasks[i].Place.Node]++
+		}
+	}
+	return n
+}
--- a/berylexecutor/executor.go
+++ b/berylexecutor/executor.go
@@ -12,7 +12,11 @@
 )
 
 // Call is one of StartCall, StopCall and HoldCall.
-type Call interface{ call() }
+type Call interface {
+	call()
+	// Name is the call's name in metrics.
+	Name() string
+}
 
 // Target names the life of the backend server that a call is meant for, and who
 // calls.
@@ -53,6 +57,15 @@
 func (StopCall) call()  {}
 func (HoldCall) call()  {}
 
+// Name implements Call.
+func (StartCall) Name() string { return "start" }
+
+// Name implements Call.
+func (StopCall) Name() string { return "stop" }
+
+// Name implements Call.
+func (HoldCall) Name() string { return "hold" }
+
 // Listing is what a backend server says of itself.
 type Listing struct {
 	// Clock is its clock in milliseconds.
--- a/berylgateway/gateway.go
+++ b/berylgateway/gateway.go
@@ -46,6 +46,8 @@
 	Policy PolicyReader
 	// Topics of the store.
 	TopicJobs, TopicOperator, TopicEntries string
+	// Count counts a decision by its name in the log.
+	Count func(decision string)
 	// ProducerName is unique to this process.
 	ProducerName string
 }
@@ -284,6 +286,7 @@
 		case beryldirector.Reload:
 			g.jobs.Reload()
 		case beryldirector.Note:
+			g.cfg.Count(e.Text)
 			g.cfg.Log.Info(e.Text, e.Args...)
 		}
 	}
--- /dev/null
+++ b/berylkeeper/calls.go
@@ -0,0 +1,117 @@
+package berylkeeper
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"berylglade/berylexecutor"
+	"berylglade/berylreport"
+)
+
+func (k *Keeper) target() berylexecutor.Target {
+	return berylexecutor.Target{Addr: k.beat.Addr, Instance: k.beat.Place.Instance, Fence: k.fence}
+}
+
+// lease returns the deadline that may be given now, or zero.
+func (k *Keeper) lease(now time.Time) int64 {
+	clock := k.reading(now)
+	if clock == 0 || k.contact == 0 {
+		return 0
+	}
+	reach := k.Limits.Lease.Milliseconds()
+	d := min(clock+reach, k.contact+k.Limits.Contact.Milliseconds()+reach)
+	if d <= clock {
+		return 0
+	}
+	return d
+}
+
+// Calls returns what to send to the backend server now.
+func (k *Keeper) Calls(now time.Time) []Task {
+	if k.beat.Place.Instance == "" {
+		return nil
+	}
+	var tasks []Task
+	for _, key := range k.keys() {
+		r := k.runs[key]
+		if k.forget(now, r) {
+			delete(k.runs, key)
+			continue
+		}
+		if t, ok := k.runCall(now, r); ok {
+			tasks = append(tasks, t)
+		}
+	}
+	return append(tasks, k.holdCalls(now)...)
+}
+
+// keys returns the known runs in a fixed order.
+func (k *Keeper) keys() []berylreport.Key {
+	return slices.SortedFunc(maps.Keys(k.runs), func(a, b berylreport.Key) int {
+		return cmp.Or(strings.Compare(a.Task, b.Task), cmp.Compare(a.Run, b.Run))
+	})
+}
+
+func (k *Keeper) forget(now time.Time, r *run) bool {
+	if r.busy || r.phase == wanted || r.phase == stopping || r.phase == stopped {
+		return false
+	}
+	return now.Sub(r.touched) > _remember
+}
+
+func (k *Keeper) runCall(now time.Time, r *run) (Task, bool) {
+	if r.busy || now.Before(r.next) {
+		return Task{}, false
+	}
+	switch r.phase {
+	case wanted:
+		lease := k.lease(now)
+		if lease == 0 || !k.looked {
+			return Task{}, false
+		}
+		r.busy = true
+		// The deadline of a start is short, so that it is refused if it is
+		// carried out seconds late.
+		deadline := min(lease, k.reading(now)+_startDeadline.Milliseconds())
+		k.deadline = max(k.deadline, deadline)
+		return k.task(berylexecutor.StartCall{Target: k.target(), Start: r.start, Deadline: deadline}, _callTimeout), true
+	case stopping:
+		r.busy = true
+		return k.task(berylexecutor.StopCall{Target: k.target(), Key: r.start.Key}, _callTimeout), true
+	default:
+		return Task{}, false
+	}
+}
+
+func (k *Keeper) task(c berylexecutor.Call, timeout time.Duration) Task {
+	k.issue++
+	return Task{Call: c, Issue: k.issue, Timeout: timeout}
+}
+
+func (k *Keeper) holdCalls(now time.Time) []Task {
+	var tasks []Task
+	if k.recheck {
+		k.recheck = false
+		tasks = append(tasks, k.hold(now, 0))
+	}
+	if k.holding == 0 && !now.Before(k.nextAt) {
+		wait := k.Limits.Poll
+		if !k.looked {
+			wait = 0
+		}
+		t := k.hold(now, wait)
+		k.holding = t.Issue
+		tasks = append(tasks, t)
+	}
+	return tasks
+}
+
+func (k *Keeper) hold(now time.Time, wait time.Duration) Task {
+	deadline := k.lease(now)
+	k.deadline = max(k.deadline, deadline)
+	call := berylexecutor.HoldCall{Target: k.target(), Deadline: deadline, Noted: k.noted, Wait: wait}
+	return k.task(call, wait+_callTimeout)
+}
--- a/berylsidecar/sidecar.go
+++ b/berylsidecar/sidecar.go
@@ -31,6 +31,8 @@
 	Store      berylstore.Store
 	Clock      berylclock.Clock
 	Log        *slog.Logger
+	// Observe gets each call to the backend server.
+	Observe func(call string, err error, took time.Duration)
 	// Entries are the addresses to look for the leader at first.
 	Entries []string
 	// TopicEntries has the addresses of all entries.
@@ -188,7 +190,9 @@
 func (s *Sidecar) call(t berylkeeper.Task) {
 	ctx, cancel := context.WithTimeout(s.ctx, t.Timeout)
 	defer cancel()
+	began := s.cfg.Clock()
 	listing, err := s.cfg.Executor.Do(ctx, t.Call)
+	s.cfg.Observe(t.Call.Name(), err, s.cfg.Clock().Sub(began))
 	s.loop.Tell(outcome{outcome: berylkeeper.Outcome{Call: t.Call, Issue: t.Issue, Listing: listing, Err: err}})
 }
 
--- a/berylsite/agent.go
+++ b/berylsite/agent.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"berylglade/berylclock"
 	"berylglade/berylkeeper"
 	"berylglade/berylrpc"
@@ -21,12 +23,24 @@
 	}
 	defer p.sink.Close()
 	s := p.settings
+	calls := prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "berylglade_runner_call_seconds", Help: "Time of calls to the backend server; a hold waits for an end.",
+		Buckets: prometheus.ExponentialBuckets(0.001, 3, 8),
+	}, []string{"call", "result"})
+	p.registry.MustRegister(calls)
 	agent := berylsidecar.New(berylsidecar.Config{
 		Node: s.Node, Addr: s.Own(), Boot: p.boot,
 		Limits:   keeperLimits(s),
 		Executor: platform.NewRunner(),
 		Store:    platform.NewStore(s.Store),
 		Clock:    berylclock.System(), Log: p.log,
+		Observe: func(call string, err error, took time.Duration) {
+			result := "ok"
+			if err != nil {
+				result = "error"
+			}
+			calls.WithLabelValues(call, result).Observe(took.Seconds())
+		},
 		Entries: s.Entries(), TopicEntries: platform.TopicEntries,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/berylsite/entry.go
+++ b/berylsite/entry.go
@@ -40,12 +40,17 @@
 func (e *entry) run() error {
 	clock := berylclock.System()
 	s := e.settings
+	decisions := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "berylglade_decisions_total", Help: "Decisions of the leader by their name in the log.",
+	}, []string{"decision"})
+	e.registry.MustRegister(decisions)
 	e.gateway = berylgateway.New(berylgateway.Config{
 		Self:         beryldirector.Self{Node: s.Node, Boot: e.boot, Addr: s.Own()},
 		Limits:       directorLimits(s),
 		Store:        platform.NewStore(s.Store),
 		Clock:        clock,
 		Log:          e.log,
+		Count:        func(decision string) { decisions.WithLabelValues(decision).Inc() },
 		Policy:       &platform.Policy{},
 		TopicJobs:    platform.TopicJobs,
 		TopicEntries: platform.TopicEntries, TopicOperator: platform.TopicOperator,
@@ -56,7 +61,14 @@
 		Name: "berylglade_request_seconds", Help: "Time to answer a client's request.",
 		Buckets: prometheus.ExponentialBuckets(0.001, 3, 9),
 	}, []string{"verb", "status"})
-	e.registry.MustRegister(e.requests)
+	e.registry.MustRegister(e.requests, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "berylglade_leading", Help: "One while this entry leads.",
+	}, func() float64 {
+		if e.gateway.Leading() {
+			return 1
+		}
+		return 0
+	}))
 
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
