berylkeeper: start nothing while the backend server's life is in doubt

A backend server was born again under its name; a start of the agent, repeated without a pause while the connection was broken, reached the new life before its first heartbeat, and the leader was told of the new life, took the task for over and started it elsewhere. Now nothing is started after a broken call until a listing names the known life, repeats pause 20 ms, and a new life is told to the leader when no run of the last one is left in its listing.

--- a/berylbook/book.go
+++ b/berylbook/book.go
@@ -110,6 +110,9 @@
 	Ended int64
 	// Tasks is indexed by occurrence, step and index.
 	Tasks [][][]Task
+
+	// quiet is true once the job is final and none of its runs may exist.
+	quiet bool
 }
 
 // Book is the state of all jobs. The zero value is empty.
@@ -365,6 +368,14 @@
 	return false
 }
 
+// Quiet reports whether nothing about the job changes any more.
+func (j *Job) Quiet() bool {
+	if !j.quiet {
+		j.quiet = j.State.Final() && !j.Active()
+	}
+	return j.quiet
+}
+
 // Begun reports whether a task of the job was ever ordered.
 func (j *Job) Begun() bool {
 	for _, steps := range j.Tasks {
--- a/beryldirector/director.go
+++ b/beryldirector/director.go
@@ -109,6 +109,15 @@
 	end      int64
 	judgedAt time.Time
 
+	// version changes with each change of a task; index belongs to one version.
+	version int64
+	index   *index
+	// placedAt is when work was placed last, and later is true if a look was put
+	// off since.
+	placedAt time.Time
+	later    bool
+	// reserved counts the units for which room was kept in the present look.
+	reserved int
 	// now is the time of the event that is being handled.
 	now     time.Time
 	ordered map[orderKey]time.Time
@@ -155,6 +164,9 @@
 func (d *Director) Read(now time.Time, records []berylstore.Record, end int64) {
 	d.readAt = now
 	d.end = end
+	if len(records) > 0 {
+		d.version++
+	}
 	for _, r := range records {
 		if d.Leading() && berylbook.IsProgress(r) {
 			// Only the leader writes progress and it has its own already. What
@@ -214,13 +226,17 @@
 // Restore replaces the book with one read from the topic.
 func (d *Director) Restore(now time.Time, book berylbook.Book, end int64) {
 	d.Book = book
+	d.version++
 	d.stale = false
 	d.end = end
 	d.readAt = now
 	d.heardAt = now
 }
 
-func (d *Director) mark(id string) { d.dirty[id] = true }
+func (d *Director) mark(id string) {
+	d.dirty[id] = true
+	d.version++
+}
 
 // clean reports whether the topic has all that is known of the job.
 func (d *Director) clean(id string) bool { return !d.dirty[id] && !d.flight[id] }
@@ -275,6 +291,10 @@
 	return records
 }
 
+// Later reports whether a look at the waiting work was put off, so that Step should
+// be called again soon.
+func (d *Director) Later() bool { return d.later }
+
 // Step lets time pass: claims, deadlines, placement, and the records of all
 // that has changed.
 func (d *Director) Step(now time.Time) {
@@ -283,6 +303,13 @@
 		return
 	}
 	d.now = now
+	if now.Sub(d.placedAt) < _placeEvery {
+		d.later = true
+		d.flush(now)
+		return
+	}
+	d.placedAt = now
+	d.later = false
 	d.expire(now)
 	if now.Sub(d.judgedAt) >= _judgeEvery {
 		d.judgedAt = now
@@ -296,6 +323,9 @@
 const (
 	// _renew is how often an idle leader appends; Takeover covers several.
 	_renew = 600 * time.Millisecond
+	// _placeEvery is the least time between two looks at the waiting work, which
+	// answers many events at once when reports of many agents come.
+	_placeEvery = 20 * time.Millisecond
 	// _judgeEvery is the pause between two looks at the progress of all runs.
 	_judgeEvery = 250 * time.Millisecond
 	// _removals bounds the records of ended jobs removed by one append.
--- a/beryldirector/director_test.go
+++ b/beryldirector/director_test.go
@@ -71,6 +71,10 @@
 func (b *bench) settle() {
 	for range 10 {
 		b.d.Step(b.now)
+		if b.d.Later() {
+			b.now = b.now.Add(_placeEvery)
+			b.d.Step(b.now)
+		}
 		effects := b.d.Effects()
 		done := true
 		for _, e := range effects {
--- a/beryldirector/end.go
+++ b/beryldirector/end.go
@@ -199,13 +199,10 @@
 // expire gives up starts that were not carried out in time and runs on backend
 // servers whose lease must have run out.
 func (d *Director) expire(now time.Time) {
-	for _, j := range d.Book.Sorted() {
-		j.Each(func(ref berylwork.Ref, t *berylbook.Task) {
-			if !t.Phase.Active() {
-				return
-			}
-			d.expireRun(now, j, ref, t)
-		})
+	for _, s := range d.look().active {
+		if s.task.Phase.Active() {
+			d.expireRun(now, s.job, s.ref, s.task)
+		}
 	}
 }
 
--- a/beryldirector/orders.go
+++ b/beryldirector/orders.go
@@ -8,7 +8,6 @@
 	"berylglade/berylbook"
 	"berylglade/berylreport"
 	"berylglade/berylroom"
-	"berylglade/berylwork"
 )
 
 // moveNoted moves the number up to which ends are recorded.
@@ -33,24 +32,24 @@
 		d.moveNoted(m)
 		orders[node] = berylreport.Orders{Epoch: d.epoch, Place: m.last.Place, Noted: m.noted, Stop: slices.Clone(m.unknown)}
 	}
-	for _, j := range d.Book.Sorted() {
-		clean := d.clean(j.Work.ID)
-		j.Each(func(ref berylwork.Ref, t *berylbook.Task) { d.order(orders, j, ref, t, clean) })
+	for _, s := range d.look().active {
+		d.order(orders, s)
 	}
 	return d.pending(now, orders)
 }
 
-func (d *Director) order(orders map[string]berylreport.Orders, j *berylbook.Job, ref berylwork.Ref, t *berylbook.Task, clean bool) {
+func (d *Director) order(orders map[string]berylreport.Orders, s slot) {
+	t := s.task
 	o, ok := orders[t.Place.Node]
-	if !ok || o.Place != t.Place || !t.Phase.Active() {
+	if !ok || o.Place != t.Place || t.Phase == berylbook.Working || !t.Phase.Active() {
 		return
 	}
-	k := berylreport.Key{Task: ref.String(), Run: t.Run}
+	k := berylreport.Key{Task: s.name, Run: t.Run}
 	switch {
 	case t.Phase == berylbook.Stopping:
 		o.Stop = append(o.Stop, k)
-	case t.Phase == berylbook.Ordered && clean && !d.members[t.Place.Node].handled[k]:
-		o.Start = append(o.Start, berylreport.Start{Key: k, Spec: j.Work.Spec, Saved: t.Saved})
+	case t.Phase == berylbook.Ordered && d.clean(s.job.Work.ID) && !d.members[t.Place.Node].handled[k]:
+		o.Start = append(o.Start, berylreport.Start{Key: k, Spec: s.job.Work.Spec, Saved: t.Saved})
 	default:
 		return
 	}
@@ -105,17 +104,13 @@
 func (d *Director) used() (held, coming map[string]berylroom.Room) {
 	held = map[string]berylroom.Room{}
 	coming = map[string]berylroom.Room{}
-	for _, j := range d.Book.Sorted() {
-		j.Each(func(ref berylwork.Ref, t *berylbook.Task) {
-			if !t.Phase.Active() {
-				return
-			}
-			room := j.Work.Steps[ref.Step].Room()
-			held[t.Place.Node] = held[t.Place.Node].Add(room)
-			if t.Phase == berylbook.Stopping {
-				coming[t.Place.Node] = coming[t.Place.Node].Add(room)
-			}
-		})
+	for _, s := range d.look().active {
+		room := s.job.Work.Steps[s.ref.Step].Room()
+		node := s.task.Place.Node
+		held[node] = held[node].Add(room)
+		if s.task.Phase == berylbook.Stopping {
+			coming[node] = coming[node].Add(room)
+		}
 	}
 	return held, coming
 }
--- a/beryldirector/place.go
+++ b/beryldirector/place.go
@@ -23,16 +23,28 @@
 		return
 	}
 	hosts := map[string][]berylfit.Host{}
+	full := map[stepOf]bool{}
+	d.reserved = 0
 	for i := range units {
 		u := &units[i]
+		step := stepOf{u.job, u.occurrence, u.step}
+		if full[step] {
+			continue
+		}
 		service := u.queue.Service
 		if _, ok := hosts[service]; !ok {
 			hosts[service] = d.hosts(now, service)
 		}
-		d.placeUnit(now, u, hosts[service])
+		full[step] = !d.placeUnit(now, u, hosts[service])
 	}
 }
 
+// stepOf names a step. When one of its tasks does not fit, neither do the others.
+type stepOf struct {
+	job              *berylbook.Job
+	occurrence, step int
+}
+
 // hosts returns the backend servers of a service that may get work.
 func (d *Director) hosts(now time.Time, service string) []berylfit.Host {
 	held, coming := d.used()
@@ -69,23 +81,25 @@
 	return m.doubt
 }
 
-func (d *Director) placeUnit(now time.Time, u *unit, hosts []berylfit.Host) {
+// placeUnit starts a unit, or keeps room for it. It returns false if there is no
+// room to be had.
+func (d *Director) placeUnit(now time.Time, u *unit, hosts []berylfit.Host) bool {
 	demand := demandOf(u.job, u.occurrence, u.step, len(u.tasks))
 	demand.Shun = u.shun()
 	demand.Spread = u.waiting > d.rackPatience(u) || !demand.InRack(hosts)
 	if places, ok := demand.Place(hosts); ok {
 		d.start(now, u, hosts, places)
-		return
+		return true
 	}
 	if places, ok := demand.Awaited(hosts); ok {
 		take(hosts, places, &demand)
-		return
+		return true
 	}
 	if u.queue.Priority != 0 {
 		d.reserve(now, u, hosts, &demand)
-		return
+		return false
 	}
-	d.makeRoom(u, hosts, &demand)
+	return d.makeRoom(u, hosts, &demand)
 }
 
 // take keeps room that a unit waits for from the units after it.
@@ -129,6 +143,9 @@
 	// often enough.
 	_reserveAfter = time.Second
 	_reserveFrom  = 2
+	// _reservations bounds the units for which room is kept at a time; what they
+	// hold back stands idle.
+	_reservations = 3
 	// _afterRefusal is how long a backend server that refused a start gets none:
 	// it is fuller than it is taken for.
 	_afterRefusal = 400 * time.Millisecond
--- a/beryldirector/preempt.go
+++ b/beryldirector/preempt.go
@@ -12,17 +12,13 @@
 // victims returns the units of work that priority zero may stop, by node.
 func (d *Director) victims(now time.Time) map[string][]berylfit.Victim {
 	victims := map[string][]berylfit.Victim{}
-	for _, j := range d.Book.Sorted() {
-		q, ok := d.Policy.Queue(j.Work.Queue)
-		if !ok || q.Priority == 0 || j.State.Final() {
+	for _, s := range d.look().active {
+		q, ok := d.Policy.Queue(s.job.Work.Queue)
+		if !ok || q.Priority == 0 || s.job.State.Final() || s.task.Phase == berylbook.Stopping || s.job.Work.Steps[s.ref.Step].Lasting {
 			continue
 		}
-		j.Each(func(ref berylwork.Ref, t *berylbook.Task) {
-			if t.Phase != berylbook.Ordered && t.Phase != berylbook.Working {
-				return
-			}
-			victims[t.Place.Node] = append(victims[t.Place.Node], d.victim(now, j, ref, t))
-		})
+		node := s.task.Place.Node
+		victims[node] = append(victims[node], d.victim(now, s.job, s.ref, s.task))
 	}
 	return victims
 }
@@ -48,7 +44,7 @@
 // needs much of a host. Small tasks that are placed after it would otherwise take
 // each accelerator as it comes free, and the gang would never find enough at once.
 func (d *Director) reserve(now time.Time, u *unit, hosts []berylfit.Host, demand *berylfit.Demand) {
-	if u.waiting < _reserveAfter || demand.Count*demand.Room.Accelerators < _reserveFrom {
+	if d.reserved >= _reservations || u.waiting < _reserveAfter || demand.Count*demand.Room.Accelerators < _reserveFrom {
 		return
 	}
 	ending := d.endings(now)
@@ -56,6 +52,7 @@
 	for i := range later {
 		later[i].Victims = ending[later[i].Node]
 	}
+	d.reserved++
 	if _, places, ok := demand.Evict(later); ok {
 		take(hosts, places, demand)
 	}
@@ -64,16 +61,15 @@
 // endings returns all runs by node, each with the time until its end as its loss.
 func (d *Director) endings(now time.Time) map[string][]berylfit.Victim {
 	ending := map[string][]berylfit.Victim{}
-	for _, j := range d.Book.Sorted() {
-		j.Each(func(ref berylwork.Ref, t *berylbook.Task) {
-			if t.Phase != berylbook.Ordered && t.Phase != berylbook.Working {
-				return
-			}
-			room := j.Work.Steps[ref.Step].Room()
-			ending[t.Place.Node] = append(ending[t.Place.Node], berylfit.Victim{
-				Unit: ref.String(), Room: room,
-				Loss: d.leftOf(now, j, ref, t).Seconds() * float64(max(room.Accelerators, 1)),
-			})
+	for _, s := range d.look().active {
+		if s.task.Phase == berylbook.Stopping {
+			continue
+		}
+		room := s.job.Work.Steps[s.ref.Step].Room()
+		node := s.task.Place.Node
+		ending[node] = append(ending[node], berylfit.Victim{
+			Unit: s.name, Room: room,
+			Loss: d.leftOf(now, s.job, s.ref, s.task).Seconds() * float64(max(room.Accelerators, 1)),
 		})
 	}
 	return ending
@@ -81,15 +77,16 @@
 
 // makeRoom keeps the room that an urgent unit will need and stops what holds it
 // once the unit can wait no longer.
-func (d *Director) makeRoom(u *unit, hosts []berylfit.Host, demand *berylfit.Demand) {
+func (d *Director) makeRoom(u *unit, hosts []berylfit.Host, demand *berylfit.Demand) bool {
 	units, places, ok := demand.Evict(hosts)
 	if !ok {
-		return
+		return false
 	}
 	if u.waiting >= d.preemptAfter(u) {
 		d.evict(u, hosts, units)
 	}
 	take(hosts, places, demand)
+	return true
 }
 
 // preemptAfter returns how long an urgent unit waits for room that comes free by
@@ -123,7 +120,7 @@
 		return false
 	}
 	need := 0
-	for _, j := range d.Book.Sorted() {
+	for _, j := range d.look().live {
 		q, ok := d.Policy.Queue(j.Work.Queue)
 		if !ok || q.Priority != 0 || j.State.Final() || j.Cancelled != 0 || j.Work.Account != u.job.Work.Account {
 			continue
--- a/beryldirector/progress.go
+++ b/beryldirector/progress.go
@@ -162,20 +162,15 @@
 	for _, m := range d.members {
 		m.slow = false
 	}
-	for _, j := range d.Book.Sorted() {
-		if j.State.Final() {
+	for _, s := range d.look().active {
+		m := d.members[s.task.Place.Node]
+		if s.task.Phase != berylbook.Working || m == nil || s.job.State.Final() || s.job.Work.Steps[s.ref.Step].Lasting {
 			continue
 		}
-		j.Each(func(ref berylwork.Ref, t *berylbook.Task) {
-			m := d.members[t.Place.Node]
-			if t.Phase != berylbook.Working || m == nil || j.Work.Steps[ref.Step].Lasting {
-				return
-			}
-			tr := m.track(berylreport.Key{Task: ref.String(), Run: t.Run})
-			if d.isSlow(now, j, ref, tr) {
-				m.slow = true
-			}
-		})
+		tr := m.track(berylreport.Key{Task: s.name, Run: s.task.Run})
+		if d.isSlow(now, s.job, s.ref, tr) {
+			m.slow = true
+		}
 	}
 }
 
@@ -194,7 +189,7 @@
 	if d.Policy == nil {
 		return
 	}
-	for _, j := range d.Book.Sorted() {
+	for _, j := range d.look().live {
 		q, ok := d.Policy.Queue(j.Work.Queue)
 		if !ok || j.State.Final() || j.Cancelled != 0 {
 			continue
--- a/beryldirector/report.go
+++ b/beryldirector/report.go
@@ -135,29 +135,25 @@
 }
 
 // eachOn calls f for each task whose newest run may exist on the node.
-func (d *Director) eachOn(node string, f func(j *berylbook.Job, ref berylwork.Ref, t *berylbook.Task)) {
-	for _, j := range d.Book.Sorted() {
-		j.Each(func(ref berylwork.Ref, t *berylbook.Task) {
-			if t.Phase.Active() && t.Place.Node == node {
-				f(j, ref, t)
-			}
-		})
+func (d *Director) eachOn(node string, f func(s slot)) {
+	for _, s := range d.look().byNode[node] {
+		if s.task.Phase.Active() {
+			f(s)
+		}
 	}
 }
 
 // loseOthers ends the runs of earlier lives of the node's backend server.
 func (d *Director) loseOthers(now time.Time, r berylreport.Report) {
-	d.eachOn(r.Node, func(j *berylbook.Job, ref berylwork.Ref, t *berylbook.Task) {
-		if t.Place != r.Place {
-			d.over(now, j, ref, t, "backend server was born again")
+	d.eachOn(r.Node, func(s slot) {
+		if s.task.Place != r.Place {
+			d.over(now, s.job, s.ref, s.task, "backend server was born again")
 		}
 	})
 }
 
 func (d *Director) loseAll(now time.Time, node, why string) {
-	d.eachOn(node, func(j *berylbook.Job, ref berylwork.Ref, t *berylbook.Task) {
-		d.over(now, j, ref, t, why)
-	})
+	d.eachOn(node, func(s slot) { d.over(now, s.job, s.ref, s.task, why) })
 }
 
 func (d *Director) takeRun(_ time.Time, m *member, run berylreport.Run) {
@@ -173,6 +169,7 @@
 	}
 	if t.Phase == berylbook.Ordered {
 		t.Phase = berylbook.Working
+		d.version++
 		delete(d.ordered, orderKey{ref, t.Run})
 	}
 	if run.Saved != "" && run.Saved != t.Saved {
@@ -184,12 +181,12 @@
 // findVanished looks for runs that were listed before and are not any more. They
 // are stopped, which makes sure that they do not exist.
 func (d *Director) findVanished(m *member) {
-	d.eachOn(m.last.Node, func(j *berylbook.Job, ref berylwork.Ref, t *berylbook.Task) {
-		k := berylreport.Key{Task: ref.String(), Run: t.Run}
-		if t.Phase == berylbook.Working && !m.running[k] {
+	d.eachOn(m.last.Node, func(s slot) {
+		k := berylreport.Key{Task: s.name, Run: s.task.Run}
+		if s.task.Phase == berylbook.Working && !m.running[k] {
 			d.note("run vanished", "task", k.Task, "run", k.Run, "node", m.last.Node)
-			t.Phase = berylbook.Stopping
-			d.mark(j.Work.ID)
+			s.task.Phase = berylbook.Stopping
+			d.mark(s.job.Work.ID)
 		}
 	})
 }
--- a/beryldirector/unit.go
+++ b/beryldirector/unit.go
@@ -54,7 +54,7 @@
 func (d *Director) waitingUnits(now time.Time) []unit {
 	var units []unit
 	seen := map[string]bool{}
-	for _, j := range d.Book.Sorted() {
+	for _, j := range d.look().live {
 		if j.State.Final() || j.Cancelled != 0 {
 			continue
 		}
--- a/beryldirector/world_test.go
+++ b/beryldirector/world_test.go
@@ -477,7 +477,7 @@
 	for _, t := range k.Calls(a.w.now) {
 		a.call(k, t)
 	}
-	if k.Place().Instance != "" && !a.busy && (k.Changed() || a.w.now.Sub(a.last) > 400*time.Millisecond) {
+	if k.Settled() && !a.busy && (k.Changed() || a.w.now.Sub(a.last) > 400*time.Millisecond) {
 		a.report(k)
 	}
 }
--- a/berylfit/fit.go
+++ b/berylfit/fit.go
@@ -9,6 +9,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"sort"
 
 	"berylglade/berylroom"
 )
@@ -251,40 +252,38 @@
 	slices.SortFunc(order, func(a, b string) int {
 		return cmp.Or(cmp.Compare(loss[a], loss[b]), cmp.Compare(a, b))
 	})
-	for i := range order {
-		if _, fits := d.without(part, order[:i+1]); !fits {
-			continue
-		}
-		units = d.prune(part, order[:i+1])
-		for _, u := range units {
-			lost += loss[u]
-		}
-		return units, lost, true
+	// More room never makes the tasks fit less, so the shortest list that is
+	// enough is found by halving.
+	n := sort.Search(len(order), func(i int) bool {
+		_, fits := d.without(part, order[:i+1])
+		return fits
+	})
+	if n == len(order) {
+		return nil, 0, false
 	}
-	return nil, 0, false
+	units = d.prune(part, order[:n+1])
+	for _, u := range units {
+		lost += loss[u]
+	}
+	return units, lost, true
 }
 
 // without places the tasks as if the units had been stopped.
 func (d *Demand) without(hosts []Host, units []string) ([]int, bool) {
+	gone := make(map[string]bool, len(units))
+	for _, u := range units {
+		gone[u] = true
+	}
 	trial := slices.Clone(hosts)
 	for i := range trial {
 		trial[i].Free = trial[i].Free.Add(trial[i].Coming)
-	}
-	for _, u := range units {
-		release(trial, u)
-	}
-	return d.Place(trial)
-}
-
-// release gives the room of one unit back.
-func release(hosts []Host, unit string) {
-	for i := range hosts {
-		for _, v := range hosts[i].Victims {
-			if v.Unit == unit {
-				hosts[i].Free = hosts[i].Free.Add(v.Room)
+		for _, v := range trial[i].Victims {
+			if gone[v.Unit] {
+				trial[i].Free = trial[i].Free.Add(v.Room)
 			}
 		}
 	}
+	return d.Place(trial)
 }
 
 // prune drops the units that are not needed, the most costly first.
--- a/berylgateway/gateway.go
+++ b/berylgateway/gateway.go
@@ -65,6 +65,8 @@
 	operator *berylfollower.Follower
 	producer *berylproducer.Producer
 	leading  atomic.Bool
+	// waking is true while a message is due that lets the director look again.
+	waking bool
 	// seq numbers the appends of the current epoch. The actor owns it.
 	seq  int64
 	stop context.CancelFunc
@@ -86,6 +88,7 @@
 		err   error
 	}
 	ticked   struct{}
+	woken    struct{}
 	resigned struct {
 		reply func(beryldirector.Persist)
 	}
@@ -96,6 +99,7 @@
 func (reported) message()  {}
 func (persisted) message() {}
 func (ticked) message()    {}
+func (woken) message()     {}
 func (resigned) message()  {}
 
 // New returns a gateway that is not running.
@@ -238,10 +242,16 @@
 	case resigned:
 		p, _ := d.Resign()
 		m.reply(p)
+	case woken:
+		g.waking = false
 	case ticked:
 	}
 	d.Step(now)
 	g.carryOut(now)
+	if d.Later() && !g.waking {
+		g.waking = true
+		time.AfterFunc(_wake, func() { g.loop.Tell(woken{}) })
+	}
 }
 
 func (g *Gateway) takeJobs(now time.Time, e berylfollower.Event) {
@@ -358,6 +368,8 @@
 	_jobsWait   = 800 * time.Millisecond
 	_policyWait = 800 * time.Millisecond
 	_tick       = 100 * time.Millisecond
+	// _wake is a little more than the least time between two looks.
+	_wake = 22 * time.Millisecond
 	// _appendTimeout bounds one try; a slow store answers within a quarter of
 	// a second.
 	_appendTimeout = 900 * time.Millisecond
--- a/berylkeeper/calls.go
+++ b/berylkeeper/calls.go
@@ -69,7 +69,7 @@
 	switch r.phase {
 	case wanted:
 		lease := k.lease(now)
-		if lease == 0 || !k.looked {
+		if lease == 0 || !k.looked || k.unsure || k.strays {
 			return Task{}, false
 		}
 		r.busy = true
--- a/berylkeeper/keeper.go
+++ b/berylkeeper/keeper.go
@@ -108,6 +108,14 @@
 	runs   map[berylreport.Key]*run
 	list   berylexecutor.Listing
 	looked bool
+	// unsure is true after a call without an outcome, until a listing shows that
+	// the backend server is the one that is known: it may have been born again.
+	unsure bool
+	// unsureAt is the number of the last call before the doubt.
+	unsureAt int64
+	// strays is true in a new life until its listing has no runs. What runs there
+	// was started by a call of the last life.
+	strays bool
 	// newest is the number of the latest listing call whose reply was used.
 	newest int64
 	issue  int64
@@ -138,6 +146,10 @@
 	}
 }
 
+// Settled reports whether the leader may be told of this life. The leader takes
+// the runs of the last life for over then, so strays must be gone.
+func (k *Keeper) Settled() bool { return k.beat.Place.Instance != "" && !k.strays }
+
 // Place returns the life of the backend server that is known.
 func (k *Keeper) Place() berylbook.Place { return k.beat.Place }
 
@@ -171,8 +183,10 @@
 func (k *Keeper) rebirth() {
 	if k.born {
 		k.fence++
+		k.strays = true
 	}
 	k.born = true
+	k.unsure = false
 	clear(k.runs)
 	k.list = berylexecutor.Listing{}
 	k.looked = false
@@ -334,6 +348,8 @@
 	_callTimeout = 400 * time.Millisecond
 	// _retryPause is the pause after a refused or failed call.
 	_retryPause = 150 * time.Millisecond
+	// _repeatPause is the pause before a call without an outcome is repeated.
+	_repeatPause = 20 * time.Millisecond
 	// _stopCheck is the pause between listings while a run is being stopped.
 	_stopCheck = 100 * time.Millisecond
 	// _remember is how long a settled run is kept, so that a late order for it
--- a/berylkeeper/keeper_test.go
+++ b/berylkeeper/keeper_test.go
@@ -143,6 +143,8 @@
 			if tt.silent {
 				c := only[berylexecutor.StartCall](is, k.Calls(now))
 				k.Outcome(now, Outcome{Call: c.Call, Issue: c.Issue, Err: context()})
+				now = now.Add(50 * time.Millisecond)
+				list(now, k, 5)
 			}
 			c := only[berylexecutor.StartCall](is, k.Calls(now))
 			k.Outcome(now, Outcome{Call: c.Call, Issue: c.Issue, Err: berylexecutor.ErrRefused})
@@ -151,6 +153,51 @@
 	}
 }
 
+// list answers all listings that the keeper asks for.
+func list(now time.Time, k *Keeper, born int64, runs ...berylreport.Run) {
+	for _, t := range of[berylexecutor.HoldCall](k.Calls(now)) {
+		k.Outcome(now, Outcome{Call: t.Call, Issue: t.Issue, Listing: berylexecutor.Listing{Clock: 10_000, Born: born, Runs: runs}})
+	}
+}
+
+// Guards against a start that reaches a backend server which was born again
+// unnoticed: after a broken call nothing is started before a listing, and calls
+// are not repeated without a pause (soak seeds 9 and 11).
+func TestNoStartWhileTheLifeIsInDoubt(t *testing.T) {
+	is := is.New(t)
+	now := start()
+	k := ready(is, now)
+	k.Orders(now, orders(k, []string{"a.0.0.0"}, nil))
+	c := only[berylexecutor.StartCall](is, k.Calls(now))
+	k.Outcome(now, Outcome{Call: c.Call, Issue: c.Issue, Err: context()})
+	is.Equal(len(of[berylexecutor.StartCall](k.Calls(now))), 0)
+	now = now.Add(time.Second)
+	is.Equal(len(of[berylexecutor.StartCall](k.Calls(now))), 0)
+	k.recheck = true
+	list(now, k, 5)
+	is.Equal(len(of[berylexecutor.StartCall](k.Calls(now))), 1)
+}
+
+// Guards against telling the leader of a new life while a call of the last one has
+// started a task there: the leader takes the task for over and starts it elsewhere
+// (soak seeds 9 and 11).
+func TestNewLifeIsToldWithoutStrays(t *testing.T) {
+	is := is.New(t)
+	now := start()
+	k := ready(is, now)
+	is.True(k.Settled())
+	k.Beat(now, Beat{Place: berylbook.Place{Instance: "i-1", Born: 9}, Addr: "10.0.0.1:80", Seq: 1, Clock: 50})
+	is.True(!k.Settled())
+	list(now, k, 9, berylreport.Run{Key: key("a.0.0.0")})
+	is.True(!k.Settled())
+	stop := only[berylexecutor.StopCall](is, k.Calls(now))
+	k.Outcome(now, Outcome{Call: stop.Call, Issue: stop.Issue})
+	k.recheck = true
+	now = now.Add(time.Second)
+	list(now, k, 9)
+	is.True(k.Settled())
+}
+
 // Guards against a run that is called absent by a listing from before the stop.
 func TestStopIsSettledByALaterListing(t *testing.T) {
 	is := is.New(t)
--- a/berylkeeper/outcome.go
+++ b/berylkeeper/outcome.go
@@ -47,8 +47,12 @@
 		k.replied = now
 	case errors.Is(o.Err, berylexecutor.ErrDown):
 		k.down = true
+		k.unsure = true
+		k.unsureAt = k.issue
 		k.silent++
 	default:
+		k.unsure = true
+		k.unsureAt = k.issue
 		k.silent++
 	}
 	if was != (k.silent >= _silentAfter || k.down) {
@@ -88,7 +92,8 @@
 		r.next = now.Add(_retryPause)
 	default:
 		r.doubt = true
-		r.next = now
+		r.next = now.Add(_repeatPause)
+		k.recheck = true
 	}
 }
 
@@ -132,9 +137,27 @@
 	}
 	k.looked = true
 	k.list = o.Listing
+	if o.Issue > k.unsureAt {
+		k.unsure = false
+	}
+	k.stopStrays(now)
 	k.settleRuns(now, o)
 }
 
+// stopStrays stops what runs in a new life before anything was ordered there.
+func (k *Keeper) stopStrays(now time.Time) {
+	if !k.strays {
+		return
+	}
+	for _, r := range k.list.Runs {
+		k.wantStop(now, r.Key)
+	}
+	if len(k.list.Runs) == 0 {
+		k.strays = false
+		k.changed = true
+	}
+}
+
 func differs(a, b berylexecutor.Listing) bool {
 	if len(a.Runs) != len(b.Runs) || len(a.Ends) != len(b.Ends) {
 		return true
--- a/berylsidecar/sidecar.go
+++ b/berylsidecar/sidecar.go
@@ -198,7 +198,7 @@
 
 // report sends a report if there is news or the last one is old.
 func (s *Sidecar) report(now time.Time) {
-	if s.reporting || s.keeper.Place().Instance == "" {
+	if s.reporting || !s.keeper.Settled() {
 		return
 	}
 	if now.Sub(s.reportAt) < _reportGap {
