--- a/beryldirector/director_test.go
+++ b/beryldirector/director_test.go
@@ -613,3 +613,34 @@
 	}
 	t.Fatal("the gang never started")
 }
+
+// Replays a gang that comes while a host of its rack is away for a moment. Guards
+// against members in two racks, where they take three times as long, and against
+// a gang that waits for a host that has left.
+func TestGangWaitsForItsRack(t *testing.T) {
+	tests := []struct {
+		name  string
+		leave bool
+		want  berylbook.Phase
+	}{
+		{name: "away for a moment", want: berylbook.Idle},
+		{name: "left", leave: true, want: berylbook.Ordered},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBench(t)
+			racks := map[string]string{"n1": "r1-1", "n2": "r1-1", "n3": "r1-2"}
+			for _, node := range []string{"n1", "n2", "n3"} {
+				b.report(node, func(r *berylreport.Report) {
+					r.Labels = []string{racks[node]}
+					r.Silent = node == "n2"
+					r.Draining = tt.leave && node == "n2"
+				})
+			}
+			g := gang(2, 8)
+			g.OneRack = true
+			b.submit("j1", "routine", g)
+			b.is.Equal(b.phase("j1", 0), tt.want)
+		})
+	}
+}
--- a/beryldirector/place.go
+++ b/beryldirector/place.go
@@ -23,6 +23,7 @@
 		return
 	}
 	hosts := map[string][]berylfit.Host{}
+	known := map[string][]berylfit.Host{}
 	full := map[stepOf]bool{}
 	d.reserved = 0
 	for i := range units {
@@ -34,8 +35,9 @@
 		service := u.queue.Service
 		if _, ok := hosts[service]; !ok {
 			hosts[service] = d.hosts(now, service)
+			known[service] = d.known(now, service)
 		}
-		full[step] = !d.placeUnit(now, u, hosts[service])
+		full[step] = !d.placeUnit(now, u, hosts[service], known[service])
 	}
 }
 
@@ -70,6 +72,20 @@
 	return hosts
 }
 
+// known returns the backend servers of a service that take work now or are likely
+// to take some again soon, with their whole room.
+func (d *Director) known(now time.Time, service string) []berylfit.Host {
+	var hosts []berylfit.Host
+	for node, m := range d.members {
+		r := m.last
+		if r.Service != service || r.Draining || d.Policy.Out[r.Zone] || now.Sub(m.heard) > _rackPatienceMost {
+			continue
+		}
+		hosts = append(hosts, berylfit.Host{Node: node, Rack: m.rack, Labels: r.Labels, Total: r.Room})
+	}
+	return hosts
+}
+
 // doubt fades with time, so that a host that has recovered is tried again.
 func (d *Director) doubt(now time.Time, m *member) float64 {
 	if m.slow {
@@ -83,10 +99,10 @@
 
 // placeUnit starts a unit, or keeps room for it. It returns false if there is no
 // room to be had.
-func (d *Director) placeUnit(now time.Time, u *unit, hosts []berylfit.Host) bool {
+func (d *Director) placeUnit(now time.Time, u *unit, hosts, known []berylfit.Host) bool {
 	demand := demandOf(u.job, u.occurrence, u.step, len(u.tasks))
 	demand.Shun = u.shun()
-	demand.Spread = u.waiting > d.rackPatience(u) || !demand.InRack(hosts)
+	demand.Spread = u.waiting > d.rackPatience(u) || !demand.InRack(known)
 	if places, ok := demand.Place(hosts); ok {
 		d.start(now, u, hosts, places)
 		return true
