berylgateway: hand the number of the resignation out of the actor

Cause: the goroutine that records a resignation read the number of the last append while the actor may change it. Found by reading; no run showed it. The start of a process reads the clock through berylclock like all others.

--- a/berylgateway/gateway.go
+++ b/berylgateway/gateway.go
@@ -90,10 +90,16 @@
 	ticked   struct{}
 	woken    struct{}
 	resigned struct {
-		reply func(beryldirector.Persist)
+		reply func(resignation)
 	}
 )
 
+// resignation is the last append of a leader, with its number.
+type resignation struct {
+	persist beryldirector.Persist
+	seq     int64
+}
+
 func (jobsEvent) message() {}
 func (policySet) message() {}
 func (reported) message()  {}
@@ -241,7 +247,7 @@
 		g.takePersisted(now, m)
 	case resigned:
 		p, _ := d.Resign()
-		m.reply(p)
+		m.reply(resignation{persist: p, seq: g.seq + 1})
 	case woken:
 		g.waking = false
 	case ticked:
@@ -341,15 +347,15 @@
 func (g *Gateway) resign() {
 	ctx, cancel := context.WithTimeout(g.ctx, _resignTimeout)
 	defer cancel()
-	p, err := berylcontrol.Ask(ctx, g.loop, func(reply func(beryldirector.Persist)) message {
+	r, err := berylcontrol.Ask(ctx, g.loop, func(reply func(resignation)) message {
 		return resigned{reply: reply}
 	})
-	if err != nil || p.Epoch == 0 {
+	if err != nil || r.persist.Epoch == 0 {
 		return
 	}
 	// An append of changed jobs may be under way; its number comes first.
 	for range _resignTries {
-		err := g.append(p, g.seq+1, -1, _resignTimeout)
+		err := g.append(r.persist, r.seq, -1, _resignTimeout)
 		if err == nil {
 			return
 		}
--- a/berylsite/site.go
+++ b/berylsite/site.go
@@ -21,6 +21,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"berylglade/berylclock"
 	"berylglade/berylerror"
 	"berylglade/berylrpc"
 	"berylglade/berylsink"
@@ -95,7 +96,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &process{settings: s, sink: berylsink.New(os.Stdout), boot: time.Now().UnixMilli(), registry: prometheus.NewRegistry()}
+	p := &process{settings: s, sink: berylsink.New(os.Stdout), boot: berylclock.System()().UnixMilli(), registry: prometheus.NewRegistry()}
 	p.log = p.sink.Logger("vm", s.Node, "role", role)
 	p.ctx, p.stop = signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	p.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
