beryldirector: count ends that were listed before a backend server left

Ends and absent runs of a report are now applied before its runs are given up. By the same reasoning the ends of a life that were listed and not noted are reported beside the next life.

Ruled out: a repeat of a start (run 2 is a new order of the leader).

--- a/beryldirector/director_test.go
+++ b/beryldirector/director_test.go
@@ -655,3 +655,34 @@
 		is.True(small.delay(epoch) > large.delay(epoch))
 	}
 }
+
+// Guards against an end that is overlooked because the backend server has left by
+// the time of the report: the task was started again after its end (mix day of
+// qvmlw-pollen, seed 914984060784).
+func TestEndsCountBeforeALapse(t *testing.T) {
+	b := newBench(t)
+	b.report("n1", nil)
+	b.submit("j1", "routine", step(2, 1))
+	b.report("n2", nil)
+	b.report("n1", func(r *berylreport.Report) {
+		r.Silent, r.Lapsed = true, true
+		r.Ends = []berylreport.End{end(1, "j1.0.0.0", 1, berylreport.Done)}
+	})
+	b.is.Equal(b.phase("j1", 0), berylbook.Done)
+	b.is.Equal(b.d.Book.Jobs["j1"].Tasks[0][0][0].Run, 1)
+	b.is.Equal(b.d.Book.Jobs["j1"].Tasks[0][0][1].Run, 2)
+}
+
+// Guards against an end of the last life of a backend server that is overlooked
+// because it was born again before the report.
+func TestEndsOfTheLastLifeCount(t *testing.T) {
+	b := newBench(t)
+	b.report("n1", nil)
+	b.submit("j1", "routine", step(2, 1))
+	b.report("n1", func(r *berylreport.Report) {
+		r.Past = berylreport.Past{Place: r.Place, Ends: []berylreport.End{end(1, "j1.0.0.0", 1, berylreport.Done)}}
+		r.Place.Born++
+	})
+	b.is.Equal(b.phase("j1", 0), berylbook.Done)
+	b.is.Equal(b.d.Book.Jobs["j1"].Tasks[0][0][1].Run, 2)
+}
--- a/beryldirector/end.go
+++ b/beryldirector/end.go
@@ -38,13 +38,19 @@
 	if e.N <= m.noted || slices.ContainsFunc(m.ends, func(o endOf) bool { return o.n == e.N }) {
 		return
 	}
-	ref, ok := berylwork.ParseRef(e.Task)
+	ref, _ := berylwork.ParseRef(e.Task)
 	m.ends = append(m.ends, endOf{n: e.N, job: ref.Job})
+	d.applyEnd(now, m, m.last.Place, e)
+}
+
+// applyEnd ends the run if it is the newest one of its task and was at place.
+func (d *Director) applyEnd(now time.Time, m *member, place berylbook.Place, e berylreport.End) {
+	ref, ok := berylwork.ParseRef(e.Task)
 	if !ok {
 		return
 	}
 	j, t := d.Book.Task(ref)
-	if t == nil || t.Run != e.Run || !t.Phase.Active() || t.Place != m.last.Place {
+	if t == nil || t.Run != e.Run || !t.Phase.Active() || t.Place != place {
 		return
 	}
 	d.note("end", "task", e.Task, "run", e.Run, "how", e.How.String(), "node", m.last.Node, "n", e.N,
--- a/beryldirector/report.go
+++ b/beryldirector/report.go
@@ -96,17 +96,21 @@
 	if r.Place.Instance == "" {
 		return
 	}
-	d.loseOthers(now, r)
-	if r.Lapsed {
-		d.loseAll(now, r.Node, "lease ran out")
-		return
+	for _, e := range r.Past.Ends {
+		d.applyEnd(now, m, r.Past.Place, e)
 	}
+	d.loseOthers(now, r)
 	for _, e := range r.Ends {
 		d.takeEnd(now, m, e)
 	}
 	for _, k := range r.Absent {
 		d.takeAbsent(now, m, k)
 	}
+	if r.Lapsed {
+		// What had ended before is not over without an end.
+		d.loseAll(now, r.Node, "lease ran out")
+		return
+	}
 	m.observe(now, r.Runs)
 	for _, run := range r.Runs {
 		m.running[run.Key] = true
--- a/berylkeeper/keeper.go
+++ b/berylkeeper/keeper.go
@@ -108,6 +108,8 @@
 	runs   map[berylreport.Key]*run
 	list   berylexecutor.Listing
 	looked bool
+	// past has the ends of the last life; the leader may not have heard of them.
+	past berylreport.Past
 	// unsure is true after a call without an outcome, until a listing shows that
 	// the backend server is the one that is known: it may have been born again.
 	unsure bool
@@ -184,6 +186,7 @@
 	if k.born {
 		k.fence++
 		k.strays = true
+		k.past = berylreport.Past{Place: k.beat.Place, Ends: k.unnoted()}
 	}
 	k.born = true
 	k.unsure = false
@@ -313,6 +316,17 @@
 	return c
 }
 
+// unnoted returns the listed ends that are not noted yet.
+func (k *Keeper) unnoted() []berylreport.End {
+	var ends []berylreport.End
+	for _, e := range k.list.Ends {
+		if e.N > k.noted {
+			ends = append(ends, e)
+		}
+	}
+	return ends
+}
+
 // Report returns what the leader should know.
 func (k *Keeper) Report(now time.Time) berylreport.Report {
 	k.seq++
@@ -321,12 +335,7 @@
 		Service: k.beat.Service, Zone: k.beat.Zone, Labels: k.beat.Labels, Room: k.beat.Room,
 		Draining: k.beat.Draining, Remaining: k.beat.Remaining,
 		Looked: k.looked, Silent: k.silent >= _silentAfter || k.down, Lapsed: k.lapsed(now),
-		Runs: k.list.Runs,
-	}
-	for _, e := range k.list.Ends {
-		if e.N > k.noted {
-			r.Ends = append(r.Ends, e)
-		}
+		Runs: k.list.Runs, Ends: k.unnoted(), Past: k.past,
 	}
 	for _, key := range k.keys() {
 		run := k.runs[key]
--- a/berylkeeper/keeper_test.go
+++ b/berylkeeper/keeper_test.go
@@ -296,3 +296,19 @@
 
 // context returns the error of a call without an answer.
 func context() error { return timeout{} }
+
+// Guards against an end that was listed and is forgotten when the backend server
+// is born again before the leader has heard of it.
+func TestEndsOutliveTheLife(t *testing.T) {
+	is := is.New(t)
+	now := start()
+	k := ready(is, now)
+	done := berylreport.End{Key: key("a.0.0.0"), N: 1, How: berylreport.Done}
+	for _, task := range of[berylexecutor.HoldCall](k.Calls(now)) {
+		k.Outcome(now, Outcome{Call: task.Call, Issue: task.Issue, Listing: berylexecutor.Listing{Clock: 10_000, Born: 5, Ends: []berylreport.End{done}}})
+	}
+	old := k.Place()
+	k.Beat(now, Beat{Place: berylbook.Place{Instance: "i-1", Born: 9}, Addr: "10.0.0.1:80", Seq: 1, Clock: 50})
+	is.Equal(k.Report(now).Past, berylreport.Past{Place: old, Ends: []berylreport.End{done}})
+	is.Equal(len(k.Report(now).Ends), 0)
+}
--- a/berylreport/report.go
+++ b/berylreport/report.go
@@ -48,6 +48,9 @@
 	Lapsed bool  `cbor:"x,omitempty"`
 	Runs   []Run `cbor:"u,omitempty"`
 	Ends   []End `cbor:"e,omitempty"`
+	// Past are the ends of the last life of the backend server that were listed
+	// and not noted when it ended.
+	Past Past `cbor:"j,omitempty"`
 	// Absent are ordered runs that do not exist and never will.
 	Absent []Key `cbor:"t,omitempty"`
 	// Handled are starts of which the agent has heard, so that the leader need
@@ -55,6 +58,12 @@
 	Handled []Key `cbor:"h,omitempty"`
 }
 
+// Past has ends of an earlier life of a backend server.
+type Past struct {
+	Place berylbook.Place `cbor:"p"`
+	Ends  []End           `cbor:"e,omitempty"`
+}
+
 // Key names one run of a task.
 type Key struct {
 	Task string `cbor:"t"`
