beryldirector: judge gangs with members on unknown backend servers

Cause: found while reading the change again. A new leader that looks at a gang with a checkpoint asks for the progress on its first member's backend server, which may not have reported yet; that dereferenced nil and would have ended the process. The lookup itself now answers for an unknown member.

--- a/beryldirector/director_test.go
+++ b/beryldirector/director_test.go
@@ -686,3 +686,11 @@
 	b.is.Equal(b.phase("j1", 0), berylbook.Done)
 	b.is.Equal(b.d.Book.Jobs["j1"].Tasks[0][0][1].Run, 2)
 }
+
+// Guards against a crash of a new leader that judges a gang whose first member is
+// on a backend server that has not reported yet.
+func TestTrackOfAnUnknownMember(t *testing.T) {
+	is := is.New(t)
+	var m *member
+	is.Equal(m.track(berylreport.Key{Task: "j1.0.0.0", Run: 1}).total(), time.Duration(0))
+}
--- a/beryldirector/progress.go
+++ b/beryldirector/progress.go
@@ -76,13 +76,13 @@
 	return rest + stalled
 }
 
-// track returns what is known of a run's progress; never nil.
+// track returns what is known of a run's progress; never nil, also for a member
+// that is not known.
 func (m *member) track(k berylreport.Key) *track {
-	t := m.tracks[k]
-	if t == nil {
-		t = &track{}
+	if m == nil || m.tracks[k] == nil {
+		return &track{}
 	}
-	return t
+	return m.tracks[k]
 }
 
 // observe follows the progress of all listed runs.
