berylscript: report what a process wrote when a scenario fails

Before: a process was started by two functions, one without its output. After: one type starts, signals and ends processes and tells how a process ended and what it wrote last; each scenario that waits in vain prints this for all its processes. Conclusion: not traced; a further failure will name the process.

--- a/berylscript/control_test.go
+++ b/berylscript/control_test.go
@@ -5,10 +5,9 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
-	"os"
-	"os/exec"
 	"slices"
 	"strconv"
 	"strings"
@@ -64,7 +63,7 @@
 func TestControl(t *testing.T) {
 	h := newHelper(_systems)
 	h.run(t, "testdata/control", func(env *testscript.Env) {
-		s := &system{running: map[string]*exec.Cmd{}, replaced: map[string]bool{}}
+		s := &system{running: map[string]*child{}, replaced: map[string]bool{}}
 		env.Values[systemKey{}] = s
 		env.Defer(s.kill)
 	}, commands{
@@ -99,7 +98,7 @@
 
 // system has the processes that a script has started.
 type system struct {
-	running map[string]*exec.Cmd
+	running map[string]*child
 	// replaced are the processes that were killed.
 	replaced map[string]bool
 	// offset is that of the last change, accepted the time of its acceptance
@@ -110,35 +109,28 @@
 
 func systemOf(ts *testscript.TestScript) *system { return ts.Value(systemKey{}).(*system) }
 
-// kill ends the processes. SIGKILL also ends those that are stopped.
+// kill ends the processes.
 func (s *system) kill() {
-	for _, cmd := range s.running {
-		_ = cmd.Process.Kill()
+	for _, c := range s.running {
+		c.kill()
 	}
-	for _, cmd := range s.running {
-		_ = cmd.Wait()
+}
+
+// report describes each process.
+func (s *system) report() string {
+	var b strings.Builder
+	for _, name := range slices.Sorted(maps.Keys(s.running)) {
+		b.WriteString(s.running[name].report())
 	}
+	return b.String()
 }
 
 func start(ts *testscript.TestScript, _ bool, args []string) {
 	if len(args) == 0 {
 		args = names(ts)
 	}
-	s := systemOf(ts)
 	for _, name := range args {
-		role, _, _ := strings.Cut(name, "-")
-		run := []string{role, name + ".hujson"}
-		if role != "entry" && role != "agent" {
-			run = append([]string{"standin"}, run...)
-		}
-		cmd := exec.Command("berylglade", run...)
-		cmd.Dir = ts.Getenv("WORK")
-		out, err := os.OpenFile(ts.MkAbs(name+".out"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-		ts.Check(err)
-		cmd.Stdout, cmd.Stderr = out, out
-		ts.Check(cmd.Start())
-		ts.Check(out.Close())
-		s.running[name] = cmd
+		systemOf(ts).running[name] = spawn(ts, name)
 	}
 }
 
@@ -146,13 +138,13 @@
 	signals := map[string]syscall.Signal{"KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT}
 	s := systemOf(ts)
 	for _, name := range args[1:] {
-		cmd := s.running[name]
-		if cmd == nil {
+		c := s.running[name]
+		if c == nil {
 			ts.Fatalf("%s does not run", name)
 		}
-		ts.Check(cmd.Process.Signal(signals[args[0]]))
+		c.send(ts, signals[args[0]])
 		if args[0] == "KILL" {
-			_ = cmd.Wait()
+			<-c.ended
 			delete(s.running, name)
 			s.replaced[name] = true
 		}
@@ -171,7 +163,7 @@
 		}
 		if ctx.Err() != nil {
 			// A request that the limit has cut off says nothing.
-			ts.Fatalf("after %v: %s", limit, last)
+			ts.Fatalf("after %v: %s\n%s", limit, last, systemOf(ts).report())
 		}
 		last = problem
 		time.Sleep(_poll)
--- a/berylscript/faults_test.go
+++ b/berylscript/faults_test.go
@@ -10,7 +10,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"slices"
 	"strconv"
 	"strings"
@@ -102,15 +101,6 @@
 	held map[string]chan error
 }
 
-// child is a process that the script started.
-type child struct {
-	cmd    *exec.Cmd
-	stderr bytes.Buffer
-	// ended is closed after err has been set.
-	ended chan struct{}
-	err   error
-}
-
 func of(ts *testscript.TestScript) *processes {
 	s, _ := ts.Value(processesKey{}).(*processes)
 	return s
@@ -119,8 +109,7 @@
 // close ends what the script left running.
 func (s *processes) close() {
 	for _, c := range s.processes {
-		_ = c.cmd.Process.Kill()
-		<-c.ended
+		c.kill()
 	}
 	if s.callers != nil {
 		s.callers.stop()
@@ -129,33 +118,13 @@
 
 func startChildren(ts *testscript.TestScript, _ bool, args []string) {
 	for _, name := range args {
-		spawn(ts, name)
+		of(ts).processes[name] = spawn(ts, name)
 	}
 	for _, name := range args {
 		waitReady(ts, name, load(ts, name).Dump)
 	}
 }
 
-func spawn(ts *testscript.TestScript, name string) {
-	role, _, _ := strings.Cut(name, "-")
-	args := []string{role}
-	if role != "entry" && role != "agent" {
-		args = []string{"standin", role}
-	}
-	// The test's own binary is the program when its name says so.
-	path, err := exec.LookPath("berylglade")
-	ts.Check(err)
-	c := &child{ended: make(chan struct{})}
-	c.cmd = exec.Command(path, append(args, ts.MkAbs(name+".hujson"))...)
-	c.cmd.Stderr = &c.stderr
-	ts.Check(c.cmd.Start())
-	go func() {
-		c.err = c.cmd.Wait()
-		close(c.ended)
-	}()
-	of(ts).processes[name] = c
-}
-
 func boot(ts *testscript.TestScript, _ bool, _ []string) {
 	startChildren(ts, false, names(ts))
 	ts.Check(ts.Exec("berylglade", "config", "publish", "configuration.hujson"))
@@ -205,7 +174,7 @@
 func signalChild(sig os.Signal) func(ts *testscript.TestScript, neg bool, args []string) {
 	return func(ts *testscript.TestScript, _ bool, args []string) {
 		for _, name := range args {
-			ts.Check(of(ts).processes[name].cmd.Process.Signal(sig))
+			of(ts).processes[name].send(ts, sig)
 		}
 		if sig != syscall.SIGKILL {
 			return
@@ -229,10 +198,10 @@
 		select {
 		case <-c.ended:
 		case <-time.After(_exitLimit):
-			ts.Fatalf("%s has not ended %v after SIGTERM", name, _exitLimit)
+			ts.Fatalf("%v after SIGTERM:\n%s", _exitLimit, c.report())
 		}
 		if c.err != nil {
-			ts.Fatalf("%s ended after SIGTERM with %v:\n%s", name, c.err, c.stderr.String())
+			ts.Fatalf("after SIGTERM:\n%s", c.report())
 		}
 	}
 }
