berylsidecar: follow a new leader when it announces itself

Ruled out: the election itself (2.0 s after the last record, as designed) and the reading of the book. Change: agents record their address in a topic; a new leader reads it and tells them; an entry whose reads are old names no leader; an agent tries the next entry after 100 ms; a leader of less than 0.5 s stops no work and spreads no gang.

--- a/beryldirector/director.go
+++ b/beryldirector/director.go
@@ -71,6 +71,11 @@
 // changes that were never recorded.
 type Reload struct{}
 
+// Announce asks for all agents to be told that this entry leads.
+type Announce struct {
+	Epoch int64
+}
+
 // Note is a line for the log: a decision and what it was made from.
 type Note struct {
 	Text string
@@ -78,10 +83,11 @@
 	Args []any
 }
 
-func (Persist) effect() {}
-func (Claim) effect()   {}
-func (Reload) effect()  {}
-func (Note) effect()    {}
+func (Persist) effect()  {}
+func (Claim) effect()    {}
+func (Reload) effect()   {}
+func (Announce) effect() {}
+func (Note) effect()     {}
 
 // Director is the state machine. It has one owner.
 type Director struct {
--- a/beryldirector/director_test.go
+++ b/beryldirector/director_test.go
@@ -694,3 +694,62 @@
 	var m *member
 	is.Equal(m.track(berylreport.Key{Task: "j1.0.0.0", Run: 1}).total(), time.Duration(0))
 }
+
+// Guards against a backend server without work for seconds after an election: an
+// agent that finds the last leader silent asks entries, and one that can't read
+// the topic still names the leader that was deposed.
+func TestStaleEntryNamesNoLeader(t *testing.T) {
+	b := newBench(t)
+	other := New(Self{Node: "entry-2", Boot: 1, Addr: "10.0.0.8:7000"}, testLimits())
+	r, err := b.d.Book.Claim.Record()
+	b.is.NoErr(err)
+	other.Read(b.now, []berylstore.Record{r}, 1)
+	b.is.Equal(other.Report(b.now, berylreport.Report{Node: "a"}).Leader, b.d.Self.Addr)
+	later := b.now.Add(_fresh + time.Millisecond)
+	b.is.Equal(other.Report(later, berylreport.Report{Node: "a"}).Leader, "")
+}
+
+// Guards against agents that find a new leader only when the last one has not
+// answered for a while.
+func TestLeaderAnnouncesItself(t *testing.T) {
+	is := is.New(t)
+	d := New(Self{Node: "entry-1", Boot: 1, Addr: "10.0.0.9:7000"}, testLimits())
+	d.Restore(begin(), berylbook.Book{}, 0)
+	c := berylbook.Claim{Epoch: 1, Node: "entry-1", Boot: 1, Addr: "10.0.0.9:7000"}
+	r, err := c.Record()
+	is.NoErr(err)
+	d.Read(begin(), []berylstore.Record{r}, 1)
+	announced := 0
+	for _, e := range d.Effects() {
+		if a, ok := e.(Announce); ok {
+			is.Equal(a.Epoch, int64(1))
+			announced++
+		}
+	}
+	is.Equal(announced, 1)
+}
+
+// running changes a report to list one run.
+func running(task string, run int) func(r *berylreport.Report) {
+	return func(r *berylreport.Report) {
+		r.Runs = []berylreport.Run{{Key: berylreport.Key{Task: task, Run: run}}}
+	}
+}
+
+// Guards against work that is stopped although there is room on backend servers
+// whose agents have not reported to a new leader yet, and against gangs that are
+// spread although a rack has room for them.
+func TestNewLeaderWaitsForReports(t *testing.T) {
+	b := newBench(t)
+	b.report("a", nil)
+	b.submit("long", "routine", step(1, 8))
+	b.report("a", running("long.0.0.0", 1))
+	b.d.leadAt = b.now
+	b.submit("now", "urgent", gang(2, 4))
+	b.pass(_settle - 100*time.Millisecond)
+	b.report("a", running("long.0.0.0", 1))
+	b.is.Equal(b.phase("long", 0), berylbook.Working)
+	b.report("b", nil)
+	b.is.Equal(b.d.Book.Jobs["now"].Tasks[0][0][0].Place.Node, "b")
+	b.is.Equal(b.phase("long", 0), berylbook.Working)
+}
--- a/beryldirector/election.go
+++ b/beryldirector/election.go
@@ -42,6 +42,7 @@
 		d.flewAt = now
 		d.flying = false
 		d.note("leading", "epoch", d.epoch, "jobs", len(d.Book.Jobs))
+		d.effects = append(d.effects, Announce{Epoch: d.epoch})
 		d.takeUp(now)
 	case !mine && d.Leading() && c.Epoch > d.epoch:
 		d.Deposed()
--- a/beryldirector/place.go
+++ b/beryldirector/place.go
@@ -101,7 +101,7 @@
 func (d *Director) placeUnit(now time.Time, u *unit, hosts, known []berylfit.Host) bool {
 	demand := demandOf(u.job, u.occurrence, u.step, len(u.tasks))
 	demand.Shun = u.shun()
-	demand.Spread = u.waiting > d.rackPatience(u) || !demand.InRack(known)
+	demand.Spread = u.waiting > d.rackPatience(u) || (!d.settling(now) && !demand.InRack(known))
 	if places, ok := demand.Place(hosts); ok {
 		d.start(now, u, hosts, places)
 		return true
@@ -117,6 +117,11 @@
 	return d.makeRoom(now, u, hosts, &demand)
 }
 
+// settling reports whether the lead is so new that agents may not have reported
+// yet. What they have room for is not known, so nothing is stopped to make room
+// and no gang is spread for want of a rack.
+func (d *Director) settling(now time.Time) bool { return now.Sub(d.leadAt) < _settle }
+
 // take keeps room that a unit waits for from the units after it.
 func take(hosts []berylfit.Host, places []int, demand *berylfit.Demand) {
 	for _, i := range places {
@@ -153,6 +158,9 @@
 const (
 	// _quiet is how long an agent may be silent and still get work.
 	_quiet = 1500 * time.Millisecond
+	// _settle is how long the agents take to report to a new leader that has
+	// announced itself.
+	_settle = 500 * time.Millisecond
 	// _reserveAfter is how long a unit waits before room is kept for it, and
 	// _reserveFrom how many accelerators it must need: fewer come free at once
 	// often enough.
--- a/beryldirector/preempt.go
+++ b/beryldirector/preempt.go
@@ -121,7 +121,7 @@
 // makeRoom keeps the room that an urgent unit will need and stops what holds it
 // once the unit can wait no longer.
 func (d *Director) makeRoom(now time.Time, u *unit, hosts []berylfit.Host, demand *berylfit.Demand) bool {
-	over := u.waiting >= d.preemptAfter(u)
+	over := u.waiting >= d.preemptAfter(u) && !d.settling(now)
 	if !over && d.keep(now, u, hosts, demand) {
 		return true
 	}
--- a/beryldirector/report.go
+++ b/beryldirector/report.go
@@ -53,7 +53,8 @@
 func (d *Director) Report(now time.Time, r berylreport.Report) berylreport.Answer {
 	c := d.Book.Claim
 	a := berylreport.Answer{Epoch: c.Epoch}
-	if !c.Resigned {
+	if !c.Resigned && now.Sub(d.readAt) <= _fresh {
+		// An entry that can't read the topic may name a leader that is deposed.
 		a.Leader = c.Addr
 	}
 	if !d.Leading() {
--- a/beryldirector/world_test.go
+++ b/beryldirector/world_test.go
@@ -176,6 +176,8 @@
 			e.w.after(e.w.hop(), func() { e.persist(d, effect, seq) })
 		case Reload:
 			e.w.after(e.w.hop(), func() { e.load(d) })
+		case Announce:
+			e.w.announce(e)
 		case Note:
 			e.w.note("%s %s %v", e.name, effect.Text, effect.Args)
 		}
@@ -570,6 +572,21 @@
 	}
 }
 
+// announce lets agents report to a new leader; a report that still waits for the
+// last one is given up.
+func (w *world) announce(e *worldEntry) {
+	for _, a := range w.agents {
+		w.after(w.hop(), func() {
+			if a.up && !a.cut && e.up {
+				a.target = slices.Index(w.entries, e)
+				a.last = time.Time{}
+				a.busy = false
+				a.drive(a.k)
+			}
+		})
+	}
+}
+
 var errWorldTimeout = errors.New("timeout")
 
 const (
--- a/berylgateway/gateway.go
+++ b/berylgateway/gateway.go
@@ -23,6 +23,7 @@
 	"berylglade/berylintake"
 	"berylglade/berylpolicy"
 	"berylglade/berylproducer"
+	"berylglade/berylregistry"
 	"berylglade/berylreport"
 	"berylglade/berylrpc"
 	"berylglade/berylstore"
@@ -45,7 +46,9 @@
 	Log    *slog.Logger
 	Policy PolicyReader
 	// Topics of the store.
-	TopicJobs, TopicOperator, TopicEntries string
+	TopicJobs, TopicOperator string
+	// Entries and Agents have the addresses of our processes.
+	Entries, Agents *berylregistry.Registry
 	// Count counts a decision by its name in the log.
 	Count func(decision string)
 	// ProducerName is unique to this process.
@@ -149,7 +152,10 @@
 	eg.Go(func() error { g.jobs.Run(g.ctx); return nil })
 	eg.Go(func() error { g.operator.Run(g.ctx); return nil })
 	eg.Go(func() error { g.producer.Run(g.ctx); return nil })
-	eg.Go(func() error { g.announce(g.ctx); return nil })
+	eg.Go(func() error {
+		g.cfg.Entries.Enter(g.ctx, g.cfg.ProducerName, g.cfg.Self.Node, g.cfg.Self.Addr)
+		return nil
+	})
 	eg.Go(func() error {
 		g.loop.Every(g.ctx, _tick, func() message { return ticked{} })
 		return nil
@@ -166,23 +172,6 @@
 // Close ends Run; requests that need the store fail from then on.
 func (g *Gateway) Close() { g.stop() }
 
-// announce records the address of this entry, for agents whose seeds are stale.
-func (g *Gateway) announce(ctx context.Context) {
-	p := berylproducer.New(g.cfg.Store, g.cfg.Clock, g.cfg.TopicEntries, g.cfg.ProducerName)
-	go p.Run(ctx)
-	for ctx.Err() == nil {
-		err := p.Append(ctx, berylstore.Record{Key: g.cfg.Self.Node, Value: []byte(g.cfg.Self.Addr)})
-		if err == nil {
-			return
-		}
-		g.cfg.Log.Warn("address not recorded", "err", err)
-		select {
-		case <-ctx.Done():
-		case <-time.After(time.Second):
-		}
-	}
-}
-
 // jobsEvent runs in the goroutine of the follower.
 func (g *Gateway) jobsEvent(e berylfollower.Event) {
 	switch e := e.(type) {
@@ -301,6 +290,8 @@
 			go g.claim(e)
 		case beryldirector.Reload:
 			g.jobs.Reload()
+		case beryldirector.Announce:
+			go g.announce(e)
 		case beryldirector.Note:
 			g.cfg.Count(e.Text)
 			g.cfg.Log.Info(e.Text, e.Args...)
--- /dev/null
+++ b/berylregistry/registry.go
@@ -0,0 +1,63 @@
+// Package berylregistry keeps the addresses of our own processes in a topic of
+// the platform's store, one record for each VM.
+package berylregistry
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"berylglade/berylclock"
+	"berylglade/berylproducer"
+	"berylglade/berylstore"
+)
+
+// _again is the pause before an address is recorded again after a failure.
+const _again = time.Second
+
+// Registry has the addresses of the processes of one role.
+type Registry struct {
+	Store berylstore.Store
+	Clock berylclock.Clock
+	Topic string
+	Log   *slog.Logger
+}
+
+// Enter records the address of the process on a VM and repeats that until it is
+// recorded or ctx ends. The producer's name must be unique to the process.
+func (r *Registry) Enter(ctx context.Context, producer, vm, addr string) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	p := berylproducer.New(r.Store, r.Clock, r.Topic, producer)
+	go p.Run(ctx)
+	for ctx.Err() == nil {
+		err := p.Append(ctx, berylstore.Record{Key: vm, Value: []byte(addr)})
+		if err == nil {
+			return
+		}
+		r.Log.Warn("address not recorded", "topic", r.Topic, "err", err)
+		select {
+		case <-ctx.Done():
+		case <-time.After(_again):
+		}
+	}
+}
+
+// Addresses returns the recorded addresses.
+func (r *Registry) Addresses(ctx context.Context) ([]string, error) {
+	var addrs []string
+	after := ""
+	for {
+		page, err := r.Store.Newest(ctx, r.Topic, after)
+		if err != nil {
+			return nil, err
+		}
+		for _, record := range page.Records {
+			addrs = append(addrs, string(record.Value))
+		}
+		if !page.More || len(page.Records) == 0 {
+			return addrs, nil
+		}
+		after = page.Records[len(page.Records)-1].Key
+	}
+}
--- /dev/null
+++ b/berylregistry/registry_test.go
@@ -0,0 +1,56 @@
+package berylregistry
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+
+	"berylglade/berylclock"
+	"berylglade/berylstore"
+)
+
+// pages is a store with two keys on each page, whose first append fails.
+type pages struct {
+	records []berylstore.Record
+	failed  bool
+}
+
+func (p *pages) Append(_ context.Context, a berylstore.Append) (int64, error) {
+	if !p.failed {
+		p.failed = true
+		return 0, berylstore.ErrNotDone
+	}
+	p.records = append(p.records, a.Records...)
+	return int64(len(p.records) - 1), nil
+}
+
+func (p *pages) Read(context.Context, string, int64, time.Duration) (berylstore.Read, error) {
+	return berylstore.Read{}, errors.New("not used")
+}
+
+func (p *pages) Newest(_ context.Context, _, after string) (berylstore.Page, error) {
+	for i, r := range p.records {
+		if r.Key > after {
+			last := min(i+2, len(p.records))
+			return berylstore.Page{Records: p.records[i:last], More: last < len(p.records)}, nil
+		}
+	}
+	return berylstore.Page{}, nil
+}
+
+// Guards against a process that stays unknown because the store refused its
+// address once, and against addresses beyond the first page.
+func TestRegistry(t *testing.T) {
+	is := is.New(t)
+	r := &Registry{Store: &pages{}, Clock: berylclock.System(), Topic: "t", Log: slog.New(slog.DiscardHandler)}
+	for _, vm := range []string{"a", "b", "c"} {
+		r.Enter(t.Context(), vm+"/1", vm, vm+":7000")
+	}
+	addrs, err := r.Addresses(t.Context())
+	is.NoErr(err)
+	is.Equal(addrs, []string{"a:7000", "b:7000", "c:7000"})
+}
--- a/berylreport/report.go
+++ b/berylreport/report.go
@@ -17,6 +17,8 @@
 	MethodReport berylmessage.Method = "report"
 	// MethodOrders carries Orders from the leader to an agent.
 	MethodOrders berylmessage.Method = "orders"
+	// MethodLead carries Lead from a new leader to an agent.
+	MethodLead berylmessage.Method = "lead"
 )
 
 // Report is what an agent knows of its backend server.
@@ -124,8 +126,6 @@
 	Leader string `cbor:"l,omitempty"`
 	// Led is true if the process that answers leads.
 	Led bool `cbor:"d,omitempty"`
-	// Peers are the addresses of all known entries.
-	Peers []string `cbor:"p,omitempty"`
 	// Noted is the number up to which ends are recorded for good.
 	Noted int64 `cbor:"n,omitempty"`
 }
@@ -147,7 +147,14 @@
 	Noted int64 `cbor:"n,omitempty"`
 }
 
-// Receipt confirms Orders.
+// Lead tells an agent which entry leads from now on.
+type Lead struct {
+	Epoch int64 `cbor:"e"`
+	// Leader is where reports go.
+	Leader string `cbor:"l"`
+}
+
+// Receipt confirms Orders and Lead.
 type Receipt struct {
 	// Epoch is the highest one that the agent has seen.
 	Epoch int64 `cbor:"e"`
--- a/berylsidecar/sidecar.go
+++ b/berylsidecar/sidecar.go
@@ -17,9 +17,9 @@
 	"berylglade/berylcontrol"
 	"berylglade/berylexecutor"
 	"berylglade/berylkeeper"
+	"berylglade/berylregistry"
 	"berylglade/berylreport"
 	"berylglade/berylrpc"
-	"berylglade/berylstore"
 )
 
 // Config is set before New.
@@ -28,15 +28,16 @@
 	Boot       int64
 	Limits     berylkeeper.Limits
 	Executor   berylexecutor.Executor
-	Store      berylstore.Store
 	Clock      berylclock.Clock
 	Log        *slog.Logger
 	// Observe gets each call to the backend server.
 	Observe func(call string, err error, took time.Duration)
-	// Entries are the addresses to look for the leader at first.
-	Entries []string
-	// TopicEntries has the addresses of all entries.
-	TopicEntries string
+	// Seeds are the addresses to look for the leader at first.
+	Seeds []string
+	// Entries and Agents have the addresses of our processes.
+	Entries, Agents *berylregistry.Registry
+	// ProducerName is unique to this process.
+	ProducerName string
 }
 
 // Sidecar is the agent process without its listeners.
@@ -49,13 +50,15 @@
 
 	// The actor owns what follows.
 	reporting bool
-	reportAt  time.Time
-	entries   []string
-	leader    string
-	next      int
-	misses    int
-	asked     time.Time
-	place     berylbook.Place
+	// abandon ends the outstanding report.
+	abandon  context.CancelFunc
+	reportAt time.Time
+	entries  []string
+	leader   string
+	next     int
+	misses   int
+	asked    time.Time
+	place    berylbook.Place
 }
 
 type message interface{ message() }
@@ -82,7 +85,11 @@
 		err    error
 	}
 	entries struct{ addrs []string }
-	ticked  struct{}
+	led     struct {
+		lead  berylreport.Lead
+		reply func(berylreport.Receipt)
+	}
+	ticked struct{}
 )
 
 func (beat) message()    {}
@@ -91,6 +98,7 @@
 func (outcome) message() {}
 func (answer) message()  {}
 func (entries) message() {}
+func (led) message()     {}
 func (ticked) message()  {}
 
 // New returns an agent that is not running.
@@ -99,7 +107,7 @@
 		cfg:     cfg,
 		keeper:  berylkeeper.New(cfg.Node, cfg.Addr, cfg.Boot, cfg.Limits),
 		client:  berylrpc.NewClosingClient(),
-		entries: cfg.Entries,
+		entries: cfg.Seeds,
 	}
 }
 
@@ -112,6 +120,7 @@
 // Run drives the agent until ctx ends.
 func (s *Sidecar) Run(ctx context.Context) {
 	var wg sync.WaitGroup
+	wg.Go(func() { s.cfg.Agents.Enter(ctx, s.cfg.ProducerName, s.cfg.Node, s.cfg.Addr) })
 	wg.Go(func() { s.loop.Every(ctx, _tick, func() message { return ticked{} }) })
 	wg.Wait()
 	s.loop.Stop()
@@ -125,6 +134,12 @@
 		})
 		return &r, err
 	})
+	berylrpc.Handle(srv, berylreport.MethodLead, func(ctx context.Context, l *berylreport.Lead) (*berylreport.Receipt, error) {
+		r, err := berylcontrol.Ask(ctx, s.loop, func(reply func(berylreport.Receipt)) message {
+			return led{lead: *l, reply: reply}
+		})
+		return &r, err
+	})
 }
 
 // Beat takes a heartbeat of the backend server.
@@ -164,7 +179,10 @@
 	case answer:
 		s.takeAnswer(now, m)
 	case entries:
-		s.entries = merge(s.cfg.Entries, m.addrs)
+		s.entries = merge(s.cfg.Seeds, m.addrs)
+	case led:
+		s.follow(now, m.lead)
+		m.reply(berylreport.Receipt{Epoch: k.Epoch()})
 	case ticked:
 	}
 	for _, t := range k.Calls(now) {
@@ -217,7 +235,24 @@
 	s.reportAt = now
 	r := s.keeper.Report(now)
 	sent := s.keeper.Reading(now)
-	go s.send(addr, r, sent)
+	ctx, cancel := context.WithTimeout(s.ctx, _reportTimeout)
+	s.abandon = cancel
+	go s.send(ctx, addr, r, sent)
+}
+
+// follow reports to a new leader at once. A report that still waits for the last
+// leader is given up.
+func (s *Sidecar) follow(now time.Time, l berylreport.Lead) {
+	if l.Epoch < s.keeper.Epoch() || l.Leader == s.leader {
+		return
+	}
+	s.cfg.Log.Info("leader announced", "addr", l.Leader, "epoch", l.Epoch, "before", s.leader)
+	s.leader = l.Leader
+	s.misses = 0
+	s.reportAt = now.Add(-_reportEvery)
+	if s.reporting {
+		s.abandon()
+	}
 }
 
 func (s *Sidecar) target() string {
@@ -230,9 +265,7 @@
 	return s.entries[s.next%len(s.entries)]
 }
 
-func (s *Sidecar) send(addr string, r berylreport.Report, sent int64) {
-	ctx, cancel := context.WithTimeout(s.ctx, _reportTimeout)
-	defer cancel()
+func (s *Sidecar) send(ctx context.Context, addr string, r berylreport.Report, sent int64) {
 	a, err := berylrpc.Call[berylreport.Report, berylreport.Answer](ctx, s.client, addr, berylreport.MethodReport, &r)
 	m := answer{place: r.Place, sent: sent, addr: addr, err: err}
 	if a != nil {
@@ -245,11 +278,19 @@
 // when one does not answer.
 func (s *Sidecar) takeAnswer(now time.Time, m answer) {
 	s.reporting = false
-	if m.err != nil {
+	s.abandon()
+	announced := s.leader != "" && s.leader != m.addr
+	switch {
+	case m.err != nil && announced:
+		return
+	case m.err != nil:
 		s.lost(now, m.addr, m.err)
 		return
 	}
 	s.keeper.Answer(m.answer, m.place, m.sent)
+	if announced {
+		return
+	}
 	if m.answer.Led {
 		if s.leader != m.addr {
 			s.cfg.Log.Info("leader found", "addr", m.addr, "epoch", m.answer.Epoch, "misses", s.misses)
@@ -264,19 +305,25 @@
 		s.reportAt = now.Add(-_reportEvery)
 		return
 	}
-	s.leader = ""
-	s.next++
-	s.lookUp(now)
+	s.search(now)
 }
 
 func (s *Sidecar) lost(now time.Time, addr string, err error) {
 	if s.leader != "" {
 		s.cfg.Log.Warn("leader not reached", "addr", addr, "err", err)
 	}
+	s.misses++
+	s.search(now)
+}
+
+// search tries the next entry: soon as long as there are entries that were not
+// tried, then at the usual pace.
+func (s *Sidecar) search(now time.Time) {
 	s.leader = ""
 	s.next++
-	s.misses++
-	s.reportAt = now.Add(_retryGap - _reportEvery)
+	if s.misses <= len(s.entries) {
+		s.reportAt = now.Add(_retryGap - _reportEvery)
+	}
 	s.lookUp(now)
 }
 
@@ -290,15 +337,11 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(s.ctx, _lookUpTimeout)
 		defer cancel()
-		page, err := s.cfg.Store.Newest(ctx, s.cfg.TopicEntries, "")
+		addrs, err := s.cfg.Entries.Addresses(ctx)
 		if err != nil {
 			s.cfg.Log.Warn("entries not read", "err", err)
 			return
 		}
-		var addrs []string
-		for _, r := range page.Records {
-			addrs = append(addrs, string(r.Value))
-		}
 		s.loop.Tell(entries{addrs: addrs})
 	}()
 }
--- a/berylsite/agent.go
+++ b/berylsite/agent.go
@@ -28,11 +28,11 @@
 		Buckets: prometheus.ExponentialBuckets(0.001, 3, 8),
 	}, []string{"call", "result"})
 	p.registry.MustRegister(calls)
+	store := platform.NewStore(s.Store)
 	agent := berylsidecar.New(berylsidecar.Config{
 		Node: s.Node, Addr: s.Own(), Boot: p.boot,
 		Limits:   keeperLimits(s),
 		Executor: platform.NewRunner(),
-		Store:    platform.NewStore(s.Store),
 		Clock:    berylclock.System(), Log: p.log,
 		Observe: func(call string, err error, took time.Duration) {
 			result := "ok"
@@ -41,7 +41,9 @@
 			}
 			calls.WithLabelValues(call, result).Observe(took.Seconds())
 		},
-		Entries: s.Entries(), TopicEntries: platform.TopicEntries,
+		Seeds:   s.Entries(),
+		Entries: p.addresses(store, platform.TopicEntries), Agents: p.addresses(store, platform.TopicAgents),
+		ProducerName: p.producer(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/berylsite/entry.go
+++ b/berylsite/entry.go
@@ -44,17 +44,18 @@
 		Name: "berylglade_decisions_total", Help: "Decisions of the leader by their name in the log.",
 	}, []string{"decision"})
 	e.registry.MustRegister(decisions)
+	store := platform.NewStore(s.Store)
 	e.gateway = berylgateway.New(berylgateway.Config{
-		Self:         beryldirector.Self{Node: s.Node, Boot: e.boot, Addr: s.Own(), Cores: s.Cores},
-		Limits:       directorLimits(s),
-		Store:        platform.NewStore(s.Store),
-		Clock:        clock,
-		Log:          e.log,
-		Count:        func(decision string) { decisions.WithLabelValues(decision).Inc() },
-		Policy:       &platform.Policy{},
-		TopicJobs:    platform.TopicJobs,
-		TopicEntries: platform.TopicEntries, TopicOperator: platform.TopicOperator,
-		ProducerName: s.Node + "/" + strconv.FormatInt(e.boot, 10),
+		Self:      beryldirector.Self{Node: s.Node, Boot: e.boot, Addr: s.Own(), Cores: s.Cores},
+		Limits:    directorLimits(s),
+		Store:     store,
+		Clock:     clock,
+		Log:       e.log,
+		Count:     func(decision string) { decisions.WithLabelValues(decision).Inc() },
+		Policy:    &platform.Policy{},
+		TopicJobs: platform.TopicJobs, TopicOperator: platform.TopicOperator,
+		Entries: e.addresses(store, platform.TopicEntries), Agents: e.addresses(store, platform.TopicAgents),
+		ProducerName: e.producer(),
 	})
 	e.gateway.Start()
 	e.requests = prometheus.NewHistogramVec(prometheus.HistogramOpts{
--- a/berylsite/site.go
+++ b/berylsite/site.go
@@ -23,8 +23,10 @@
 
 	"berylglade/berylclock"
 	"berylglade/berylerror"
+	"berylglade/berylregistry"
 	"berylglade/berylrpc"
 	"berylglade/berylsink"
+	"berylglade/berylstore"
 	"berylglade/platform"
 )
 
@@ -108,6 +110,16 @@
 	return p, nil
 }
 
+// addresses returns the registry of one role's processes.
+func (p *process) addresses(store berylstore.Store, topic string) *berylregistry.Registry {
+	return &berylregistry.Registry{Store: store, Clock: berylclock.System(), Topic: topic, Log: p.log}
+}
+
+// producer returns a name under which no other process appends.
+func (p *process) producer() string {
+	return p.settings.Node + "/" + strconv.FormatInt(p.boot, 10)
+}
+
 // reloads reads the settings again on SIGHUP. Addresses and names of a running
 // process do not change; the new values hold from the next start.
 func (p *process) reloads() {
