beryldirector: keep promised room, order by slack, repeat a late claim at once

The claim to lead came 5 ms after records of clients and was repeated only after 0.5 s. Ruled out: backend servers that were passed over (a note of each chosen one showed them present, with their room coming and taken). Change: units for which runs are being stopped choose first, the oldest promise first; among the others the one that has to start first goes first; a claim that was too late is repeated with the next read.

--- a/beryldirector/director.go
+++ b/beryldirector/director.go
@@ -106,16 +106,18 @@
 
 	// Jobs whose state differs from the topic, and those in the outstanding
 	// append.
-	dirty    map[string]bool
-	flight   map[string]bool
-	flying   bool
-	flewAt   time.Time
-	sureAt   time.Time
-	leadAt   time.Time
-	heardAt  time.Time
-	readAt   time.Time
-	triedAt  time.Time
-	end      int64
+	dirty   map[string]bool
+	flight  map[string]bool
+	flying  bool
+	flewAt  time.Time
+	sureAt  time.Time
+	leadAt  time.Time
+	heardAt time.Time
+	readAt  time.Time
+	triedAt time.Time
+	end     int64
+	// beyond is where the topic ends at least, as a claim below came too late.
+	beyond   int64
 	judgedAt time.Time
 
 	// version changes with each change of a task; index belongs to one version.
@@ -129,9 +131,11 @@
 	reserved int
 	// kept has the room that units wait for, by unit. victim and ending are made
 	// when the present look needs them first.
-	kept   map[string]kept
-	victim map[string][]berylfit.Victim
-	ending map[string][]berylfit.Victim
+	kept map[string]kept
+	// promised is when runs were stopped for a unit last.
+	promised map[string]time.Time
+	victim   map[string][]berylfit.Victim
+	ending   map[string][]berylfit.Victim
 	// now is the time of the event that is being handled.
 	now     time.Time
 	ordered map[orderKey]time.Time
@@ -146,17 +150,18 @@
 // New returns a director that does not lead.
 func New(self Self, limits Limits) *Director {
 	return &Director{
-		Self:    self,
-		Limits:  limits,
-		members: map[string]*member{},
-		dirty:   map[string]bool{},
-		flight:  map[string]bool{},
-		ordered: map[orderKey]time.Time{},
-		ready:   map[string]time.Time{},
-		speed:   map[string]float64{},
-		best:    map[berylwork.Ref]time.Duration{},
-		rescued: map[berylwork.Ref]int{},
-		kept:    map[string]kept{},
+		Self:     self,
+		Limits:   limits,
+		members:  map[string]*member{},
+		dirty:    map[string]bool{},
+		flight:   map[string]bool{},
+		ordered:  map[orderKey]time.Time{},
+		ready:    map[string]time.Time{},
+		speed:    map[string]float64{},
+		best:     map[berylwork.Ref]time.Duration{},
+		rescued:  map[berylwork.Ref]int{},
+		kept:     map[string]kept{},
+		promised: map[string]time.Time{},
 	}
 }
 
--- a/beryldirector/director_test.go
+++ b/beryldirector/director_test.go
@@ -753,3 +753,81 @@
 	b.is.Equal(b.d.Book.Jobs["now"].Tasks[0][0][0].Place.Node, "b")
 	b.is.Equal(b.phase("long", 0), berylbook.Working)
 }
+
+// Replays urgent gangs that come one after the other when every rack is full of
+// routine work. Guards against a gang whose room is given to a later, shorter one
+// while it is being made, so that ever more work is stopped for the first.
+func TestPromisedRoomIsKept(t *testing.T) {
+	b := newBench(t)
+	stops := func() int {
+		n := 0
+		for _, j := range b.d.Book.Jobs {
+			j.Each(func(_ berylwork.Ref, task *berylbook.Task) {
+				if task.Phase == berylbook.Stopping {
+					n++
+				}
+			})
+		}
+		return n
+	}
+	for i := range 12 {
+		node := "n" + strconv.Itoa(10+i)
+		b.report(node, func(r *berylreport.Report) { r.Labels = []string{"r1-" + strconv.Itoa(i%3)} })
+		b.submit("j"+strconv.Itoa(i), "routine", step(1, 8))
+	}
+	long := gang(3, 8)
+	long.OneRack, long.Estimate = true, 1600
+	b.submit("long", "urgent", long)
+	b.pass(200 * time.Millisecond)
+	b.is.Equal(stops(), 3)
+	short := gang(4, 8)
+	short.Estimate = 500
+	b.submit("short", "urgent", short)
+	for range 5 {
+		b.pass(50 * time.Millisecond)
+		// The runs that make room for both gangs, and no more.
+		b.is.Equal(stops(), 7)
+	}
+}
+
+// Guards against a long job that is late because shorter ones, which could wait,
+// are placed first.
+func TestLeastSlackFirst(t *testing.T) {
+	b := newBench(t)
+	long, short := step(1, 8), step(1, 8)
+	long.Estimate, short.Estimate = 6000, 1000
+	b.submit("long", "routine", long)
+	b.pass(13 * time.Second)
+	b.submit("short", "routine", short)
+	var order []string
+	for _, u := range b.d.waitingUnits(b.now) {
+		order = append(order, u.job.Work.ID)
+	}
+	b.is.Equal(order, []string{"long", "short"})
+}
+
+// Guards against a system without a leader for another half second after a power
+// loss, because clients' records reached the topic just before the claim.
+func TestClaimIsRepeatedWhenTheTopicHasMoved(t *testing.T) {
+	is := is.New(t)
+	d := New(Self{Node: "entry-1", Boot: 2, Addr: "10.0.0.9:7000"}, testLimits())
+	now := begin()
+	claims := func() int {
+		n := 0
+		d.Step(now)
+		for _, e := range d.Effects() {
+			if c, ok := e.(Claim); ok {
+				n++
+				is.Equal(c.At, d.end)
+			}
+		}
+		return n
+	}
+	d.Restore(now, berylbook.Book{Claim: berylbook.Claim{Epoch: 1, Node: "entry-1", Boot: 1}}, 7)
+	is.Equal(claims(), 1)
+	d.ClaimMoved(Claim{At: 7})
+	now = now.Add(10 * time.Millisecond)
+	is.Equal(claims(), 0)
+	d.Read(now, nil, 8)
+	is.Equal(claims(), 1)
+}
--- a/beryldirector/election.go
+++ b/beryldirector/election.go
@@ -67,6 +67,9 @@
 	if d.retired || d.stale || now.Sub(d.readAt) > _fresh || now.Sub(d.triedAt) < _retryClaim {
 		return
 	}
+	if d.end < d.beyond {
+		return
+	}
 	c := d.Book.Claim
 	wait := d.delay(c.Epoch)
 	if c.Epoch > 0 && !c.Resigned && c.Node != d.Self.Node {
@@ -86,6 +89,13 @@
 	}})
 }
 
+// ClaimMoved tells that the topic did not end where the claim took it to end, so
+// that the claim can be repeated as soon as the newer records are read.
+func (d *Director) ClaimMoved(c Claim) {
+	d.beyond = c.At + 1
+	d.triedAt = time.Time{}
+}
+
 // delay spreads the claims of the entries; the order changes with each epoch.
 // Entries on small VMs come last, as the leader hears all agents.
 func (d *Director) delay(epoch int64) time.Duration {
--- a/beryldirector/place.go
+++ b/beryldirector/place.go
@@ -166,6 +166,8 @@
 	// often enough.
 	_reserveAfter = time.Second
 	_reserveFrom  = 2
+	// _promise covers the stop of runs, 400 ms at most, and the report of it.
+	_promise = time.Second
 	// _reservations bounds the units for which room is kept at a time; what they
 	// hold back stands idle.
 	_reservations = 3
--- a/beryldirector/preempt.go
+++ b/beryldirector/preempt.go
@@ -140,6 +140,9 @@
 		return true
 	}
 	d.evict(u, hosts, units)
+	if !u.promised.Before(now) {
+		d.promised[u.name()] = now
+	}
 	take(hosts, places, demand)
 	return true
 }
--- a/beryldirector/unit.go
+++ b/beryldirector/unit.go
@@ -18,8 +18,13 @@
 	occurrence int
 	step       int
 	tasks      []int
-	// due is when the job should be complete, for the order among equals.
-	due time.Time
+	// due is when the job should be complete, and latest when the unit has to
+	// start for that if the declared times hold.
+	due    time.Time
+	latest time.Time
+	// promised is when runs were stopped for the unit. It is the time of the look
+	// if none are being stopped, which is later than any promise.
+	promised time.Time
 	// from is when the job could have started at the earliest.
 	from time.Time
 	// chain is the declared time of the job's longest chain in milliseconds.
@@ -73,17 +78,27 @@
 			d.ready[name] = now
 		}
 		units[i].waiting = now.Sub(since)
+		units[i].promised = now
+		if at := d.promised[name]; now.Sub(at) < _promise {
+			units[i].promised = at
+		}
 	}
 	for name := range d.ready {
 		if !seen[name] {
 			delete(d.ready, name)
 			delete(d.kept, name)
+			delete(d.promised, name)
 		}
 	}
+	// Room that is made for a unit goes to it: units that come later and have to
+	// start sooner would take it, and more runs would be stopped for the first.
+	// Those with the oldest promise choose first, so that they find their room at
+	// each look.
 	slices.SortFunc(units, func(a, b unit) int {
 		return cmp.Or(
 			cmp.Compare(a.queue.Priority, b.queue.Priority),
-			a.due.Compare(b.due),
+			a.promised.Compare(b.promised),
+			a.latest.Compare(b.latest),
 			cmp.Compare(a.job.Work.ID, b.job.Work.ID),
 			cmp.Compare(a.occurrence, b.occurrence),
 			cmp.Compare(a.step, b.step),
@@ -100,12 +115,14 @@
 		}
 		proto := unit{job: j, queue: q, occurrence: k}
 		d.times(&proto, capacity)
+		tails := tailsOf(j.Work, capacity)
 		for s := range j.Tasks[k] {
 			if !unblocked(j, k, s) {
 				continue
 			}
 			base := proto
 			base.step = s
+			base.latest = proto.due.Add(-time.Duration(tails[s]) * time.Millisecond)
 			units = appendUnits(units, base, j.Tasks[k][s])
 		}
 	}
@@ -149,28 +166,25 @@
 	if w.Times > 0 {
 		u.from = w.Due(u.occurrence)
 	}
-	u.chain = chainOf(w, capacity)
+	u.chain = slices.Max(append(tailsOf(w, capacity), 0))
 	allowed := time.Duration(float64(u.chain)*u.queue.Stretch) * time.Millisecond
 	u.due = u.from.Add(allowed + u.queue.Target)
 }
 
-// chainOf returns the declared time of the longest chain of steps, in
-// milliseconds. A step that is wider than a quarter of the capacity in
-// accelerators runs in waves.
-func chainOf(w *berylwork.Work, capacity int) int64 {
-	longest := int64(0)
-	ends := make([]int64, len(w.Steps))
-	for s := range w.Steps {
-		step := &w.Steps[s]
-		for _, before := range step.After {
+// tailsOf returns for each step the declared time of the longest chain of steps
+// that begins with it, in milliseconds. A step that is wider than a quarter of
+// the capacity in accelerators runs in waves.
+func tailsOf(w *berylwork.Work, capacity int) []int64 {
+	tails := make([]int64, len(w.Steps))
+	for s := len(w.Steps) - 1; s >= 0; s-- {
+		tails[s] += w.Steps[s].Estimate * waves(&w.Steps[s], capacity)
+		for _, before := range w.Steps[s].After {
 			if before < s {
-				ends[s] = max(ends[s], ends[before])
+				tails[before] = max(tails[before], tails[s])
 			}
 		}
-		ends[s] += step.Estimate * waves(step, capacity)
-		longest = max(longest, ends[s])
 	}
-	return longest
+	return tails
 }
 
 func waves(step *berylwork.Step, capacity int) int64 {
--- a/berylgateway/gateway.go
+++ b/berylgateway/gateway.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
 	"golang.org/x/sync/errgroup"
 
 	"berylglade/berylbook"
@@ -90,6 +91,7 @@
 		epoch int64
 		err   error
 	}
+	moved    struct{ claim beryldirector.Claim }
 	ticked   struct{}
 	woken    struct{}
 	resigned struct {
@@ -107,6 +109,7 @@
 func (policySet) message() {}
 func (reported) message()  {}
 func (persisted) message() {}
+func (moved) message()     {}
 func (ticked) message()    {}
 func (woken) message()     {}
 func (resigned) message()  {}
@@ -237,6 +240,8 @@
 	case resigned:
 		p, _ := d.Resign()
 		m.reply(resignation{persist: p, seq: g.seq + 1})
+	case moved:
+		d.ClaimMoved(m.claim)
 	case woken:
 		g.waking = false
 	case ticked:
@@ -319,6 +324,9 @@
 		err = g.append(beryldirector.Persist{Epoch: c.Claim.Epoch, Records: []berylstore.Record{r}}, 0, c.At, _appendTimeout)
 	}
 	g.cfg.Log.Info("claim sent", "epoch", c.Claim.Epoch, "at", c.At, "err", err)
+	if errors.Is(err, berylstore.ErrMoved) {
+		g.loop.Tell(moved{claim: c})
+	}
 }
 
 func (g *Gateway) send(addr, node string, o berylreport.Orders) {
