berylgateway: pass requests on to a peer that reaches the store

Ruled out: late starts (the jobs started within 50 ms of their record). Change: an entry whose reads or appends fail passes a request on, first to the leader, then to other entries; an entry that gets one and is cut off as well refuses it at once, so that an outage for all costs no second wait. An outage is two lines in the log instead of six a second.

--- a/berylgateway/gateway.go
+++ b/berylgateway/gateway.go
@@ -48,6 +48,8 @@
 	Policy PolicyReader
 	// Topics of the store.
 	TopicJobs, TopicOperator string
+	// Seeds are the addresses of some entries.
+	Seeds []string
 	// Entries and Agents have the addresses of our processes.
 	Entries, Agents *berylregistry.Registry
 	// Count counts a decision by its name in the log.
@@ -69,6 +71,11 @@
 	operator *berylfollower.Follower
 	producer *berylproducer.Producer
 	leading  atomic.Bool
+	// peers has the addresses of the entries, turn spreads requests over them.
+	peers        atomic.Pointer[[]string]
+	turn         atomic.Uint32
+	jobsOutage   outage
+	policyOutage outage
 	// waking is true while a message is due that lets the director look again.
 	waking bool
 	// seq numbers the appends of the current epoch. The actor owns it.
@@ -123,7 +130,8 @@
 		client:   berylrpc.NewClosingClient(),
 		producer: berylproducer.New(cfg.Store, cfg.Clock, cfg.TopicJobs, cfg.ProducerName),
 	}
-	g.Intake = &berylintake.Intake{View: g.View, Producer: g.producer, Clock: cfg.Clock, Log: cfg.Log}
+	g.peers.Store(&cfg.Seeds)
+	g.Intake = &berylintake.Intake{View: g.View, Producer: g.producer, Clock: cfg.Clock, Log: cfg.Log, Forward: g.forward}
 	g.ctx, g.stop = context.WithCancel(context.Background())
 	g.jobs = &berylfollower.Follower{
 		Store: cfg.Store, Clock: cfg.Clock, Topic: cfg.TopicJobs, Wait: _jobsWait, Handle: g.jobsEvent,
@@ -134,8 +142,9 @@
 	return g
 }
 
-// Register makes the gateway reachable for agents.
+// Register makes the gateway reachable for agents and peers.
 func (g *Gateway) Register(s *berylrpc.Server) {
+	g.serveForward(s)
 	berylrpc.Handle(s, berylreport.MethodReport, func(ctx context.Context, r *berylreport.Report) (*berylreport.Answer, error) {
 		a, err := berylcontrol.Ask(ctx, g.loop, func(reply func(berylreport.Answer)) message {
 			return reported{report: *r, reply: reply}
@@ -159,6 +168,7 @@
 		g.cfg.Entries.Enter(g.ctx, g.cfg.ProducerName, g.cfg.Self.Node, g.cfg.Self.Addr)
 		return nil
 	})
+	eg.Go(func() error { g.findPeers(g.ctx); return nil })
 	eg.Go(func() error {
 		g.loop.Every(g.ctx, _tick, func() message { return ticked{} })
 		return nil
@@ -177,14 +187,19 @@
 
 // jobsEvent runs in the goroutine of the follower.
 func (g *Gateway) jobsEvent(e berylfollower.Event) {
+	now := g.cfg.Clock()
+	if f, ok := e.(berylfollower.Failed); ok {
+		g.View.Reached(now, false)
+		g.jobsOutage.failed(now, g.cfg.Log, g.cfg.TopicJobs, f.Err)
+		return
+	}
+	g.View.Reached(now, true)
+	g.jobsOutage.over(now, g.cfg.Log, g.cfg.TopicJobs)
 	switch e := e.(type) {
 	case berylfollower.Loaded:
 		g.View.Load(e.Records, e.Sent)
 	case berylfollower.Read:
 		g.View.Read(e.Records, e.Sent)
-	case berylfollower.Failed:
-		g.cfg.Log.Warn("store not read", "topic", g.cfg.TopicJobs, "err", e.Err)
-		return
 	}
 	g.loop.Tell(jobsEvent{event: e})
 }
@@ -193,6 +208,12 @@
 	var err error
 	var sent time.Time
 	changed := true
+	now := g.cfg.Clock()
+	if f, ok := e.(berylfollower.Failed); ok {
+		g.policyOutage.failed(now, g.cfg.Log, g.cfg.TopicOperator, f.Err)
+		return
+	}
+	g.policyOutage.over(now, g.cfg.Log, g.cfg.TopicOperator)
 	switch e := e.(type) {
 	case berylfollower.Loaded:
 		sent = e.Sent
@@ -201,9 +222,6 @@
 		sent = e.Sent
 		changed = len(e.Records) > 0
 		err = g.cfg.Policy.Fold(e.Records)
-	case berylfollower.Failed:
-		g.cfg.Log.Warn("store not read", "topic", g.cfg.TopicOperator, "err", e.Err)
-		return
 	}
 	if err != nil {
 		g.cfg.Log.Error("record of the desired state is not valid; the last one stays", "err", err)
--- /dev/null
+++ b/berylgateway/gateway_test.go
@@ -0,0 +1,152 @@
+package berylgateway
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"berylglade/berylbook"
+	"berylglade/berylclock"
+	"berylglade/beryldirector"
+	"berylglade/berylerror"
+	"berylglade/berylintake"
+	"berylglade/berylpolicy"
+	"berylglade/berylregistry"
+	"berylglade/berylroom"
+	"berylglade/berylrpc"
+	"berylglade/berylstore"
+	"berylglade/berylwork"
+)
+
+// noPolicy has no desired state.
+type noPolicy struct{}
+
+func (noPolicy) Replace([]berylstore.Record) error { return nil }
+func (noPolicy) Fold([]berylstore.Record) error    { return nil }
+func (noPolicy) Current() *berylpolicy.Policy      { return nil }
+
+// testEntry is an entry with its own way to the store.
+type testEntry struct {
+	*Gateway
+	refused atomic.Bool
+}
+
+// startEntries starts entries on one store and waits until one leads.
+func startEntries(t *testing.T, m *memory, n int) []*testEntry {
+	var listeners []net.Listener
+	var addrs []string
+	for range n {
+		var cfg net.ListenConfig
+		lis, err := cfg.Listen(t.Context(), "tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		listeners = append(listeners, lis)
+		addrs = append(addrs, lis.Addr().String())
+	}
+	var entries []*testEntry
+	for i := range n {
+		e := &testEntry{}
+		store := &view{memory: m, refused: e.refused.Load}
+		registry := &berylregistry.Registry{Store: store, Clock: berylclock.System(), Topic: "addresses", Log: slog.New(slog.DiscardHandler)}
+		e.Gateway = New(Config{
+			Self: beryldirector.Self{Node: string(rune('a' + i)), Boot: 1, Addr: addrs[i]},
+			Limits: beryldirector.Limits{
+				Lost: 9 * time.Second, Takeover: 2 * time.Second, Sure: 1800 * time.Millisecond, Kept: time.Minute,
+			},
+			Store: store, Clock: berylclock.System(), Log: slog.New(slog.DiscardHandler), Policy: noPolicy{},
+			TopicJobs: "jobs", TopicOperator: "op", Seeds: addrs, Entries: registry, Agents: registry,
+			Count: func(string) {}, ProducerName: addrs[i],
+		})
+		e.Start()
+		var s berylrpc.Server
+		e.Register(&s)
+		go func() { _ = s.Serve(t.Context(), listeners[i]) }()
+		go e.Run(t.Context())
+		t.Cleanup(e.Close)
+		entries = append(entries, e)
+	}
+	await(t, 3*time.Second, "a leader", func() bool { return leader(entries) != nil })
+	for _, e := range entries {
+		await(t, 3*time.Second, "a read", func() bool { return e.View.Unread(time.Now()) == 0 })
+	}
+	return entries
+}
+
+func leader(entries []*testEntry) *testEntry {
+	for _, e := range entries {
+		if e.Leading() {
+			return e
+		}
+	}
+	return nil
+}
+
+func await(t *testing.T, limit time.Duration, what string, ok func() bool) {
+	end := time.Now().Add(limit)
+	for !ok() {
+		if time.Now().After(end) {
+			t.Fatalf("not within %v: %s", limit, what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func submit(id string) berylintake.Request {
+	return berylintake.Request{
+		Verb: berylintake.Submit, ID: id, Queue: berylpolicy.Queue{Name: "q"},
+		Work: &berylwork.Work{Steps: []berylwork.Step{{Count: 1, Need: berylroom.Room{Millicores: 1}}}},
+	}
+}
+
+// Guards against clients that are refused, or see an old state, at an entry that
+// the store turns away while it serves the others.
+func TestRequestsArePassedOn(t *testing.T) {
+	is := is.New(t)
+	m := newMemory()
+	entries := startEntries(t, m, 3)
+	var cut *testEntry
+	for _, e := range entries {
+		if !e.Leading() {
+			cut = e
+		}
+	}
+	cut.refused.Store(true)
+	await(t, 2*time.Second, "failing reads", func() bool { return cut.View.Unread(time.Now()) > 500*time.Millisecond })
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	reply := cut.Intake.Serve(ctx, submit("j1"))
+	is.Equal(reply, berylintake.Reply{})
+	is.True(m.has("/j1"))
+	is.True(!cut.View.Job("j1").Known)
+	await(t, time.Second, "state from a peer", func() bool {
+		reply = cut.Intake.Serve(ctx, berylintake.Request{Verb: berylintake.State, ID: "j1"})
+		return reply.Kind == 0 && reply.State == berylbook.Pending
+	})
+}
+
+// Guards against requests that go from entry to entry in an outage of the store,
+// and against an answer that leaves open whether the job was recorded.
+func TestOutageIsRefusedAsNotRun(t *testing.T) {
+	is := is.New(t)
+	m := newMemory()
+	entries := startEntries(t, m, 3)
+	for _, e := range entries {
+		e.refused.Store(true)
+	}
+	time.Sleep(1300 * time.Millisecond)
+	go entries[0].Intake.Serve(t.Context(), submit("j0"))
+	time.Sleep(1300 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	began := time.Now()
+	reply := entries[0].Intake.Serve(ctx, submit("j1"))
+	is.Equal(reply.Kind, berylerror.NotRun)
+	is.True(time.Since(began) < 200*time.Millisecond)
+	is.True(!m.has("/j1"))
+}
--- /dev/null
+++ b/berylgateway/memory_test.go
@@ -0,0 +1,94 @@
+package berylgateway
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"berylglade/berylstore"
+)
+
+// memory is the store of one test. It has one topic; others are empty.
+type memory struct {
+	mu      sync.Mutex
+	records []berylstore.Record
+	epochs  map[string]int64
+	changed chan struct{}
+}
+
+func newMemory() *memory {
+	return &memory{epochs: map[string]int64{}, changed: make(chan struct{})}
+}
+
+// view is the store as one VM reaches it.
+type view struct {
+	*memory
+	// refused is true while the store turns the VM away.
+	refused func() bool
+}
+
+func (v *view) Append(_ context.Context, a berylstore.Append) (int64, error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	switch {
+	case v.refused():
+		return 0, berylstore.ErrNotDone
+	case a.Topic != "jobs":
+		return 0, nil
+	case a.Epoch < v.epochs[a.Producer]:
+		return 0, berylstore.ErrFenced
+	case a.At >= 0 && a.At != int64(len(v.records)):
+		return 0, berylstore.ErrMoved
+	}
+	v.epochs[a.Producer] = a.Epoch
+	v.records = append(v.records, a.Records...)
+	close(v.changed)
+	v.changed = make(chan struct{})
+	return int64(len(v.records) - len(a.Records)), nil
+}
+
+func (v *view) Read(ctx context.Context, topic string, from int64, wait time.Duration) (berylstore.Read, error) {
+	v.mu.Lock()
+	changed := v.changed
+	ready := topic == "jobs" && from < int64(len(v.records))
+	v.mu.Unlock()
+	if !ready && !v.refused() {
+		select {
+		case <-ctx.Done():
+			return berylstore.Read{}, ctx.Err()
+		case <-changed:
+		case <-time.After(wait):
+		}
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.refused() {
+		return berylstore.Read{}, berylstore.ErrNotDone
+	}
+	if topic != "jobs" {
+		return berylstore.Read{Next: from, End: from}, nil
+	}
+	end := int64(len(v.records))
+	return berylstore.Read{Records: slices.Clone(v.records[from:]), Next: end, End: end}, nil
+}
+
+func (v *view) Newest(_ context.Context, topic, _ string) (berylstore.Page, error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.refused() {
+		return berylstore.Page{}, berylstore.ErrNotDone
+	}
+	if topic != "jobs" {
+		return berylstore.Page{}, nil
+	}
+	return berylstore.Page{Records: slices.Clone(v.records), End: int64(len(v.records))}, nil
+}
+
+// has reports whether a key was recorded.
+func (m *memory) has(key string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.ContainsFunc(m.records, func(r berylstore.Record) bool { return strings.HasSuffix(r.Key, key) })
+}
--- a/berylintake/intake.go
+++ b/berylintake/intake.go
@@ -1,8 +1,8 @@
 // Package berylintake decides how a client's request is answered.
 //
 // [Decide] looks at the desired state and the known jobs and returns either the
-// final answer or what has to be recorded before one can be given. [Intake]
-// carries that out.
+// final answer, what has to be recorded before one can be given, or that a peer
+// should answer. [Intake] carries that out.
 package berylintake
 
 import (
@@ -42,30 +42,30 @@
 
 // Request is a client's request. The queue is known already.
 type Request struct {
-	Verb Verb
+	Verb Verb `cbor:"verb"`
 	// ID is the job's id; empty for Count.
-	ID    string
-	Queue berylpolicy.Queue
+	ID    string            `cbor:"id"`
+	Queue berylpolicy.Queue `cbor:"queue"`
 	// Account is the client account of the key; empty on a public queue.
-	Account string
+	Account string `cbor:"account"`
 	// Work is the job that is submitted.
-	Work *berylwork.Work
+	Work *berylwork.Work `cbor:"work"`
 }
 
 // Reply is the answer. The zero Kind means success.
 type Reply struct {
-	Kind berylerror.Kind
+	Kind berylerror.Kind `cbor:"kind"`
 	// Why is a short reason for logs and the client.
-	Why string
+	Why string `cbor:"why"`
 	// State is the state of the job, after State.
-	State berylbook.State
+	State berylbook.State `cbor:"state"`
 	// Waiting is the number of jobs, after Count.
-	Waiting int
+	Waiting int `cbor:"waiting"`
 	// RetryAfter is when a refused client should come back.
-	RetryAfter time.Duration
+	RetryAfter time.Duration `cbor:"retry"`
 }
 
-// Step is what Decide returns: an Answer or a Record.
+// Step is what Decide returns: an Answer, a Record or a Forward.
 type Step interface{ step() }
 
 // Answer is final.
@@ -74,24 +74,41 @@
 // Record has to be in the store before the request succeeds.
 type Record struct{}
 
-func (Answer) step() {}
-func (Record) step() {}
+// Forward passes the request on to an entry that reaches the store.
+type Forward struct{}
+
+func (Answer) step()  {}
+func (Record) step()  {}
+func (Forward) step() {}
 
 // Known is what a decision is made from.
 type Known struct {
 	Job berylview.Job
 	// Waiting is the number of waiting jobs of the queue.
 	Waiting int
-	// Failing is for how long the store has not taken appends.
-	Failing time.Duration
+	// Failing is for how long the store has not taken appends, Unread for how
+	// long it has not answered reads.
+	Failing, Unread time.Duration
+	// Peers is true if the request may be passed on to another entry, Passed if
+	// another entry has passed it on to this one.
+	Peers, Passed bool
 }
 
 // Decide decides on one request.
 //
 // An entry whose reads are old refuses what it can't know instead of denying
 // that a job exists. While the store takes no appends, a job that needs one is
-// refused at once, so that its client can turn to another entry.
+// refused at once, so that its client can turn to another entry. As the store may
+// turn just this entry away, a peer is asked before.
 func Decide(now time.Time, r Request, k Known) Step {
+	if cutOff(k) && !ended(r, k) {
+		switch {
+		case k.Passed:
+			return refuse("this entry does not reach the store either")
+		case k.Peers:
+			return Forward{}
+		}
+	}
 	fresh := berylclock.Age(now, k.Job.At) < _freshJobs
 	mine := k.Job.Known && (r.Account == "" || k.Job.Account == r.Account)
 	switch {
@@ -120,6 +137,15 @@
 	}
 }
 
+// cutOff reports whether the store seems not to serve this entry.
+func cutOff(k Known) bool { return k.Unread > _unread || k.Failing > _failingHere }
+
+// ended reports whether the request is about a job whose state does not change
+// any more, so that an old state answers it.
+func ended(r Request, k Known) bool {
+	return k.Job.Known && k.Job.State.Final() && (r.Account == "" || k.Job.Account == r.Account)
+}
+
 func refuse(why string) Answer {
 	return Answer{Reply{Kind: berylerror.NotRun, Why: why, RetryAfter: _retryAfter}}
 }
@@ -137,28 +163,67 @@
 	Producer *berylproducer.Producer
 	Clock    berylclock.Clock
 	Log      *slog.Logger
+	// Forward passes a request on to a peer; nil if there is none. An error of
+	// kind NotRun means that no peer has recorded anything.
+	Forward func(ctx context.Context, r Request) (Reply, error)
 }
 
-// Serve answers one request. It returns when ctx ends at the latest.
+// Serve answers one request, by a peer if this entry does not reach the store. It
+// returns when ctx ends at the latest.
 func (i *Intake) Serve(ctx context.Context, r Request) Reply {
 	now := i.Clock()
-	known := Known{Job: i.View.Job(r.ID), Failing: i.Producer.Failing(now)}
-	if r.Verb == Count {
-		known.Waiting, known.Job.At = i.View.Waiting(r.Queue.Name)
+	if r.Work != nil {
+		r.Work.Accepted = now.UnixMilli()
+	}
+	known := i.known(now, r)
+	known.Peers = i.Forward != nil
+	step := Decide(now, r, known)
+	if _, ok := step.(Forward); !ok {
+		return i.carryOut(ctx, now, r, known, step)
+	}
+	reply, err := i.Forward(ctx, r)
+	if err == nil {
+		i.log(now, r, known, reply, "peer")
+		return reply
 	}
+	known.Peers = false
+	reply = i.carryOut(ctx, now, r, known, Decide(now, r, known))
+	if reply.Kind == berylerror.NotRun && berylerror.Of(err) != berylerror.NotRun {
+		reply = Reply{Kind: berylerror.Unknown, Why: "a peer did not answer: " + err.Error()}
+	}
+	return reply
+}
+
+// Passed answers a request that a peer has passed on.
+func (i *Intake) Passed(ctx context.Context, r Request) Reply {
+	now := i.Clock()
+	known := i.known(now, r)
+	known.Passed = true
+	return i.carryOut(ctx, now, r, known, Decide(now, r, known))
+}
+
+func (i *Intake) carryOut(ctx context.Context, now time.Time, r Request, known Known, step Step) Reply {
 	var reply Reply
-	switch s := Decide(now, r, known).(type) {
+	switch s := step.(type) {
 	case Answer:
 		reply = s.Reply
 	case Record:
 		reply = i.record(ctx, now, r)
 	}
-	i.log(now, r, known, reply)
+	i.log(now, r, known, reply, "here")
 	return reply
 }
 
+func (i *Intake) known(now time.Time, r Request) Known {
+	k := Known{Job: i.View.Job(r.ID), Failing: i.Producer.Failing(now), Unread: i.View.Unread(now)}
+	if r.Verb == Count {
+		k.Waiting, k.Job.At = i.View.Waiting(r.Queue.Name)
+	}
+	return k
+}
+
 // log writes one line for each request that changes something or fails.
-func (i *Intake) log(now time.Time, r Request, k Known, reply Reply) {
+func (i *Intake) log(now time.Time, r Request, k Known, reply Reply, by string) {
 	if reply.Kind == 0 && (r.Verb == State || r.Verb == Count) {
 		return
 	}
@@ -167,7 +232,7 @@
 		outcome = reply.Kind.String()
 	}
 	i.Log.Info("request", "shape", shape(r.Work), "verb", r.Verb.String(), "job", r.ID, "queue", r.Queue.Name, "account", r.Account,
-		"outcome", outcome, "why", reply.Why, "known", k.Job.Known, "state", k.Job.State.String(),
+		"outcome", outcome, "by", by, "why", reply.Why, "known", k.Job.Known, "state", k.Job.State.String(),
 		"age", now.Sub(k.Job.At).Milliseconds(), "ms", i.Clock().Sub(now).Milliseconds())
 }
 
@@ -218,7 +283,6 @@
 	r.Work.ID = r.ID
 	r.Work.Queue = r.Queue.Name
 	r.Work.Account = r.Account
-	r.Work.Accepted = now.UnixMilli()
 	s := berylbook.Submission{Work: *r.Work}
 	rec, err := s.Record()
 	if err != nil {
@@ -237,6 +301,11 @@
 const (
 	// _freshJobs is how old the last read may be to tell that a job is not known.
 	_freshJobs = 2500 * time.Millisecond
+	// _unread leaves time for a second try of a read.
+	_unread = 200 * time.Millisecond
+	// _failingHere is above the time that a slow store takes for an append, a
+	// quarter of a second.
+	_failingHere = 400 * time.Millisecond
 	// _failing is how long appends may fail before requests are refused at once.
 	_failing = 1200 * time.Millisecond
 	// _retryAfter is the time in which another entry is usually in reach.
--- a/berylsite/entry.go
+++ b/berylsite/entry.go
@@ -54,6 +54,7 @@
 		Count:     func(decision string) { decisions.WithLabelValues(decision).Inc() },
 		Policy:    &platform.Policy{},
 		TopicJobs: platform.TopicJobs, TopicOperator: platform.TopicOperator,
+		Seeds:   s.Entries(),
 		Entries: e.addresses(store, platform.TopicEntries), Agents: e.addresses(store, platform.TopicAgents),
 		ProducerName: e.producer(),
 	})
--- a/berylview/view.go
+++ b/berylview/view.go
@@ -18,6 +18,9 @@
 	bookAt   time.Time
 	policy   *berylpolicy.Policy
 	policyAt time.Time
+	// reached is when the topic of the jobs was read last, missed when a read
+	// failed first since then; zero if none did.
+	reached, missed time.Time
 }
 
 // Job is what is known of one job.
@@ -52,6 +55,37 @@
 	v.bookAt = sent
 }
 
+// Reached tells whether a read of the topic of the jobs has succeeded now.
+func (v *View) Reached(now time.Time, ok bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	switch {
+	case ok:
+		v.reached, v.missed = now, time.Time{}
+	case v.missed.IsZero():
+		v.missed = now
+	}
+}
+
+// Unread returns for how long the topic of the jobs could not be read; zero while
+// reads succeed.
+func (v *View) Unread(now time.Time) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	switch {
+	case !v.missed.IsZero():
+		return now.Sub(v.missed)
+	case now.Sub(v.reached) > _readDue:
+		return now.Sub(v.reached)
+	default:
+		return 0
+	}
+}
+
+// _readDue is above the time for which a read waits for a record, 0.8 s, and that
+// of a slow store, a quarter of a second.
+const _readDue = 1200 * time.Millisecond
+
 // SetPolicy replaces the desired state, which was confirmed at sent.
 func (v *View) SetPolicy(p *berylpolicy.Policy, sent time.Time) {
 	v.mu.Lock()
