berylgateway: let the leader record clients' jobs

Cause: the store handles the appends of a partition one at a time. Ruled out: the decision (made with the read of the record) and the orders (1 ms); more appends at a time, as the partition would still take them in turn. Change: an entry hands a job or a cancel to the leader, whose next append takes it along with the start that is decided at once; if the leader does not answer, the entry appends it itself under the same key, which does no harm.

--- a/berylbook/book.go
+++ b/berylbook/book.go
@@ -294,6 +294,9 @@
 		b.waitFor(id).cancel = c.At
 		return ""
 	}
+	if j.Cancelled != 0 {
+		return ""
+	}
 	j.cancel(c.At)
 	return id
 }
--- a/beryldirector/director.go
+++ b/beryldirector/director.go
@@ -106,7 +106,9 @@
 
 	// Jobs whose state differs from the topic, and those in the outstanding
 	// append.
-	dirty   map[string]bool
+	dirty map[string]bool
+	// entered are clients' records that the next append takes along.
+	entered []berylstore.Record
 	flight  map[string]bool
 	flying  bool
 	flewAt  time.Time
@@ -207,6 +209,22 @@
 	}
 }
 
+// Enter takes a client's record, which the next append takes to the topic
+// together with what is decided on it now. It returns false if the record has to
+// be appended by somebody else. While the store is slow it handles one append at a
+// time, so that a record of its own and the start after it would wait twice.
+func (d *Director) Enter(now time.Time, r berylstore.Record) bool {
+	if !d.sure(now) {
+		return false
+	}
+	d.entered = append(d.entered, r)
+	d.version++
+	if id := d.Book.Apply(r); id != "" {
+		d.touched(now, id)
+	}
+	return true
+}
+
 // touched reacts to a change of a job that came from the topic.
 func (d *Director) touched(now time.Time, id string) {
 	j := d.Book.Jobs[id]
@@ -234,6 +252,7 @@
 	d.epoch = 0
 	d.stale = true
 	d.flying = false
+	d.entered = nil
 	clear(d.dirty)
 	clear(d.flight)
 	clear(d.ordered)
@@ -268,10 +287,11 @@
 		return
 	}
 	renew := now.Sub(d.flewAt) > _renew
-	if len(d.dirty) == 0 && !renew {
+	if len(d.dirty) == 0 && len(d.entered) == 0 && !renew {
 		return
 	}
-	var records []berylstore.Record
+	records := d.entered
+	d.entered = nil
 	for _, id := range slices.Sorted(maps.Keys(d.dirty)) {
 		j := d.Book.Jobs[id]
 		if j == nil {
--- a/beryldirector/director_test.go
+++ b/beryldirector/director_test.go
@@ -831,3 +831,48 @@
 	d.Read(now, nil, 8)
 	is.Equal(claims(), 1)
 }
+
+// Replays a job that is handed in while the store takes a quarter of a second for
+// each append. Guards against a start that waits for two appends and a read.
+func TestOneAppendTakesAJobAndItsStart(t *testing.T) {
+	b := newBench(t)
+	b.report("n1", nil)
+	s := berylbook.Submission{Work: berylwork.Work{ID: "j1", Queue: "urgent", Steps: []berylwork.Step{step(1, 1)}, Accepted: b.now.UnixMilli()}}
+	r, err := s.Record()
+	b.is.NoErr(err)
+	b.now = b.now.Add(_placeEvery)
+	b.is.True(b.d.Enter(b.now, r))
+	b.d.Step(b.now)
+	var persists []Persist
+	for _, e := range b.d.Effects() {
+		if p, ok := e.(Persist); ok {
+			persists = append(persists, p)
+		}
+	}
+	b.is.Equal(len(persists), 1)
+	b.is.Equal(persists[0].Records[0].Key, r.Key)
+	b.is.Equal(b.phase("j1", 0), berylbook.Ordered)
+	b.is.Equal(len(b.d.Orders(b.now)["n1"].Start), 0)
+	b.append(persists[0].Records...)
+	b.d.Committed(b.now)
+	b.is.Equal(len(b.d.Orders(b.now)["n1"].Start), 1)
+}
+
+// Guards against a job that only an entry knows which does not lead any more: its
+// client would be told that it was accepted.
+func TestDeposedLeaderForgetsWhatItWasHanded(t *testing.T) {
+	b := newBench(t)
+	s := berylbook.Submission{Work: berylwork.Work{ID: "j1", Queue: "urgent", Steps: []berylwork.Step{step(1, 1)}}}
+	r, err := s.Record()
+	b.is.NoErr(err)
+	b.hold = true
+	b.is.True(b.d.Enter(b.now, r))
+	b.d.Deposed()
+	b.d.Effects()
+	b.is.True(!b.d.Enter(b.now, r))
+	b.d.Step(b.now.Add(time.Second))
+	for _, e := range b.d.Effects() {
+		_, persist := e.(Persist)
+		b.is.True(!persist)
+	}
+}
--- a/beryldirector/world_test.go
+++ b/beryldirector/world_test.go
@@ -590,10 +590,12 @@
 var errWorldTimeout = errors.New("timeout")
 
 const (
-	_worldSlots   = 4
-	_worldFenced  = 100 * time.Millisecond
-	_worldTrouble = 30 * time.Second
-	_worldCalm    = 45 * time.Second
+	_worldSlots = 4
+	// _worldPatience is how long an entry waits for the leader's append.
+	_worldPatience = 300 * time.Millisecond
+	_worldFenced   = 100 * time.Millisecond
+	_worldTrouble  = 30 * time.Second
+	_worldCalm     = 45 * time.Second
 )
 
 func newWorld(t *testing.T, seed uint64) *world {
@@ -685,11 +687,28 @@
 			if err != nil {
 				w.t.Fatal(err)
 			}
-			w.topic = append(w.topic, r)
+			w.enter(r)
 		})
 	}
 }
 
+// enter hands a client's record to an entry, which takes it along if it leads. If
+// it is not in the topic after a while, or if the entry does not lead, another
+// entry appends it; so the record may get there twice.
+func (w *world) enter(r berylstore.Record) {
+	e := w.entries[w.r.IntN(len(w.entries))]
+	if !e.up || !e.d.Enter(w.now, r) {
+		w.topic = append(w.topic, r)
+		return
+	}
+	e.carryOut(e.d)
+	w.after(_worldPatience, func() {
+		if !slices.ContainsFunc(w.topic, func(o berylstore.Record) bool { return o.Key == r.Key }) {
+			w.topic = append(w.topic, r)
+		}
+	})
+}
+
 func (w *world) run(d time.Duration) {
 	end := w.now.Add(d)
 	for len(w.queue) > 0 && !w.queue[0].at.After(end) {
--- a/berylgateway/forward.go
+++ b/berylgateway/forward.go
@@ -31,6 +31,8 @@
 		reply, err := berylrpc.Call[berylintake.Request, berylintake.Reply](try, g.client, addr, methodServe, &r)
 		cancel()
 		switch {
+		case berylerror.Of(err) == berylerror.NotRun:
+			// Nobody listens there.
 		case err != nil:
 			g.cfg.Log.Warn("request not passed on", "job", r.ID, "verb", r.Verb.String(), "peer", addr, "err", err)
 			failed = err
--- a/berylgateway/gateway.go
+++ b/berylgateway/gateway.go
@@ -72,8 +72,13 @@
 	producer *berylproducer.Producer
 	leading  atomic.Bool
 	// peers has the addresses of the entries, turn spreads requests over them.
-	peers        atomic.Pointer[[]string]
-	turn         atomic.Uint32
+	peers atomic.Pointer[[]string]
+	turn  atomic.Uint32
+	// avoided is until when no record is passed on to a leader that did not
+	// answer, in Unix milliseconds.
+	avoided atomic.Int64
+	// replies are what waits for the leader's appends. The actor owns it.
+	replies      replies
 	jobsOutage   outage
 	policyOutage outage
 	// waking is true while a message is due that lets the director look again.
@@ -94,6 +99,10 @@
 		report berylreport.Report
 		reply  func(berylreport.Answer)
 	}
+	entered struct {
+		record berylstore.Record
+		reply  func(error)
+	}
 	persisted struct {
 		epoch int64
 		err   error
@@ -117,6 +126,7 @@
 func (reported) message()  {}
 func (persisted) message() {}
 func (moved) message()     {}
+func (entered) message()   {}
 func (ticked) message()    {}
 func (woken) message()     {}
 func (resigned) message()  {}
@@ -131,7 +141,10 @@
 		producer: berylproducer.New(cfg.Store, cfg.Clock, cfg.TopicJobs, cfg.ProducerName),
 	}
 	g.peers.Store(&cfg.Seeds)
-	g.Intake = &berylintake.Intake{View: g.View, Producer: g.producer, Clock: cfg.Clock, Log: cfg.Log, Forward: g.forward}
+	g.Intake = &berylintake.Intake{
+		View: g.View, Producer: g.producer, Clock: cfg.Clock, Log: cfg.Log,
+		Append: g.record, Forward: g.forward,
+	}
 	g.ctx, g.stop = context.WithCancel(context.Background())
 	g.jobs = &berylfollower.Follower{
 		Store: cfg.Store, Clock: cfg.Clock, Topic: cfg.TopicJobs, Wait: _jobsWait, Handle: g.jobsEvent,
@@ -145,6 +158,7 @@
 // Register makes the gateway reachable for agents and peers.
 func (g *Gateway) Register(s *berylrpc.Server) {
 	g.serveForward(s)
+	g.serveRecord(s)
 	berylrpc.Handle(s, berylreport.MethodReport, func(ctx context.Context, r *berylreport.Report) (*berylreport.Answer, error) {
 		a, err := berylcontrol.Ask(ctx, g.loop, func(reply func(berylreport.Answer)) message {
 			return reported{report: *r, reply: reply}
@@ -253,6 +267,8 @@
 		d.Policy = m.policy
 	case reported:
 		m.reply(d.Report(now, m.report))
+	case entered:
+		g.enter(now, m)
 	case persisted:
 		g.takePersisted(now, m)
 	case resigned:
@@ -293,6 +309,7 @@
 	if m.epoch != g.director.Epoch() {
 		return
 	}
+	g.replies.settle(m.err)
 	if m.err == nil {
 		g.director.Committed(now)
 		return
@@ -307,11 +324,14 @@
 		switch e := e.(type) {
 		case beryldirector.Persist:
 			g.seq++
+			g.replies.sent()
 			go g.persist(e, g.seq)
 		case beryldirector.Claim:
 			g.seq = 0
 			go g.claim(e)
 		case beryldirector.Reload:
+			g.replies.sent()
+			g.replies.settle(errDeposed)
 			g.jobs.Reload()
 		case beryldirector.Announce:
 			go g.announce(e)
--- a/berylgateway/gateway_test.go
+++ b/berylgateway/gateway_test.go
@@ -150,3 +150,27 @@
 	is.True(time.Since(began) < 200*time.Millisecond)
 	is.True(!m.has("/j1"))
 }
+
+// Guards against a job that waits for an own append and a read before the leader
+// knows of it, and against one that is lost when the leader does not answer.
+func TestLeaderRecordsJobs(t *testing.T) {
+	is := is.New(t)
+	m := newMemory()
+	entries := startEntries(t, m, 2)
+	lead := leader(entries)
+	for i, e := range entries {
+		id := "j" + string(rune('0'+i))
+		is.Equal(e.Intake.Serve(t.Context(), submit(id)), berylintake.Reply{})
+		is.True(m.has("/" + id))
+	}
+	is.Equal(m.producers()["leader"], 2)
+	lead.refused.Store(true)
+	for _, e := range entries {
+		if e != lead {
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+			defer cancel()
+			is.Equal(e.Intake.Serve(ctx, submit("j9")), berylintake.Reply{})
+		}
+	}
+	is.True(m.has("/j9"))
+}
--- a/berylgateway/memory_test.go
+++ b/berylgateway/memory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -15,11 +16,13 @@
 	mu      sync.Mutex
 	records []berylstore.Record
 	epochs  map[string]int64
+	// jobs counts the submissions of each producer.
+	jobs    map[string]int
 	changed chan struct{}
 }
 
 func newMemory() *memory {
-	return &memory{epochs: map[string]int64{}, changed: make(chan struct{})}
+	return &memory{epochs: map[string]int64{}, jobs: map[string]int{}, changed: make(chan struct{})}
 }
 
 // view is the store as one VM reaches it.
@@ -44,6 +47,11 @@
 	}
 	v.epochs[a.Producer] = a.Epoch
 	v.records = append(v.records, a.Records...)
+	for _, r := range a.Records {
+		if strings.HasPrefix(r.Key, "j/") {
+			v.jobs[a.Producer]++
+		}
+	}
 	close(v.changed)
 	v.changed = make(chan struct{})
 	return int64(len(v.records) - len(a.Records)), nil
@@ -86,6 +94,13 @@
 	return berylstore.Page{Records: slices.Clone(v.records), End: int64(len(v.records))}, nil
 }
 
+// producers returns how many submissions each producer has appended.
+func (m *memory) producers() map[string]int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return maps.Clone(m.jobs)
+}
+
 // has reports whether a key was recorded.
 func (m *memory) has(key string) bool {
 	m.mu.Lock()
--- a/berylintake/intake.go
+++ b/berylintake/intake.go
@@ -17,6 +17,7 @@
 	"berylglade/berylerror"
 	"berylglade/berylpolicy"
 	"berylglade/berylproducer"
+	"berylglade/berylstore"
 	"berylglade/berylview"
 	"berylglade/berylwork"
 )
@@ -163,6 +164,9 @@
 	Producer *berylproducer.Producer
 	Clock    berylclock.Clock
 	Log      *slog.Logger
+	// Append takes a record to the topic of the jobs. An error of kind NotRun
+	// means that it never gets there.
+	Append func(ctx context.Context, r berylstore.Record) error
 	// Forward passes a request on to a peer; nil if there is none. An error of
 	// kind NotRun means that no peer has recorded anything.
 	Forward func(ctx context.Context, r Request) (Reply, error)
@@ -278,7 +282,7 @@
 		if err != nil {
 			return i.failure(err)
 		}
-		return i.failure(i.Producer.Append(ctx, rec))
+		return i.failure(i.Append(ctx, rec))
 	}
 	r.Work.ID = r.ID
 	r.Work.Queue = r.Queue.Name
@@ -288,7 +292,7 @@
 	if err != nil {
 		return i.failure(err)
 	}
-	return i.failure(i.Producer.Append(ctx, rec))
+	return i.failure(i.Append(ctx, rec))
 }
 
 func (i *Intake) failure(err error) Reply {
