beryldirector: keep a gang from the server on which a member failed

Ruled out: faults of the jobs (their tasks ran on other servers). Change: a unit remembers every host on which a run of it has failed; the search for one rack takes trusted hosts first; one failed run puts a host in doubt, but a unit that has failed elsewhere before is taken to be at fault itself. Measured by: TestGangLeavesTheServerThatFailed, TestDoubtOfWorkThatFailsEverywhere.

--- a/beryldirector/director.go
+++ b/beryldirector/director.go
@@ -134,6 +134,8 @@
 	// kept has the room that units wait for, by unit. victim and ending are made
 	// when the present look needs them first.
 	kept map[string]kept
+	// blamed has the nodes on which runs of a unit failed, by unit.
+	blamed map[string]map[string]bool
 	// promised is when runs were stopped for a unit last.
 	promised map[string]time.Time
 	victim   map[string][]berylfit.Victim
@@ -164,6 +166,7 @@
 		rescued:  map[berylwork.Ref]int{},
 		kept:     map[string]kept{},
 		promised: map[string]time.Time{},
+		blamed:   map[string]map[string]bool{},
 	}
 }
 
@@ -258,6 +261,7 @@
 	clear(d.ordered)
 	clear(d.best)
 	clear(d.rescued)
+	clear(d.blamed)
 	clear(d.members)
 	d.effects = append(d.effects, Reload{})
 }
--- a/beryldirector/director_test.go
+++ b/beryldirector/director_test.go
@@ -876,3 +876,53 @@
 		b.is.True(!persist)
 	}
 }
+
+// Replays gangs of urgent work on a rack with a backend server that fails whatever
+// it is given while its heartbeats are good. Guards against a job that uses up its
+// attempts on that one server, although the gang's other members show which it is
+// and another rack has room.
+func TestGangLeavesTheServerThatFailed(t *testing.T) {
+	b := newBench(t)
+	for i := range 6 {
+		b.report("n"+strconv.Itoa(i), func(r *berylreport.Report) { r.Labels = []string{"r1-" + strconv.Itoa(i/3)} })
+	}
+	s := gang(3, 8)
+	s.OneRack = true
+	b.submit("j1", "urgent", s)
+	b.is.Equal(b.d.Book.Jobs["j1"].Tasks[0][0][0].Place.Node, "n0")
+	fail := func(i int) {
+		node := "n" + strconv.Itoa(i)
+		b.report(node, func(r *berylreport.Report) {
+			r.Labels = []string{"r1-" + strconv.Itoa(i/3)}
+			r.Ends = []berylreport.End{end(1, "j1.0.0."+strconv.Itoa(i), 1, berylreport.Failed)}
+		})
+	}
+	fail(1)
+	for _, i := range []int{0, 2} {
+		b.report("n"+strconv.Itoa(i), func(r *berylreport.Report) {
+			r.Labels = []string{"r1-0"}
+			r.Ends = []berylreport.End{end(1, "j1.0.0."+strconv.Itoa(i), 1, berylreport.Broken)}
+		})
+	}
+	var nodes []string
+	for _, task := range b.d.Book.Jobs["j1"].Tasks[0][0] {
+		b.is.Equal(task.Run, 2)
+		nodes = append(nodes, task.Place.Node)
+	}
+	b.is.Equal(nodes, []string{"n3", "n4", "n5"})
+	b.pass(100 * time.Millisecond)
+	b.is.True(b.d.blamed["j1.0.0.0"]["n1"])
+}
+
+// Guards against work that fails everywhere and brings every backend server that
+// it was tried on into doubt.
+func TestDoubtOfWorkThatFailsEverywhere(t *testing.T) {
+	b := newBench(t)
+	b.report("n0", nil)
+	b.report("n1", nil)
+	m := b.d.members
+	b.d.blame(b.now, m["n0"], "j1.0.0.0")
+	b.d.blame(b.now, m["n1"], "j1.0.0.0")
+	b.is.True(b.d.doubt(b.now, m["n0"]) > 0)
+	b.is.Equal(b.d.doubt(b.now, m["n1"]), 0.0)
+}
--- a/beryldirector/end.go
+++ b/beryldirector/end.go
@@ -1,7 +1,9 @@
 package beryldirector
 
 import (
+	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"berylglade/berylbook"
@@ -120,8 +122,7 @@
 	step := j.Work.Steps[ref.Step]
 	run := t.Run
 	t.Phase = berylbook.Idle
-	m.doubt += _doubtFailed
-	m.doubted = now
+	d.blame(now, m, unitName(j, ref.Occurrence, ref.Step, ref.Index))
 	d.breakGang(j, ref, run)
 	if step.Lasting {
 		return
@@ -141,10 +142,33 @@
 		d.note("job failed", "job", j.Work.ID, "task", ref.String(), "failures", t.Failures)
 		j.State = berylbook.Failed
 		j.Ended = now.UnixMilli()
+		d.forgive(j)
 		d.stopJob(j, "failed")
 	}
 }
 
+// blame keeps the unit from the host on which it failed, and raises the doubt in
+// the host. A unit that has failed elsewhere before is likely at fault itself.
+func (d *Director) blame(now time.Time, m *member, unit string) {
+	if d.blamed[unit] == nil {
+		d.blamed[unit] = map[string]bool{}
+	}
+	m.doubted = now
+	if len(d.blamed[unit]) == 0 || d.blamed[unit][m.last.Node] {
+		m.doubt += _doubtFailed
+	} else {
+		m.doubt += _doubtAgain
+	}
+	d.blamed[unit][m.last.Node] = true
+}
+
+// forgive forgets where the runs of a job failed.
+func (d *Director) forgive(j *berylbook.Job) {
+	maps.DeleteFunc(d.blamed, func(unit string, _ map[string]bool) bool {
+		return strings.HasPrefix(unit, j.Work.ID+".")
+	})
+}
+
 func (d *Director) attempts(j *berylbook.Job) int {
 	if d.Policy == nil {
 		return _attempts
@@ -188,6 +212,7 @@
 		return
 	}
 	j.Ended = now.UnixMilli()
+	d.forgive(j)
 	d.note("job ended", "job", j.Work.ID, "state", j.State.String(), "ms", now.UnixMilli()-j.Work.Accepted)
 }
 
--- a/beryldirector/place.go
+++ b/beryldirector/place.go
@@ -100,7 +100,7 @@
 // room to be had.
 func (d *Director) placeUnit(now time.Time, u *unit, hosts, known []berylfit.Host) bool {
 	demand := demandOf(u.job, u.occurrence, u.step, len(u.tasks))
-	demand.Shun = u.shun()
+	demand.Shun = d.blamed[u.name()]
 	demand.Spread = u.waiting > d.rackPatience(u) || (!d.settling(now) && !demand.InRack(known))
 	if places, ok := demand.Place(hosts); ok {
 		d.start(now, u, hosts, places)
@@ -196,8 +196,8 @@
 	_checkpoint = 2 * time.Second
 	// _coresPerAccelerator is the users' price of an accelerator.
 	_coresPerAccelerator = 8.0
-	// _doubtMatters is two failed runs without good ones between them.
-	_doubtMatters = 2.0
+	// _doubtMatters is one failed run of work that has not failed elsewhere.
+	_doubtMatters = 1.0
 	// _doubtSlow comes with a run that stands still or crawls.
 	_doubtSlow = 2.0
 	// _doubtFades is after how long a host in doubt is tried again.
--- a/beryldirector/report.go
+++ b/beryldirector/report.go
@@ -208,6 +208,7 @@
 	_learning = 0.2
 	// The doubt in a backend server: one failed run outweighs two good ones.
 	_doubtFailed  = 1.0
+	_doubtAgain   = 0.25
 	_doubtRefused = 0.5
 	_doubtDone    = 0.5
 )
--- a/beryldirector/unit.go
+++ b/beryldirector/unit.go
@@ -36,18 +36,6 @@
 
 func (u *unit) name() string { return unitName(u.job, u.occurrence, u.step, u.tasks[0]) }
 
-// shun returns the hosts on which the last run of the unit's tasks failed.
-func (u *unit) shun() map[string]bool {
-	hosts := map[string]bool{}
-	for _, i := range u.tasks {
-		t := &u.job.Tasks[u.occurrence][u.step][i]
-		if t.Failures > 0 && t.Faulted == t.Run {
-			hosts[t.Place.Node] = true
-		}
-	}
-	return hosts
-}
-
 func unitName(j *berylbook.Job, occurrence, step, index int) string {
 	if j.Work.Steps[step].Gang {
 		index = 0
--- a/berylfit/fit.go
+++ b/berylfit/fit.go
@@ -104,10 +104,15 @@
 
 type roomOf func(h *Host) berylroom.Room
 
+// search prefers hosts that are trusted: a gang that fails with one of its members
+// would fail again in the same rack while another rack has room.
 func (d *Demand) search(hosts []Host, room roomOf) ([]int, bool) {
+	trusted := d.trusted(hosts)
 	if d.OneRack && d.Count > 1 {
-		if places, ok := d.inOneRack(hosts, room); ok {
-			return places, true
+		for _, among := range [][]int{trusted, all(hosts)} {
+			if places, ok := d.inOneRack(hosts, among, room); ok {
+				return places, true
+			}
 		}
 		if !d.Spread {
 			return nil, false
@@ -124,12 +129,23 @@
 	return list
 }
 
+// trusted returns the hosts without doubt on which these tasks have not failed.
+func (d *Demand) trusted(hosts []Host) []int {
+	var list []int
+	for i := range hosts {
+		if hosts[i].Doubt == 0 && !d.Shun[hosts[i].Node] {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
 // inOneRack tries the rack of the data first, then the racks that keep the least
 // room, so that whole racks stay free for larger gangs.
-func (d *Demand) inOneRack(hosts []Host, room roomOf) ([]int, bool) {
+func (d *Demand) inOneRack(hosts []Host, among []int, room roomOf) ([]int, bool) {
 	racks := map[string][]int{}
 	left := map[string]int{}
-	for i := range hosts {
+	for _, i := range among {
 		racks[hosts[i].Rack] = append(racks[hosts[i].Rack], i)
 		left[hosts[i].Rack] += room(&hosts[i]).Accelerators
 	}
