beryldirector: yield when the store turns just the leader away

Cause: work stood still for 2.0 to 2.6 s whenever the store turned the leader away and served the other entries (core_cut, platform_down nodes), the time until they count it as silent. Ruled out: a shorter takeover, as a slow store leaves up to 1.6 s between two records of a sound leader. Change: a leader whose append has no answer for 0.55 s looks at the store and asks peers to do so; if only a peer gets an answer, it gives the lead up and asks the peer to claim. An outage for all changes nothing.

--- a/beryldirector/director.go
+++ b/beryldirector/director.go
@@ -76,6 +76,12 @@
 	Epoch int64
 }
 
+// Probe asks whether the store turns just this entry away, which leads under
+// Epoch. If so, Yield follows.
+type Probe struct {
+	Epoch int64
+}
+
 // Note is a line for the log: a decision and what it was made from.
 type Note struct {
 	Text string
@@ -87,6 +93,7 @@
 func (Claim) effect()    {}
 func (Reload) effect()   {}
 func (Announce) effect() {}
+func (Probe) effect()    {}
 func (Note) effect()     {}
 
 // Director is the state machine. It has one owner.
@@ -108,15 +115,18 @@
 	// append.
 	dirty map[string]bool
 	// entered are clients' records that the next append takes along.
-	entered []berylstore.Record
-	flight  map[string]bool
-	flying  bool
-	flewAt  time.Time
-	sureAt  time.Time
-	leadAt  time.Time
-	heardAt time.Time
-	readAt  time.Time
-	triedAt time.Time
+	entered  []berylstore.Record
+	flight   map[string]bool
+	flying   bool
+	flewAt   time.Time
+	sureAt   time.Time
+	leadAt   time.Time
+	heardAt  time.Time
+	readAt   time.Time
+	triedAt  time.Time
+	probedAt time.Time
+	// yielded is the highest epoch whose leader has asked this entry to claim.
+	yielded int64
 	end     int64
 	// beyond is where the topic ends at least, as a claim below came too late.
 	beyond   int64
@@ -354,6 +364,7 @@
 	}
 	d.placedAt = now
 	d.later = false
+	d.probe(now)
 	d.expire(now)
 	if now.Sub(d.judgedAt) >= _judgeEvery {
 		d.judgedAt = now
--- a/beryldirector/director_test.go
+++ b/beryldirector/director_test.go
@@ -926,3 +926,35 @@
 	b.is.True(b.d.doubt(b.now, m["n0"]) > 0)
 	b.is.Equal(b.d.doubt(b.now, m["n1"]), 0.0)
 }
+
+// Guards against a leader that gives up although its append was answered while a
+// peer was asked, and against an entry that claims against a newer leader.
+func TestYield(t *testing.T) {
+	b := newBench(t)
+	b.hold = true
+	b.submit("j1", "routine", step(1, 1))
+	b.pass(_probeAfter - 100*time.Millisecond)
+	b.is.True(!b.d.Yield(b.now, b.d.Epoch()))
+	b.pass(time.Second)
+	b.is.True(!b.d.Yield(b.now, b.d.Epoch()-1))
+	epoch := b.d.Epoch()
+	b.is.True(b.d.Yield(b.now, epoch))
+	b.is.True(!b.d.Leading())
+	b.is.True(!b.report("n1", nil).Led)
+
+	other := New(Self{Node: "entry-2", Boot: 1, Addr: "10.0.0.8:7000"}, testLimits())
+	claims := func() bool {
+		other.Step(b.now)
+		for _, e := range other.Effects() {
+			if _, ok := e.(Claim); ok {
+				return true
+			}
+		}
+		return false
+	}
+	other.Restore(b.now, berylbook.Book{Claim: berylbook.Claim{Epoch: epoch, Node: "entry-1", Boot: 1}}, 9)
+	other.Yielded(epoch - 1)
+	b.is.True(!claims())
+	other.Yielded(epoch)
+	b.is.True(claims())
+}
--- a/beryldirector/election.go
+++ b/beryldirector/election.go
@@ -17,6 +17,10 @@
 	_fresh = time.Second
 	// _retryClaim is the pause after a claim without a known outcome.
 	_retryClaim = 500 * time.Millisecond
+	// _probeAfter is above the time that a slow store takes for two appends, a
+	// quarter of a second each.
+	_probeAfter = 550 * time.Millisecond
+	_probeEvery = 400 * time.Millisecond
 	// _spacing keeps entries from claiming at the same moment.
 	_spacing = 120 * time.Millisecond
 	// _smallCores is less than a leader of some dozens of agents needs at times.
@@ -79,6 +83,9 @@
 		// Our own earlier process led; its orders are fenced like any other's.
 		wait = 0
 	}
+	if c.Epoch > 0 && c.Epoch == d.yielded {
+		wait = 0
+	}
 	if now.Sub(d.heardAt) < wait {
 		return
 	}
@@ -89,6 +96,30 @@
 	}})
 }
 
+// probe asks for a look at the store when an append has no answer for some time.
+func (d *Director) probe(now time.Time) {
+	if !d.flying || now.Sub(d.flewAt) < _probeAfter || now.Sub(d.probedAt) < _probeEvery {
+		return
+	}
+	d.probedAt = now
+	d.effects = append(d.effects, Probe{Epoch: d.epoch})
+}
+
+// Yield gives the lead up because the store answers others but not this entry. It
+// returns false if that is over. From then on this entry confirms no contact and
+// orders nothing under the epoch.
+func (d *Director) Yield(now time.Time, epoch int64) bool {
+	if d.epoch != epoch || !d.flying || now.Sub(d.flewAt) < _probeAfter {
+		return false
+	}
+	d.note("yield", "epoch", epoch, "unanswered", now.Sub(d.flewAt).Milliseconds())
+	d.Deposed()
+	return true
+}
+
+// Yielded tells that the leader of an epoch has given up for this entry.
+func (d *Director) Yielded(epoch int64) { d.yielded = max(d.yielded, epoch) }
+
 // ClaimMoved tells that the topic did not end where the claim took it to end, so
 // that the claim can be repeated as soon as the newer records are read.
 func (d *Director) ClaimMoved(c Claim) {
--- a/beryldirector/world_test.go
+++ b/beryldirector/world_test.go
@@ -176,6 +176,8 @@
 			e.w.after(e.w.hop(), func() { e.persist(d, effect, seq) })
 		case Reload:
 			e.w.after(e.w.hop(), func() { e.load(d) })
+		case Probe:
+			e.probe(d, effect.Epoch)
 		case Announce:
 			e.w.announce(e)
 		case Note:
@@ -572,6 +574,23 @@
 	}
 }
 
+// probe gives the lead up if another entry reaches the store and this one does not.
+func (e *worldEntry) probe(d *Director, epoch int64) {
+	for _, other := range e.w.entries {
+		if other == e || !other.up || !other.reaches() || e.reaches() {
+			continue
+		}
+		e.w.after(e.w.hop(), func() {
+			if e.d != d || !e.up || !d.Yield(e.w.now, epoch) {
+				return
+			}
+			e.carryOut(d)
+			e.w.after(e.w.hop(), func() { other.d.Yielded(epoch) })
+		})
+		return
+	}
+}
+
 // announce lets agents report to a new leader; a report that still waits for the
 // last one is given up.
 func (w *world) announce(e *worldEntry) {
--- a/berylgateway/gateway.go
+++ b/berylgateway/gateway.go
@@ -107,6 +107,11 @@
 		epoch int64
 		err   error
 	}
+	alone struct {
+		epoch int64
+		peer  string
+	}
+	yielded  struct{ epoch int64 }
 	moved    struct{ claim beryldirector.Claim }
 	ticked   struct{}
 	woken    struct{}
@@ -125,6 +130,8 @@
 func (policySet) message() {}
 func (reported) message()  {}
 func (persisted) message() {}
+func (alone) message()     {}
+func (yielded) message()   {}
 func (moved) message()     {}
 func (entered) message()   {}
 func (ticked) message()    {}
@@ -159,6 +166,7 @@
 func (g *Gateway) Register(s *berylrpc.Server) {
 	g.serveForward(s)
 	g.serveRecord(s)
+	g.serveProbe(s)
 	berylrpc.Handle(s, berylreport.MethodReport, func(ctx context.Context, r *berylreport.Report) (*berylreport.Answer, error) {
 		a, err := berylcontrol.Ask(ctx, g.loop, func(reply func(berylreport.Answer)) message {
 			return reported{report: *r, reply: reply}
@@ -274,6 +282,12 @@
 	case resigned:
 		p, _ := d.Resign()
 		m.reply(resignation{persist: p, seq: g.seq + 1})
+	case alone:
+		if d.Yield(now, m.epoch) {
+			go g.handOver(m)
+		}
+	case yielded:
+		d.Yielded(m.epoch)
 	case moved:
 		d.ClaimMoved(m.claim)
 	case woken:
@@ -333,6 +347,8 @@
 			g.replies.sent()
 			g.replies.settle(errDeposed)
 			g.jobs.Reload()
+		case beryldirector.Probe:
+			go g.probe(e)
 		case beryldirector.Announce:
 			go g.announce(e)
 		case beryldirector.Note:
--- a/berylgateway/gateway_test.go
+++ b/berylgateway/gateway_test.go
@@ -174,3 +174,35 @@
 	}
 	is.True(m.has("/j9"))
 }
+
+// Guards against two seconds without a leader when the store turns just the leader
+// away, and against a lead that is given up in an outage for all.
+func TestLeaderYields(t *testing.T) {
+	tests := []struct {
+		name   string
+		all    bool
+		yields bool
+	}{
+		{name: "the leader alone", yields: true},
+		{name: "everybody", all: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			entries := startEntries(t, newMemory(), 3)
+			lead := leader(entries)
+			for _, e := range entries {
+				e.refused.Store(tt.all || e == lead)
+			}
+			if tt.yields {
+				await(t, 1700*time.Millisecond, "another leader", func() bool {
+					l := leader(entries)
+					return l != nil && l != lead
+				})
+				return
+			}
+			time.Sleep(1700 * time.Millisecond)
+			is.True(lead.Leading())
+		})
+	}
+}
