--- /dev/null
+++ b/berylbook/job.go
@@ -0,0 +1,226 @@
+package berylbook
+
+import (
+	"berylglade/berylwork"
+)
+
+// State is what a client sees of a job.
+type State uint8
+
+const (
+	// Pending means that no task has started.
+	Pending State = iota
+	// Running means that a task has started.
+	Running
+	// Completed means that every task has ended as done.
+	Completed
+	// Failed means that a task has failed too often.
+	Failed
+	// Cancelled means that the client cancelled the job before its end.
+	Cancelled
+)
+
+// Final reports whether the state never changes again.
+func (s State) Final() bool { return s >= Completed }
+
+// String returns the state as logs show it.
+func (s State) String() string {
+	return [...]string{"pending", "running", "completed", "failed", "cancelled"}[min(s, Cancelled)]
+}
+
+// Phase is what is known of the newest run of a task.
+type Phase uint8
+
+const (
+	// Idle means that no run exists anywhere.
+	Idle Phase = iota
+	// Ordered means that a start was recorded and may have been carried out.
+	Ordered
+	// Working means that the backend server has listed the run.
+	Working
+	// Stopping means that the run is to be stopped and may still exist.
+	Stopping
+	// Done means that the task has ended as done.
+	Done
+)
+
+// Active reports whether a run may exist.
+func (p Phase) Active() bool { return p == Ordered || p == Working || p == Stopping }
+
+// Place names one life of a backend server.
+type Place struct {
+	// Node is the VM's name; empty if there is none.
+	Node string `cbor:"n,omitempty"`
+	// Instance is the name that the backend server gave itself.
+	Instance string `cbor:"i,omitempty"`
+	// Born tells lives with the same name apart.
+	Born int64 `cbor:"b,omitempty"`
+}
+
+// Task is the progress of one task.
+type Task struct {
+	// Run is the number of the newest run; zero before the first one. It never
+	// falls.
+	Run   int   `cbor:"r,omitempty"`
+	Phase Phase `cbor:"p,omitempty"`
+	// Place is where the newest run was ordered; kept after its end.
+	Place Place `cbor:"w,omitempty"`
+	// Failures counts the runs that ended as failed.
+	Failures int `cbor:"f,omitempty"`
+	// Faulted is the newest run that was counted in Failures. The members of a
+	// gang fail together and are counted once for each run.
+	Faulted int `cbor:"d,omitempty"`
+	// Saved is the newest checkpoint; empty if there is none.
+	Saved string `cbor:"c,omitempty"`
+	// Since is when the newest run was ordered, in Unix milliseconds.
+	Since int64 `cbor:"t,omitempty"`
+}
+
+// Stop marks a run that may exist as one to be stopped.
+func (t *Task) Stop() {
+	if t.Phase == Ordered || t.Phase == Working {
+		t.Phase = Stopping
+	}
+}
+
+// Job is a job and its progress.
+type Job struct {
+	Work *berylwork.Work
+	// State is never final while a task may still be given a new run.
+	State State
+	// Cancelled is when the cancel was taken, in Unix milliseconds; zero if it
+	// was not.
+	Cancelled int64
+	// Ended is when State became final, in Unix milliseconds.
+	Ended int64
+	// Tasks is indexed by occurrence, step and index.
+	Tasks [][][]Task
+
+	// quiet is true once the job is final and none of its runs may exist.
+	quiet bool
+}
+
+// NewJob returns a job without progress.
+func NewJob(w *berylwork.Work) *Job {
+	j := &Job{Work: w, Tasks: make([][][]Task, w.Occurrences())}
+	for k := range j.Tasks {
+		j.Tasks[k] = make([][]Task, len(w.Steps))
+		for s := range w.Steps {
+			j.Tasks[k][s] = make([]Task, w.Steps[s].Count)
+		}
+	}
+	return j
+}
+
+func (j *Job) cancel(at int64) {
+	if at == 0 || j.Cancelled != 0 || j.State.Final() {
+		return
+	}
+	j.Cancelled = at
+}
+
+func (j *Job) adopt(p *Progress) {
+	if p == nil {
+		return
+	}
+	j.State = p.State
+	j.Ended = p.Ended
+	if p.Tasks != nil {
+		j.Tasks = p.Tasks
+	}
+	if p.Tasks == nil && p.State.Final() {
+		j.settle()
+	}
+}
+
+// settle marks that no run of a final job is left.
+func (j *Job) settle() {
+	j.Each(func(_ berylwork.Ref, t *Task) {
+		if t.Phase.Active() {
+			t.Phase = Idle
+		}
+	})
+}
+
+// Each calls f for every task.
+func (j *Job) Each(f func(ref berylwork.Ref, t *Task)) {
+	for k := range j.Tasks {
+		for s := range j.Tasks[k] {
+			for i := range j.Tasks[k][s] {
+				f(berylwork.Ref{Job: j.Work.ID, Occurrence: k, Step: s, Index: i}, &j.Tasks[k][s][i])
+			}
+		}
+	}
+}
+
+// Active reports whether a run of the job may exist.
+func (j *Job) Active() bool {
+	for _, steps := range j.Tasks {
+		for _, tasks := range steps {
+			for i := range tasks {
+				if tasks[i].Phase.Active() {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
+// Quiet reports whether nothing about the job changes any more.
+func (j *Job) Quiet() bool {
+	if !j.quiet {
+		j.quiet = j.State.Final() && !j.Active()
+	}
+	return j.quiet
+}
+
+// Begun reports whether a task of the job was ever ordered.
+func (j *Job) Begun() bool {
+	for _, steps := range j.Tasks {
+		for _, tasks := range steps {
+			for i := range tasks {
+				if tasks[i].Run > 0 {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
+// Shown returns the state as a client sees it.
+func (j *Job) Shown() State {
+	if j.State.Final() {
+		return j.State
+	}
+	if j.Cancelled != 0 {
+		return Cancelled
+	}
+	if j.Begun() {
+		return Running
+	}
+	return Pending
+}
+
+// Finished reports whether all tasks of a step have ended as done.
+func (j *Job) Finished(occurrence, step int) bool {
+	for i := range j.Tasks[occurrence][step] {
+		if j.Tasks[occurrence][step][i].Phase != Done {
+			return false
+		}
+	}
+	return true
+}
+
+// Complete reports whether every task has ended as done.
+func (j *Job) Complete() bool {
+	for k := range j.Tasks {
+		for s := range j.Tasks[k] {
+			if !j.Finished(k, s) {
+				return false
+			}
+		}
+	}
+	return true
+}
--- a/berylclock/clock.go
+++ b/berylclock/clock.go
@@ -2,7 +2,10 @@
 // read it once per event and pass the time on as an argument.
 package berylclock
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 // Clock returns the current time. Differences between its results are
 // monotonic; results of different processes are never compared for safety.
@@ -17,3 +20,13 @@
 func Age(now, then time.Time) time.Duration {
 	return max(now.Sub(then), now.Round(0).Sub(then.Round(0)))
 }
+
+// Pause waits and reports whether ctx has not ended meanwhile.
+func Pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
--- a/beryldirector/director.go
+++ b/beryldirector/director.go
@@ -36,8 +36,6 @@
 	// Sure is how long after the start of its last successful append a leader
 	// may take itself for the leader; below Takeover.
 	Sure time.Duration
-	// Gang is how long the first member of a gang waits for the others.
-	Gang time.Duration
 	// Kept is how long an ended job is shown.
 	Kept time.Duration
 }
--- a/beryldirector/end.go
+++ b/beryldirector/end.go
@@ -29,8 +29,8 @@
 	tasks := j.Tasks[ref.Occurrence][ref.Step]
 	for i := range tasks {
 		t := &tasks[i]
-		if t.Run == run && (t.Phase == berylbook.Ordered || t.Phase == berylbook.Working) {
-			t.Phase = berylbook.Stopping
+		if t.Run == run {
+			t.Stop()
 		}
 	}
 	d.mark(j.Work.ID)
@@ -218,11 +218,7 @@
 
 // stopJob stops all runs of a job.
 func (d *Director) stopJob(j *berylbook.Job, why string) {
-	j.Each(func(_ berylwork.Ref, t *berylbook.Task) {
-		if t.Phase == berylbook.Ordered || t.Phase == berylbook.Working {
-			t.Phase = berylbook.Stopping
-		}
-	})
+	j.Each(func(_ berylwork.Ref, t *berylbook.Task) { t.Stop() })
 	d.note("stop job", "job", j.Work.ID, "why", why)
 	d.mark(j.Work.ID)
 }
--- a/beryldirector/preempt.go
+++ b/beryldirector/preempt.go
@@ -228,9 +228,7 @@
 		tasks = tasks[ref.Index : ref.Index+1]
 	}
 	for i := range tasks {
-		if tasks[i].Phase == berylbook.Ordered || tasks[i].Phase == berylbook.Working {
-			tasks[i].Phase = berylbook.Stopping
-		}
+		tasks[i].Stop()
 	}
 	d.mark(j.Work.ID)
 }
--- /dev/null
+++ b/beryldirector/worldentry_test.go
@@ -0,0 +1,168 @@
+package beryldirector
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"berylglade/berylbook"
+)
+
+// worldEntry is an entry with its director.
+type worldEntry struct {
+	w     *world
+	name  string
+	d     *Director
+	boot  int64
+	up    bool
+	cut   bool
+	from  int
+	seq   int64
+	asked bool
+}
+
+func (e *worldEntry) reaches() bool { return e.up && !e.cut && e.w.storeUp }
+
+func (e *worldEntry) start() {
+	e.boot++
+	e.up = true
+	e.asked = false
+	e.d = New(Self{Node: e.name, Boot: e.boot, Addr: e.name}, testLimits())
+	e.d.Policy = testPolicy()
+	e.load(e.d)
+	e.read(e.d)
+	e.tick(e.d)
+}
+
+func (e *worldEntry) load(d *Director) {
+	if e.d != d {
+		return
+	}
+	if !e.reaches() {
+		e.w.after(100*time.Millisecond, func() { e.load(d) })
+		return
+	}
+	var book berylbook.Book
+	for _, r := range e.w.topic {
+		book.Apply(r)
+	}
+	e.from = len(e.w.topic)
+	d.Restore(e.w.now, book, int64(e.from))
+}
+
+// read follows the topic of the world.
+func (e *worldEntry) read(d *Director) {
+	if e.d != d || !e.up {
+		return
+	}
+	if e.reaches() {
+		records := e.w.topic[e.from:]
+		e.from = len(e.w.topic)
+		d.Read(e.w.now, records, int64(e.from))
+		e.carryOut(d)
+	}
+	e.w.after(20*time.Millisecond, func() { e.read(d) })
+}
+
+func (e *worldEntry) tick(d *Director) {
+	if e.d != d || !e.up {
+		return
+	}
+	e.carryOut(d)
+	e.w.after(50*time.Millisecond, func() { e.tick(d) })
+}
+
+func (e *worldEntry) carryOut(d *Director) {
+	d.Step(e.w.now)
+	for _, effect := range d.Effects() {
+		switch effect := effect.(type) {
+		case Claim:
+			e.w.after(e.w.hop(), func() { e.claim(effect) })
+		case Persist:
+			e.seq++
+			seq := e.seq
+			e.w.after(e.w.hop(), func() { e.persist(d, effect, seq) })
+		case Reload:
+			e.w.after(e.w.hop(), func() { e.load(d) })
+		case Probe:
+			e.probe(d, effect.Epoch)
+		case Announce:
+			e.w.announce(e)
+		case Note:
+			e.w.note("%s %s %v", e.name, effect.Text, effect.Args)
+		}
+	}
+	orders := d.Orders(e.w.now)
+	for _, node := range slices.Sorted(maps.Keys(orders)) {
+		e.w.order(e, node, orders[node])
+	}
+}
+
+func (e *worldEntry) claim(c Claim) {
+	if !e.reaches() || int64(len(e.w.topic)) != c.At || c.Claim.Epoch <= e.w.fence {
+		return
+	}
+	r, err := c.Claim.Record()
+	if err != nil {
+		e.w.t.Fatal(err)
+	}
+	e.w.fence = c.Claim.Epoch
+	e.seq = 0
+	e.w.topic = append(e.w.topic, r)
+}
+
+// persist appends once; answers are lost at times and the append is repeated.
+func (e *worldEntry) persist(d *Director, p Persist, seq int64) {
+	if e.d != d || !e.up {
+		return
+	}
+	again := func() { e.w.after(150*time.Millisecond, func() { e.persist(d, p, seq) }) }
+	if !e.reaches() {
+		again()
+		return
+	}
+	if p.Epoch < e.w.fence {
+		e.w.after(e.w.hop(), func() { e.deposed(d, p.Epoch) })
+		return
+	}
+	key := fmt.Sprint(p.Epoch, "/", seq)
+	if !e.w.seqs[key] {
+		e.w.seqs[key] = true
+		e.w.topic = append(e.w.topic, p.Records...)
+	}
+	if e.w.r.IntN(20) == 0 {
+		again()
+		return
+	}
+	e.w.after(e.w.hop(), func() {
+		if e.d == d && e.up && d.Epoch() == p.Epoch {
+			d.Committed(e.w.now)
+			e.carryOut(d)
+		}
+	})
+}
+
+func (e *worldEntry) deposed(d *Director, epoch int64) {
+	if e.d == d && e.up && d.Epoch() == epoch {
+		d.Deposed()
+		e.carryOut(d)
+	}
+}
+
+// probe gives the lead up if another entry reaches the store and this one does not.
+func (e *worldEntry) probe(d *Director, epoch int64) {
+	for _, other := range e.w.entries {
+		if other == e || !other.up || !other.reaches() || e.reaches() {
+			continue
+		}
+		e.w.after(e.w.hop(), func() {
+			if e.d != d || !e.up || !d.Yield(e.w.now, epoch) {
+				return
+			}
+			e.carryOut(d)
+			e.w.after(e.w.hop(), func() { other.d.Yielded(epoch) })
+		})
+		return
+	}
+}
--- a/berylfit/fit.go
+++ b/berylfit/fit.go
@@ -59,15 +59,10 @@
 	Present map[string]int
 	// Shun has hosts that are tried last: a run of these tasks failed there.
 	Shun map[string]bool
-	// Avoid has hosts that get none of these tasks.
-	Avoid map[string]bool
 }
 
 // May reports whether the host is a place for these tasks at all.
 func (d *Demand) May(h *Host) bool {
-	if d.Avoid[h.Node] {
-		return false
-	}
 	return d.Label == "" || slices.Contains(h.Labels, d.Label)
 }
 
--- a/berylfollower/follower.go
+++ b/berylfollower/follower.go
@@ -71,7 +71,7 @@
 		}
 		if ctx.Err() == nil && err != nil {
 			f.Handle(Failed{Err: err})
-			pause(ctx, _pause)
+			berylclock.Pause(ctx, _pause)
 		}
 	}
 }
@@ -122,7 +122,7 @@
 			return
 		case err != nil:
 			f.Handle(Failed{Err: err})
-			pause(ctx, _pause)
+			berylclock.Pause(ctx, _pause)
 			continue
 		}
 		from = max(from, r.Next)
@@ -154,13 +154,6 @@
 	return r, err
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 const (
 	_pause       = 150 * time.Millisecond
 	_pageTimeout = time.Second
--- a/berylgateway/gateway.go
+++ b/berylgateway/gateway.go
@@ -89,55 +89,6 @@
 	ctx  context.Context
 }
 
-// message is handled by the control actor.
-type message interface{ message() }
-
-type (
-	jobsEvent struct{ event berylfollower.Event }
-	policySet struct{ policy *berylpolicy.Policy }
-	reported  struct {
-		report berylreport.Report
-		reply  func(berylreport.Answer)
-	}
-	entered struct {
-		record berylstore.Record
-		reply  func(error)
-	}
-	persisted struct {
-		epoch int64
-		err   error
-	}
-	alone struct {
-		epoch int64
-		peer  string
-	}
-	yielded  struct{ epoch int64 }
-	moved    struct{ claim beryldirector.Claim }
-	ticked   struct{}
-	woken    struct{}
-	resigned struct {
-		reply func(resignation)
-	}
-)
-
-// resignation is the last append of a leader, with its number.
-type resignation struct {
-	persist beryldirector.Persist
-	seq     int64
-}
-
-func (jobsEvent) message() {}
-func (policySet) message() {}
-func (reported) message()  {}
-func (persisted) message() {}
-func (alone) message()     {}
-func (yielded) message()   {}
-func (moved) message()     {}
-func (entered) message()   {}
-func (ticked) message()    {}
-func (woken) message()     {}
-func (resigned) message()  {}
-
 // New returns a gateway that is not running.
 func New(cfg Config) *Gateway {
 	g := &Gateway{
@@ -207,64 +158,6 @@
 // Close ends Run; requests that need the store fail from then on.
 func (g *Gateway) Close() { g.stop() }
 
-// jobsEvent runs in the goroutine of the follower.
-func (g *Gateway) jobsEvent(e berylfollower.Event) {
-	now := g.cfg.Clock()
-	if f, ok := e.(berylfollower.Failed); ok {
-		g.View.Reached(now, false)
-		g.jobsOutage.failed(now, g.cfg.Log, g.cfg.TopicJobs, f.Err)
-		return
-	}
-	g.View.Reached(now, true)
-	g.jobsOutage.over(now, g.cfg.Log, g.cfg.TopicJobs)
-	switch e := e.(type) {
-	case berylfollower.Loaded:
-		g.View.Load(e.Records, e.Sent)
-	case berylfollower.Read:
-		g.View.Read(e.Records, e.Sent)
-	}
-	g.loop.Tell(jobsEvent{event: e})
-}
-
-func (g *Gateway) policyEvent(e berylfollower.Event) {
-	var err error
-	var sent time.Time
-	changed := true
-	now := g.cfg.Clock()
-	if f, ok := e.(berylfollower.Failed); ok {
-		g.policyOutage.failed(now, g.cfg.Log, g.cfg.TopicOperator, f.Err)
-		return
-	}
-	g.policyOutage.over(now, g.cfg.Log, g.cfg.TopicOperator)
-	switch e := e.(type) {
-	case berylfollower.Loaded:
-		sent = e.Sent
-		err = g.cfg.Policy.Replace(e.Records)
-	case berylfollower.Read:
-		sent = e.Sent
-		changed = len(e.Records) > 0
-		err = g.cfg.Policy.Fold(e.Records)
-	}
-	if err != nil {
-		g.cfg.Log.Error("record of the desired state is not valid; the last one stays", "err", err)
-	}
-	if !changed {
-		g.View.SetPolicy(nil, sent)
-		return
-	}
-	p := g.cfg.Policy.Current()
-	g.View.SetPolicy(p, sent)
-	if p == nil {
-		return
-	}
-	out := make([]string, 0, len(p.Out))
-	for zone := range p.Out {
-		out = append(out, zone)
-	}
-	g.cfg.Log.Info("desired state", "version", p.Version, "queues", len(p.Queues), "out", out)
-	g.loop.Tell(policySet{policy: p})
-}
-
 // handle runs in the control actor.
 func (g *Gateway) handle(now time.Time, msg message) {
 	d := g.director
--- a/berylproducer/producer.go
+++ b/berylproducer/producer.go
@@ -177,7 +177,7 @@
 			timeout = _repeatTimeout
 		}
 		p.refuseWaiting(err)
-		if !pause(ctx, _pause) {
+		if !berylclock.Pause(ctx, _pause) {
 			return berylerror.Unknown.Wrap(err, "process is stopping")
 		}
 	}
@@ -227,15 +227,6 @@
 	p.since = time.Time{}
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
 const (
 	// _maxRecords bounds one append; records of jobs are a few kilobytes.
 	_maxRecords = 200
--- a/berylregistry/registry.go
+++ b/berylregistry/registry.go
@@ -36,10 +36,7 @@
 			return
 		}
 		r.Log.Warn("address not recorded", "topic", r.Topic, "err", err)
-		select {
-		case <-ctx.Done():
-		case <-time.After(_again):
-		}
+		berylclock.Pause(ctx, _again)
 	}
 }
 
--- a/berylsite/entry.go
+++ b/berylsite/entry.go
@@ -152,7 +152,7 @@
 	return beryldirector.Limits{
 		Lost:     time.Duration(float64(k.Contact+k.Lease)*_clockSlack) + _lostMargin,
 		Takeover: _takeover, Sure: _takeover - _sureMargin,
-		Gang: s.Gang, Kept: s.Kept + _keptMargin,
+		Kept: s.Kept + _keptMargin,
 	}
 }
 
