--- a/berylgateway/gateway.go
+++ b/berylgateway/gateway.go
@@ -77,10 +77,11 @@
 	// avoided is until when no record is passed on to a leader that did not
 	// answer, in Unix milliseconds.
 	avoided atomic.Int64
-	// replies are what waits for the leader's appends. The actor owns it.
-	replies      replies
-	jobsOutage   outage
-	policyOutage outage
+	// replies are the requests that wait for the leader's appends. The actor owns
+	// it.
+	replies replies
+	// Each outage is owned by the follower of its topic.
+	jobsOutage, policyOutage outage
 	// waking is true while a message is due that lets the director look again.
 	waking bool
 	// seq numbers the appends of the current epoch. The actor owns it.
--- a/berylgateway/message.go
+++ b/berylgateway/message.go
@@ -46,23 +46,13 @@
 }
 
 func (jobsEvent) message() {}
-
 func (policySet) message() {}
-
-func (reported) message() {}
-
+func (reported) message()  {}
 func (persisted) message() {}
-
-func (alone) message() {}
-
-func (yielded) message() {}
-
-func (moved) message() {}
-
-func (entered) message() {}
-
-func (ticked) message() {}
-
-func (woken) message() {}
-
-func (resigned) message() {}
+func (alone) message()     {}
+func (yielded) message()   {}
+func (moved) message()     {}
+func (entered) message()   {}
+func (ticked) message()    {}
+func (woken) message()     {}
+func (resigned) message()  {}
