beryldirector: count on 0.7 of the slack by declared times

Cause: most urgent jobs that were late under high load had started exactly when their slack by declared times was used up; declared times are up to half too long, so the real slack was over before. Change: urgent work stops other work when 0.7 of its slack is used up.

--- a/beryldirector/place.go
+++ b/beryldirector/place.go
@@ -186,6 +186,9 @@
 	// _stopAndStart covers the stop of a run, 400 ms at most, and the start of
 	// another one.
 	_stopAndStart = 700 * time.Millisecond
+	// _slackTrust is the share of a job's slack by its declared times that is
+	// counted on: those are up to half too long.
+	_slackTrust = 0.7
 	// _guaranteePatience leaves time to stop and start within the 2.9 s in which
 	// guaranteed work has to begin.
 	_guaranteePatience = 1300 * time.Millisecond
--- a/beryldirector/preempt.go
+++ b/beryldirector/preempt.go
@@ -152,7 +152,7 @@
 // in time. Work within the account's guarantee waits for a bounded time.
 func (d *Director) preemptAfter(u *unit) time.Duration {
 	latest := u.due.Add(-time.Duration(u.chain) * time.Millisecond)
-	slack := latest.Sub(u.from) - _stopAndStart
+	slack := time.Duration(float64(latest.Sub(u.from))*_slackTrust) - _stopAndStart
 	if d.guaranteed(u) {
 		slack = min(slack, _guaranteePatience)
 	}
