beryldirector: repeat a late claim after the next read, wherever the topic ends

Cause: found on the last read of the change: a claim that was too late waited for the topic to end beyond its offset; a topic that ends below it would never be claimed by this entry again. Change: the claim is repeated after the next successful read.

--- a/beryldirector/director.go
+++ b/beryldirector/director.go
@@ -126,8 +126,8 @@
 	// yielded is the highest epoch whose leader has asked this entry to claim.
 	yielded int64
 	end     int64
-	// beyond is where the topic ends at least, as a claim below came too late.
-	beyond   int64
+	// movedAt is when a claim was found to be too late.
+	movedAt  time.Time
 	judgedAt time.Time
 
 	// version changes with each change of a task; index belongs to one version.
--- a/beryldirector/election.go
+++ b/beryldirector/election.go
@@ -71,7 +71,7 @@
 	if d.retired || d.stale || now.Sub(d.readAt) > _fresh || now.Sub(d.triedAt) < _retryClaim {
 		return
 	}
-	if d.end < d.beyond {
+	if !d.movedAt.IsZero() && !d.readAt.After(d.movedAt) {
 		return
 	}
 	c := d.Book.Claim
@@ -122,8 +122,8 @@
 
 // ClaimMoved tells that the topic did not end where the claim took it to end, so
 // that the claim can be repeated as soon as the newer records are read.
-func (d *Director) ClaimMoved(c Claim) {
-	d.beyond = c.At + 1
+func (d *Director) ClaimMoved(now time.Time) {
+	d.movedAt = now
 	d.triedAt = time.Time{}
 }
 
--- a/berylgateway/gateway.go
+++ b/berylgateway/gateway.go
@@ -183,7 +183,7 @@
 	case yielded:
 		d.Yielded(m.epoch)
 	case moved:
-		d.ClaimMoved(m.claim)
+		d.ClaimMoved(now)
 	case woken:
 		g.waking = false
 	case ticked:
@@ -273,7 +273,7 @@
 	}
 	g.cfg.Log.Info("claim sent", "epoch", c.Claim.Epoch, "at", c.At, "err", err)
 	if errors.Is(err, berylstore.ErrMoved) {
-		g.loop.Tell(moved{claim: c})
+		g.loop.Tell(moved{})
 	}
 }
 
--- a/berylgateway/message.go
+++ b/berylgateway/message.go
@@ -31,7 +31,7 @@
 		peer  string
 	}
 	yielded  struct{ epoch int64 }
-	moved    struct{ claim beryldirector.Claim }
+	moved    struct{}
 	ticked   struct{}
 	woken    struct{}
 	resigned struct {
