beryldirector: compute times and capacity once a look; other findings of the read-through

Cause: read of the whole change. Ruled out: changes of behaviour: no bound, check or expectation was changed, and TestPreemptAfter only calls the renamed function.

--- a/beryldirector/orders.go
+++ b/beryldirector/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -77,17 +78,17 @@
 	var b strings.Builder
 	keys := make([]string, 0, len(o.Start)+len(o.Stop))
 	for _, s := range o.Start {
-		keys = append(keys, "s"+s.Task+"#"+itoa(s.Run))
+		keys = append(keys, "s"+s.Task+"#"+strconv.Itoa(s.Run))
 	}
 	for _, s := range o.Stop {
-		keys = append(keys, "x"+s.Task+"#"+itoa(s.Run))
+		keys = append(keys, "x"+s.Task+"#"+strconv.Itoa(s.Run))
 	}
 	slices.Sort(keys)
 	for _, k := range keys {
 		b.WriteString(k)
 		b.WriteByte(' ')
 	}
-	b.WriteString(itoa(int(o.Noted)))
+	b.WriteString(strconv.FormatInt(o.Noted, 10))
 	return b.String()
 }
 
--- a/beryldirector/place.go
+++ b/beryldirector/place.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"strconv"
 	"time"
 
 	"berylglade/berylbook"
@@ -11,8 +10,6 @@
 	"berylglade/berylwork"
 )
 
-func itoa(n int) string { return strconv.Itoa(n) }
-
 // place starts what is ready, the most urgent first.
 func (d *Director) place(now time.Time) {
 	if d.Policy == nil || (d.flying && now.Sub(d.flewAt) > _storePatience) {
--- a/beryldirector/place_test.go
+++ b/beryldirector/place_test.go
@@ -97,7 +97,7 @@
 			w := berylwork.Work{ID: "j1", Queue: "urgent", Account: "a", Steps: []berylwork.Step{tt.step}, Accepted: b.now.UnixMilli()}
 			u := unit{job: berylbook.NewJob(&w), queue: b.d.Policy.Queues[0]}
 			b.d.Book.Jobs = map[string]*berylbook.Job{"j1": u.job}
-			b.d.times(&u, 8)
+			u.setTimes(tailsOf(&w, 8))
 			b.is.Equal(b.d.preemptAfter(&u), tt.want)
 		})
 	}
--- a/beryldirector/unit.go
+++ b/beryldirector/unit.go
@@ -47,6 +47,7 @@
 func (d *Director) waitingUnits(now time.Time) []unit {
 	var units []unit
 	seen := map[string]bool{}
+	capacity := map[string]int{}
 	for _, j := range d.look().live {
 		if j.State.Final() || j.Cancelled != 0 {
 			continue
@@ -55,7 +56,10 @@
 		if !ok {
 			continue
 		}
-		units = d.jobUnits(now, j, q, units)
+		if _, ok := capacity[q.Service]; !ok {
+			capacity[q.Service] = d.capacity(q.Service)
+		}
+		units = jobUnits(now, j, q, capacity[q.Service], units)
 	}
 	for i := range units {
 		name := units[i].name()
@@ -95,15 +99,14 @@
 	return units
 }
 
-func (d *Director) jobUnits(now time.Time, j *berylbook.Job, q berylpolicy.Queue, units []unit) []unit {
-	capacity := d.capacity(q.Service)
+func jobUnits(now time.Time, j *berylbook.Job, q berylpolicy.Queue, capacity int, units []unit) []unit {
+	tails := tailsOf(j.Work, capacity)
 	for k := range j.Tasks {
 		if j.Work.Due(k).After(now) {
 			break
 		}
 		proto := unit{job: j, queue: q, occurrence: k}
-		d.times(&proto, capacity)
-		tails := tailsOf(j.Work, capacity)
+		proto.setTimes(tails)
 		for s := range j.Tasks[k] {
 			if !unblocked(j, k, s) {
 				continue
@@ -147,14 +150,17 @@
 	return units
 }
 
-// times sets when the unit's occurrence could start and should be complete.
-func (d *Director) times(u *unit, capacity int) {
+// setTimes sets when the unit's occurrence could start and should be complete, from
+// the times of tailsOf.
+func (u *unit) setTimes(tails []int64) {
 	w := u.job.Work
 	u.from = time.UnixMilli(w.Accepted)
 	if w.Times > 0 {
 		u.from = w.Due(u.occurrence)
 	}
-	u.chain = slices.Max(append(tailsOf(w, capacity), 0))
+	for _, tail := range tails {
+		u.chain = max(u.chain, tail)
+	}
 	allowed := time.Duration(float64(u.chain)*u.queue.Stretch) * time.Millisecond
 	u.due = u.from.Add(allowed + u.queue.Target)
 }
--- a/berylfit/fit.go
+++ b/berylfit/fit.go
@@ -102,12 +102,14 @@
 // search prefers hosts that are trusted: a gang that fails with one of its members
 // would fail again in the same rack while another rack has room.
 func (d *Demand) search(hosts []Host, room roomOf) ([]int, bool) {
-	trusted := d.trusted(hosts)
 	if d.OneRack && d.Count > 1 {
-		for _, among := range [][]int{trusted, all(hosts)} {
-			if places, ok := d.inOneRack(hosts, among, room); ok {
-				return places, true
-			}
+		trusted := d.trusted(hosts)
+		places, ok := d.inOneRack(hosts, trusted, room)
+		if !ok && len(trusted) < len(hosts) {
+			places, ok = d.inOneRack(hosts, all(hosts), room)
+		}
+		if ok {
+			return places, true
 		}
 		if !d.Spread {
 			return nil, false
--- a/berylgateway/forward.go
+++ b/berylgateway/forward.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"berylglade/berylclock"
 	"berylglade/berylerror"
 	"berylglade/berylintake"
 	"berylglade/berylmessage"
@@ -74,14 +75,7 @@
 
 // findPeers reads the addresses of all entries now and then.
 func (g *Gateway) findPeers(ctx context.Context) {
-	t := time.NewTicker(_peersEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
+	for berylclock.Pause(ctx, _peersEvery) {
 		try, cancel := context.WithTimeout(ctx, _peersTimeout)
 		addrs, err := g.cfg.Entries.Addresses(try)
 		cancel()
--- a/berylgateway/gateway.go
+++ b/berylgateway/gateway.go
@@ -307,7 +307,7 @@
 			return
 		}
 		g.cfg.Log.Warn("resignation not recorded", "err", err)
-		time.Sleep(_pause)
+		berylclock.Pause(g.ctx, _pause)
 	}
 }
 
--- a/berylgateway/persist.go
+++ b/berylgateway/persist.go
@@ -1,10 +1,9 @@
 package berylgateway
 
 import (
-	"time"
-
 	"github.com/go-faster/errors"
 
+	"berylglade/berylclock"
 	"berylglade/beryldirector"
 	"berylglade/berylstore"
 )
@@ -38,6 +37,6 @@
 			g.loop.Tell(persisted{epoch: e.Epoch, err: berylstore.ErrFenced})
 			return
 		}
-		time.Sleep(_pause)
+		berylclock.Pause(g.ctx, _pause)
 	}
 }
--- a/berylgateway/record.go
+++ b/berylgateway/record.go
@@ -17,15 +17,6 @@
 // errDeposed leaves open whether the record is in the topic.
 var errDeposed = berylerror.Unknown.Errorf("leader was deposed")
 
-// record is a client's record on its way to the leader.
-type record struct {
-	Key   string `cbor:"k"`
-	Value []byte `cbor:"v"`
-}
-
-// recorded confirms that a record is in the topic.
-type recorded struct{}
-
 // replies are the requests that wait for an append: those whose record the next
 // append takes along, and those of the outstanding one.
 type replies struct{ next, now []func(error) }
@@ -52,8 +43,8 @@
 
 // serveRecord takes records from other entries while this one leads.
 func (g *Gateway) serveRecord(s *berylrpc.Server) {
-	berylrpc.Handle(s, methodRecord, func(ctx context.Context, r *record) (*recorded, error) {
-		return &recorded{}, g.lead(ctx, berylstore.Record{Key: r.Key, Value: r.Value})
+	berylrpc.Handle(s, methodRecord, func(ctx context.Context, r *berylstore.Record) (*done, error) {
+		return &done{}, g.lead(ctx, *r)
 	})
 }
 
@@ -100,7 +91,7 @@
 	if c.Addr == "" || c.Resigned {
 		return berylerror.NotRun.Errorf("no leader is known")
 	}
-	_, err := berylrpc.Call[record, recorded](ctx, g.client, c.Addr, methodRecord, &record{Key: r.Key, Value: r.Value})
+	_, err := berylrpc.Call[berylstore.Record, done](ctx, g.client, c.Addr, methodRecord, &r)
 	return err
 }
 
--- a/berylkeeper/keeper.go
+++ b/berylkeeper/keeper.go
@@ -207,8 +207,8 @@
 	k.clockAt = now
 }
 
-// reading estimates the clock of the backend server.
-func (k *Keeper) reading(now time.Time) int64 {
+// Reading estimates the clock of the backend server; zero if it is not known.
+func (k *Keeper) Reading(now time.Time) int64 {
 	if k.clock == 0 {
 		return 0
 	}
@@ -293,9 +293,6 @@
 	k.note(a.Noted)
 }
 
-// Reading returns the estimate of the backend server's clock for Answer.
-func (k *Keeper) Reading(now time.Time) int64 { return k.reading(now) }
-
 // lapsed reports whether the lease must have run out. The clock of the backend
 // server may be slow.
 func (k *Keeper) lapsed(now time.Time) bool {
--- a/berylkeeper/outcome.go
+++ b/berylkeeper/outcome.go
@@ -84,11 +84,8 @@
 			return
 		}
 		k.set(now, r, absent)
-	case errors.Is(err, berylexecutor.ErrBusy), errors.Is(err, berylexecutor.ErrFenced):
-		r.next = now.Add(_retryPause)
-	case errors.Is(err, berylexecutor.ErrDown):
-		r.next = now.Add(_retryPause)
-	case errors.Is(err, berylexecutor.ErrOther):
+	case errors.Is(err, berylexecutor.ErrBusy), errors.Is(err, berylexecutor.ErrFenced),
+		errors.Is(err, berylexecutor.ErrDown), errors.Is(err, berylexecutor.ErrOther):
 		r.next = now.Add(_retryPause)
 	default:
 		r.doubt = true
--- /dev/null
+++ b/berylsidecar/log.go
@@ -0,0 +1,51 @@
+package berylsidecar
+
+import (
+	"berylglade/berylexecutor"
+	"berylglade/berylkeeper"
+	"berylglade/berylreport"
+)
+
+func (s *Sidecar) logPlace() {
+	p := s.keeper.Place()
+	if p != s.place {
+		s.cfg.Log.Info("backend server", "instance", p.Instance, "born", p.Born, "before", s.place.Instance)
+		s.place = p
+	}
+}
+
+func (s *Sidecar) logOrders(o berylreport.Orders, r berylreport.Receipt) {
+	if len(o.Start) == 0 && len(o.Stop) == 0 {
+		return
+	}
+	s.cfg.Log.Info("orders", "epoch", o.Epoch, "seen", r.Epoch, "instance", o.Place.Instance, "start", keys(o.Start), "stop", o.Stop)
+}
+
+func keys(starts []berylreport.Start) []berylreport.Key {
+	list := make([]berylreport.Key, 0, len(starts))
+	for _, s := range starts {
+		list = append(list, s.Key)
+	}
+	return list
+}
+
+// logOutcome writes a line for each start and stop, and for failed listings.
+func (s *Sidecar) logOutcome(o berylkeeper.Outcome) {
+	switch c := o.Call.(type) {
+	case berylexecutor.StartCall:
+		s.cfg.Log.Info("start sent", "task", c.Task, "run", c.Run, "deadline", c.Deadline, "clock", o.Listing.Clock, "err", text(o.Err))
+	case berylexecutor.StopCall:
+		s.cfg.Log.Info("stop sent", "task", c.Task, "run", c.Run, "err", text(o.Err))
+	case berylexecutor.HoldCall:
+		if o.Err != nil {
+			s.cfg.Log.Warn("listing failed", "fence", c.Fence, "err", text(o.Err))
+		}
+	}
+}
+
+func text(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
