beryldirector: log the progress of runs on a server that leaves

Change: 'run on draining server' for each run at the announcement, with progress, rate and expected time; 'run over' has the last progress, its rate and the age of the listing. At most one line a run and departure.

--- a/beryldirector/end.go
+++ b/beryldirector/end.go
@@ -14,7 +14,9 @@
 // endRun makes a task idle whose newest run is known not to exist any more, although
 // no end of it was listed.
 func (d *Director) endRun(now time.Time, j *berylbook.Job, ref berylwork.Ref, t *berylbook.Task, why string) {
-	d.note("run over", "task", ref.String(), "run", t.Run, "node", t.Incarnation.Node, "why", why)
+	p := d.agents[t.Incarnation.Node].progressOf(berylreport.Key{Task: ref.String(), Run: t.Run})
+	d.note("run over", "task", ref.String(), "run", t.Run, "node", t.Incarnation.Node, "why", why,
+		"progress", p.progress, "rate", p.rate, "listed", p.listedAge(now).Milliseconds())
 	t.Phase = berylbook.Idle
 	delete(d.orderedAt, runKey{ref, t.Run})
 	d.stopGang(j, ref, t.Run)
--- a/beryldirector/progress.go
+++ b/beryldirector/progress.go
@@ -13,8 +13,8 @@
 // runProgress tracks the progress of one run, in percent, from the listings of its
 // backend server.
 type runProgress struct {
-	// firstListed is when the run was first listed.
-	firstListed time.Time
+	// firstListed is when the run was first listed, and lastListed when it last was.
+	firstListed, lastListed time.Time
 	// advancedAt is when the progress last increased, to progress.
 	advancedAt time.Time
 	progress   float64
@@ -29,6 +29,7 @@
 
 // update applies the progress of a listing.
 func (t *runProgress) update(now time.Time, progress float64) {
+	t.lastListed = now
 	if t.firstListed.IsZero() {
 		t.firstListed, t.rateFrom, t.advancedAt = now, now, now
 		t.rateBase, t.progress = progress, progress
@@ -56,6 +57,14 @@
 	return now.Sub(t.advancedAt)
 }
 
+// listedAge returns the time since the run was last listed; zero if it never was.
+func (t *runProgress) listedAge(now time.Time) time.Duration {
+	if t.lastListed.IsZero() {
+		return 0
+	}
+	return now.Sub(t.lastListed)
+}
+
 // runTime returns the run time of the whole task at the present rate, or zero if
 // the rate is unknown.
 func (t *runProgress) runTime() time.Duration {
--- a/beryldirector/report.go
+++ b/beryldirector/report.go
@@ -96,7 +96,8 @@
 			"service", r.Service, "zone", r.Zone, "labels", strings.Join(r.Labels, ","), "accelerators", r.Capacity.Accelerators)
 		a.unrecordedEnds, a.ackedEnd, a.faultScore = nil, 0, 0
 	}
-	if a.report.Draining != r.Draining {
+	drainingChanged := a.report.Draining != r.Draining
+	if drainingChanged {
 		d.note("draining", "node", r.Node, "draining", r.Draining, "remaining", r.Remaining)
 	}
 	a.report = r
@@ -131,6 +132,20 @@
 	if r.Listed && !r.Unresponsive {
 		d.stopVanished(a)
 	}
+	if drainingChanged && r.Draining {
+		d.noteRunsOnDraining(now, a)
+	}
+}
+
+// noteRunsOnDraining logs the state of each run on a backend server that leaves. Its
+// departure ends the runs that are left.
+func (d *Director) noteRunsOnDraining(now time.Time, a *agentState) {
+	r := a.report
+	d.eachActiveOn(r.Node, func(s activeTask) {
+		p := a.progressOf(berylreport.Key{Task: s.name, Run: s.task.Run})
+		d.note("run on draining server", "task", s.name, "run", s.task.Run, "node", r.Node, "remaining", r.Remaining,
+			"progress", p.progress, "rate", p.rate, "left", d.remainingTime(now, s.job, s.ref, s.task).Milliseconds())
+	})
 }
 
 func rackOf(labels []string) string {
