berylgateway: confirm the desired state through peers

What callers saw: the job was done at 22.5 to 22.6 s, and its client was told at 23.9 s, too late; the entry to which the client stayed connected answered 503, API key cannot be checked, for 5 s. Cause: the store turned this one entry away. Requests for jobs are forwarded to a peer, but keys are checked before, against a desired state that only the entry's own reads confirm. Change: an entry whose state is older than 1.5 s asks its peers, the leader first. The age that a peer gives counts from the sending of the question, so a state is never taken for fresher than it is. The view never goes back to a lower version. The readiness check still fails after 2.5 s without own reads: new connections are better served elsewhere. Ruled out: /ready, which was 503 in time; an open channel stays with its node. The fake decoder of the tests now has a desired state, as all entries do.

--- a/berylgateway/gateway.go
+++ b/berylgateway/gateway.go
@@ -124,6 +124,7 @@
 	g.serveForward(s)
 	g.serveRecord(s)
 	g.servePeerChecks(s)
+	g.servePolicy(s)
 	berylrpc.Handle(s, berylreport.MethodReport, func(ctx context.Context, r *berylreport.Report) (*berylreport.Answer, error) {
 		a, err := berylcontrol.Ask(ctx, g.loop, func(reply func(berylreport.Answer)) message {
 			return reportReceived{report: *r, reply: reply}
@@ -149,6 +150,7 @@
 		return nil
 	})
 	eg.Go(func() error { g.refreshPeers(g.ctx); return nil })
+	eg.Go(func() error { g.refreshPolicyFromPeers(g.ctx); return nil })
 	eg.Go(func() error {
 		g.loop.Every(g.ctx, _tickInterval, func() message { return tick{} })
 		return nil
--- a/berylgateway/gateway_test.go
+++ b/berylgateway/gateway_test.go
@@ -23,12 +23,12 @@
 	"berylglade/berylwork"
 )
 
-// noPolicy is a PolicyDecoder without a desired state.
-type noPolicy struct{}
+// emptyPolicy is a PolicyDecoder with a desired state of version 1.
+type emptyPolicy struct{}
 
-func (noPolicy) Replace([]berylstore.Record) error { return nil }
-func (noPolicy) Apply([]berylstore.Record) error   { return nil }
-func (noPolicy) Current() *berylpolicy.Policy      { return nil }
+func (emptyPolicy) Replace([]berylstore.Record) error { return nil }
+func (emptyPolicy) Apply([]berylstore.Record) error   { return nil }
+func (emptyPolicy) Current() *berylpolicy.Policy      { return &berylpolicy.Policy{Version: 1} }
 
 // testEntry is an entry whose access to the store can be cut off.
 type testEntry struct {
@@ -61,7 +61,7 @@
 			Limits: beryldirector.Limits{
 				LeaseExpiry: 9 * time.Second, Takeover: 2 * time.Second, LeaderLease: 1800 * time.Millisecond, Retention: time.Minute,
 			},
-			Store: store, Clock: berylclock.System(), Log: slog.New(slog.DiscardHandler), Policy: noPolicy{},
+			Store: store, Clock: berylclock.System(), Log: slog.New(slog.DiscardHandler), Policy: emptyPolicy{},
 			TopicJobs: "jobs", TopicOperator: "op", Seeds: addrs, Entries: registry, Agents: registry,
 			CountDecision: func(string) {}, ProducerName: addrs[i],
 		})
@@ -132,6 +132,35 @@
 	})
 }
 
+// Guards against an entry that refuses every request with an API key because the store
+// answers only its peers, and against one that takes an old state of a peer for fresh.
+func TestPolicyIsConfirmedByPeers(t *testing.T) {
+	tests := []struct {
+		name    string
+		all     bool
+		version int64
+		fresh   bool
+	}{
+		{name: "peers reach the store", version: 1, fresh: true},
+		{name: "peers have a newer version", version: 2, fresh: true},
+		{name: "no entry reaches the store", all: true, version: 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			entries := startEntries(t, newMemory(), 2)
+			isolated := entries[0]
+			isolated.refused.Store(true)
+			entries[1].refused.Store(tt.all)
+			entries[1].View.SetPolicy(&berylpolicy.Policy{Version: tt.version}, time.Now())
+			time.Sleep(4 * time.Second)
+			p, confirmed := isolated.View.Policy()
+			is.Equal(berylclock.Age(time.Now(), confirmed) < 2500*time.Millisecond, tt.fresh)
+			is.Equal(p.Version, tt.version)
+		})
+	}
+}
+
 // Guards against requests that are forwarded from entry to entry during an outage of
 // the store, and against a reply that leaves open whether the job was recorded.
 func TestRefusesAsNotRunDuringOutage(t *testing.T) {
--- a/berylsite/entry.go
+++ b/berylsite/entry.go
@@ -124,10 +124,13 @@
 	return front, nil
 }
 
-// ready answers the load balancer's readiness check.
+// ready answers the load balancer's readiness check. An entry that the store does not
+// answer serves through its peers, but new connections are better served there.
 func (e *entry) ready(w http.ResponseWriter, _ *http.Request) {
+	now := berylclock.System()()
 	policy, confirmed := e.gateway.View.Policy()
-	if e.shuttingDown.Load() || policy == nil || berylclock.Age(berylclock.System()(), confirmed) > _maxReadyPolicyAge {
+	stale := berylclock.Age(now, confirmed) > _maxReadyAge || e.gateway.View.ReadsFailing(now) > _maxReadyAge
+	if e.shuttingDown.Load() || policy == nil || stale {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
@@ -160,9 +163,9 @@
 const (
 	// _keyMargin covers the clock difference between the entry and the store.
 	_keyMargin = 500 * time.Millisecond
-	// _maxReadyPolicyAge is the maximum age of the desired state at which the
-	// readiness check succeeds.
-	_maxReadyPolicyAge = 2500 * time.Millisecond
+	// _maxReadyAge is the maximum age of the desired state, and the longest time
+	// without a read of the store, at which the readiness check succeeds.
+	_maxReadyAge = 2500 * time.Millisecond
 	// _balancerNoticeTime is how long the load balancer takes to notice a failed
 	// readiness check: two checks, one second apart. _drainTimeout is the time for
 	// requests that arrived until then.
--- a/berylview/view.go
+++ b/berylview/view.go
@@ -91,11 +91,17 @@
 const _maxReadGap = 1200 * time.Millisecond
 
 // SetPolicy replaces the desired state, which was confirmed at asOf. A nil
-// policy only confirms the current one.
+// policy only confirms the current one. A lower version than the current one
+// changes nothing, as it may come from the store after a peer's higher one.
 func (v *View) SetPolicy(p *berylpolicy.Policy, asOf time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.policyAt = asOf
+	if p != nil && v.policy != nil && p.Version < v.policy.Version {
+		return
+	}
+	if asOf.After(v.policyAt) {
+		v.policyAt = asOf
+	}
 	if p != nil {
 		v.policy = p
 	}
