beryldirector: repeat a rejected claim once newer records were read

Cause: the record of the job reached the topic between the claimant's read and its claim, so that the claim was rejected. The record was read before the rejection arrived; the repeat waited for a read after the rejection, and the next one returned only when its wait of 0.8 s had ended. Evidence: claim 17.3791 with end 112, rejected 17.3897, repeated 18.2002 with end 113. Change: the condition compares offsets in place of times: the topic must be known to end beyond the offset of the rejected claim. Before: the second case of TestClaimIsRepeatedAfterConflict fails with the old condition; its first case is the old test. After: both pass. Ruled out: a busy entry, a lost message (the claim is sent within 3 ms).

--- a/beryldirector/director.go
+++ b/beryldirector/director.go
@@ -144,8 +144,9 @@
 	yieldedEpoch int64
 	// topicEnd is the end of the topic as of the last read.
 	topicEnd int64
-	// conflictAt is when a claim was rejected because the topic had grown.
-	conflictAt    time.Time
+	// minClaimEnd is the least topicEnd for a claim: beyond that of the last claim
+	// that was rejected because the topic had grown.
+	minClaimEnd   int64
 	slowCheckedAt time.Time
 
 	// version is incremented with each change of a task; index is rebuilt when it
--- a/beryldirector/election.go
+++ b/beryldirector/election.go
@@ -74,7 +74,7 @@
 	if d.shuttingDown || d.stale || now.Sub(d.readAt) > _maxReadAge || now.Sub(d.claimedAt) < _claimRetryDelay {
 		return
 	}
-	if !d.conflictAt.IsZero() && !d.readAt.After(d.conflictAt) {
+	if d.topicEnd < d.minClaimEnd {
 		return
 	}
 	c := d.Book.Claim
@@ -127,9 +127,10 @@
 func (d *Director) YieldReceived(epoch int64) { d.yieldedEpoch = max(d.yieldedEpoch, epoch) }
 
 // ClaimConflict handles the rejection of a claim because the topic did not end at
-// Claim.At. The claim is repeated as soon as the newer records are read.
-func (d *Director) ClaimConflict(now time.Time) {
-	d.conflictAt = now
+// Claim.At. The claim is repeated as soon as newer records are read, or at once if
+// they were read in the meantime.
+func (d *Director) ClaimConflict(c Claim) {
+	d.minClaimEnd = c.At + 1
 	d.claimedAt = time.Time{}
 }
 
--- a/beryldirector/election_test.go
+++ b/beryldirector/election_test.go
@@ -96,29 +96,48 @@
 }
 
 // Guards against another 500 ms without a leader after a power loss because clients'
-// records reached the topic just before the claim.
+// records reached the topic just before the claim, and against another 800 ms, the
+// time until the next read, because such a record was read before the claim's
+// rejection arrived.
 func TestClaimIsRepeatedAfterConflict(t *testing.T) {
-	is := is.New(t)
-	d := New(Self{Node: "entry-1", Boot: 2, Addr: "10.0.0.9:7000"}, testLimits())
-	now := startTime()
-	claims := func() int {
-		n := 0
-		d.Step(now)
-		for _, e := range d.Effects() {
-			if c, ok := e.(Claim); ok {
-				n++
-				is.Equal(c.At, d.topicEnd)
+	tests := []struct {
+		name       string
+		readBefore bool
+	}{
+		{name: "record read after the rejection"},
+		{name: "record read before the rejection", readBefore: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			d := New(Self{Node: "entry-1", Boot: 2, Addr: "10.0.0.9:7000"}, testLimits())
+			now := startTime()
+			claims := func() []Claim {
+				var all []Claim
+				d.Step(now)
+				for _, e := range d.Effects() {
+					if c, ok := e.(Claim); ok {
+						is.Equal(c.At, d.topicEnd)
+						all = append(all, c)
+					}
+				}
+				return all
 			}
-		}
-		return n
+			d.Restore(now, berylbook.Book{Claim: berylbook.Claim{Epoch: 1, Node: "entry-1", Boot: 1}}, 7)
+			first := claims()
+			is.Equal(len(first), 1)
+			if tt.readBefore {
+				d.ApplyRecords(now, nil, 8)
+			}
+			d.ClaimConflict(first[0])
+			now = now.Add(10 * time.Millisecond)
+			if !tt.readBefore {
+				is.Equal(len(claims()), 0)
+				d.ApplyRecords(now, nil, 8)
+			}
+			is.Equal(len(claims()), 1)
+		})
 	}
-	d.Restore(now, berylbook.Book{Claim: berylbook.Claim{Epoch: 1, Node: "entry-1", Boot: 1}}, 7)
-	is.Equal(claims(), 1)
-	d.ClaimConflict(now)
-	now = now.Add(10 * time.Millisecond)
-	is.Equal(claims(), 0)
-	d.ApplyRecords(now, nil, 8)
-	is.Equal(claims(), 1)
 }
 
 // Guards against a job that is known only to a deposed leader, although its client
--- a/berylgateway/gateway.go
+++ b/berylgateway/gateway.go
@@ -191,7 +191,7 @@
 	case leadReleased:
 		d.YieldReceived(m.epoch)
 	case claimConflict:
-		d.ClaimConflict(now)
+		d.ClaimConflict(m.claim)
 	case stepDue:
 		g.stepScheduled = false
 	case tick:
@@ -282,7 +282,7 @@
 	}
 	g.cfg.Log.Info("claim sent", "epoch", c.Claim.Epoch, "at", c.At, "err", err)
 	if errors.Is(err, berylstore.ErrEndMismatch) {
-		g.loop.Tell(claimConflict{})
+		g.loop.Tell(claimConflict{claim: c})
 	}
 }
 
--- a/berylgateway/message.go
+++ b/berylgateway/message.go
@@ -42,7 +42,7 @@
 	// entry.
 	leadReleased struct{ epoch int64 }
 	// claimConflict means that a claim was refused because the topic had grown.
-	claimConflict struct{}
+	claimConflict struct{ claim beryldirector.Claim }
 	// tick is sent periodically.
 	tick struct{}
 	// stepDue triggers the scheduling pass that the director has deferred.
