beryldirector: lead with the acknowledgement of a claim

Cause: the entry led only when its read of the topic returned the claim. A follower's End is now the offset up to which it has read, in place of the end that the store gave: a claim with records still unread is rejected by the store. A claim without an answer is read back as before. Ruled out: a slow claim (acknowledged within 13 ms), a second claimant.

--- a/beryldirector/director.go
+++ b/beryldirector/director.go
@@ -142,7 +142,7 @@
 	// yieldedEpoch is the highest epoch whose leader has asked this entry to claim
 	// leadership.
 	yieldedEpoch int64
-	// topicEnd is the end of the topic as of the last read.
+	// topicEnd is the offset up to which the topic has been read.
 	topicEnd int64
 	// minClaimEnd is the least topicEnd for a claim: beyond that of the last claim
 	// that was rejected because the topic had grown.
@@ -217,8 +217,8 @@
 	d.effects = append(d.effects, Note{Text: text, Args: args})
 }
 
-// ApplyRecords applies records that were read from the topic. End is the end of the
-// topic as of that read. It is called after an empty read too, which confirms that
+// ApplyRecords applies records that were read from the topic. End is the offset up to
+// which it has been read. It is called after an empty read too, which confirms that
 // nothing has changed.
 func (d *Director) ApplyRecords(now time.Time, records []berylstore.Record, end int64) {
 	d.readAt = now
--- a/beryldirector/election_test.go
+++ b/beryldirector/election_test.go
@@ -190,3 +190,47 @@
 	other.YieldReceived(epoch)
 	h.is.True(claims())
 }
+
+// Guards against an entry that has won an election and starts no work until a read
+// returns its claim, which may take 0.8 s; and against one that leads although it has
+// not read every record before its claim or another entry has claimed since.
+func TestAcknowledgedClaimLeads(t *testing.T) {
+	tests := []struct {
+		name string
+		// other is the epoch of a claim by another entry that is read before the
+		// acknowledgement arrives; zero if there is none.
+		other int64
+		// readTo is the offset up to which the topic has been read by then.
+		readTo int64
+		leads  bool
+	}{
+		{name: "nothing read since", readTo: 7, leads: true},
+		{name: "records behind", readTo: 5},
+		{name: "later claim read", other: 3, readTo: 9},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			d := New(Self{Node: "entry-1", Boot: 2, Addr: "10.0.0.9:7000"}, testLimits())
+			now := startTime()
+			d.Restore(now, berylbook.Book{Claim: berylbook.Claim{Epoch: 1, Node: "entry-1", Boot: 1}}, tt.readTo)
+			if tt.other > 0 {
+				other := berylbook.Claim{Epoch: tt.other, Node: "entry-2", Boot: 1}
+				r, err := other.Record()
+				is.NoErr(err)
+				d.ApplyRecords(now, []berylstore.Record{r}, tt.readTo)
+			}
+			claim := berylbook.Claim{Epoch: 2, Node: "entry-1", Boot: 2, Addr: "10.0.0.9:7000"}
+			d.ClaimRecorded(now, Claim{At: 7, Claim: claim})
+			is.Equal(d.Leading(), tt.leads)
+			r, err := claim.Record()
+			is.NoErr(err)
+			d.Effects()
+			d.ApplyRecords(now, []berylstore.Record{r}, max(tt.readTo, 8))
+			if tt.leads {
+				is.Equal(d.Epoch(), int64(2))
+				is.Equal(len(d.Effects()), 0)
+			}
+		})
+	}
+}
--- a/berylfollower/follower.go
+++ b/berylfollower/follower.go
@@ -37,7 +37,8 @@
 	// appended: when the read was sent or, if it returned no records, when its wait
 	// ended.
 	AsOf time.Time
-	// End is the end of the topic at the time of the reply.
+	// End is the offset up to which the topic has been read. It is lower than the end
+	// of the topic if a reply was full.
 	End int64
 }
 
@@ -135,7 +136,7 @@
 		if len(r.Records) == 0 {
 			asOf = earlier(asOf.Add(wait), f.Clock())
 		}
-		f.Handle(Read{Records: r.Records, AsOf: asOf, End: r.End})
+		f.Handle(Read{Records: r.Records, AsOf: asOf, End: from})
 	}
 }
 
