berylgateway: read claims back at once, take no answer as the outcome

All claims have the same producer and sequence number, so the store takes the second claim of an epoch for a repetition of the first and gives both the same answer. That answer says nothing about who has won; the record in the topic does, which the old code read back for this reason. Change: ClaimRecorded is taken out again. After the answer to a claim the follower ends the wait of its read and reads at once, which is as fast.

--- a/beryldirector/election.go
+++ b/beryldirector/election.go
@@ -126,21 +126,6 @@
 // leadership in its place.
 func (d *Director) YieldReceived(epoch int64) { d.yieldedEpoch = max(d.yieldedEpoch, epoch) }
 
-// ClaimRecorded handles the acknowledgement of a claim. The entry has read every
-// record before the claim, as the topic ended at Claim.At, so it leads at once: a read
-// may return the claim only when its wait has ended.
-func (d *Director) ClaimRecorded(now time.Time, c Claim) {
-	if d.stale || d.topicEnd != c.At || d.Book.Claim.Epoch >= c.Claim.Epoch {
-		return
-	}
-	r, err := c.Claim.Record()
-	if err != nil {
-		d.note("claim can't be encoded", "err", err)
-		return
-	}
-	d.ApplyRecords(now, []berylstore.Record{r}, c.At+1)
-}
-
 // ClaimConflict handles the rejection of a claim because the topic did not end at
 // Claim.At. The claim is repeated as soon as newer records are read, or at once if
 // they were read in the meantime.
--- a/beryldirector/worldentry_test.go
+++ b/beryldirector/worldentry_test.go
@@ -79,7 +79,7 @@
 	for _, effect := range d.Effects() {
 		switch effect := effect.(type) {
 		case Claim:
-			e.w.after(e.w.latency(), func() { e.claim(d, effect) })
+			e.w.after(e.w.latency(), func() { e.claim(effect) })
 		case Persist:
 			e.seq++
 			seq := e.seq
@@ -100,8 +100,7 @@
 	}
 }
 
-// claim appends a claim. Its acknowledgement is lost at random.
-func (e *worldEntry) claim(d *Director, c Claim) {
+func (e *worldEntry) claim(c Claim) {
 	if !e.reachesStore() || int64(len(e.w.topic)) != c.At || c.Claim.Epoch <= e.w.fence {
 		return
 	}
@@ -112,15 +111,6 @@
 	e.w.fence = c.Claim.Epoch
 	e.seq = 0
 	e.w.topic = append(e.w.topic, r)
-	if e.w.r.IntN(4) == 0 {
-		return
-	}
-	e.w.after(e.w.latency(), func() {
-		if e.d == d && e.up {
-			d.ClaimRecorded(e.w.now, c)
-			e.carryOut(d)
-		}
-	})
 }
 
 // persist appends the records at most once. It repeats an append whose answer was
--- a/berylfollower/follower.go
+++ b/berylfollower/follower.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -64,11 +65,28 @@
 	reload atomic.Bool
 	// failing is true if the last read failed.
 	failing bool
+
+	mu sync.Mutex
+	// skipWait makes the next read return without waiting for a record.
+	skipWait bool
+	// cancelRead ends the read in flight; nil if there is none.
+	cancelRead context.CancelFunc
 }
 
 // Reload makes the follower load the newest records again.
 func (f *Follower) Reload() { f.reload.Store(true) }
 
+// Refresh makes the follower read the topic at once. A read that waits may miss a
+// record that is appended while it arrives at the store.
+func (f *Follower) Refresh() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.skipWait = true
+	if f.cancelRead != nil {
+		f.cancelRead()
+	}
+}
+
 // Run follows the topic until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -117,16 +135,15 @@
 func (f *Follower) follow(ctx context.Context, from int64) {
 	for ctx.Err() == nil && !f.reload.Load() {
 		asOf := f.Clock()
-		wait := f.Wait
-		if f.failing {
-			wait = 0
-		}
-		r, err := f.read(ctx, from)
+		r, wait, err := f.read(ctx, from)
 		switch {
 		case errors.Is(err, berylstore.ErrGone):
 			return
 		case err != nil && ctx.Err() != nil:
 			return
+		case errors.Is(err, context.Canceled):
+			// Refresh has ended the read.
+			continue
 		case err != nil:
 			f.Handle(Failed{Err: err})
 			berylclock.Pause(ctx, _retryDelay)
@@ -147,18 +164,40 @@
 	return b
 }
 
-// read waits for records. After a failure it doesn't wait, so that the recovery of
-// the store is noticed early: a read that hangs would notice it late.
-func (f *Follower) read(ctx context.Context, from int64) (berylstore.Read, error) {
+// read reads records and returns for how long it would have waited for the first one.
+// After a failure it doesn't wait, so that the recovery of the store is noticed early:
+// a read that hangs would notice it late.
+func (f *Follower) read(ctx context.Context, from int64) (berylstore.Read, time.Duration, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	wait, timeout := f.Wait, f.Wait+_readTimeout
-	if f.failing {
+	if f.begin(cancel) || f.failing {
 		wait, timeout = 0, _probeTimeout
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
+	ctx, stop := context.WithTimeout(ctx, timeout)
+	defer stop()
 	r, err := f.Store.Read(ctx, f.Topic, from, wait)
-	f.failing = err != nil && !errors.Is(err, berylstore.ErrGone)
-	return r, err
+	f.end()
+	f.failing = err != nil && !errors.Is(err, berylstore.ErrGone) && !errors.Is(err, context.Canceled)
+	return r, wait, err
+}
+
+// begin notes that a read is in flight, which cancel ends. It returns true if the read
+// must not wait.
+func (f *Follower) begin(cancel context.CancelFunc) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	skip := f.skipWait
+	f.skipWait = false
+	f.cancelRead = cancel
+	return skip
+}
+
+// end notes that no read is in flight.
+func (f *Follower) end() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cancelRead = nil
 }
 
 const (
--- a/berylfollower/follower_test.go
+++ b/berylfollower/follower_test.go
@@ -74,3 +74,50 @@
 	// A read after a failure does not wait, so it only confirms the time of its start.
 	is.Equal(events[4].(Read).AsOf, begin.Add(2*time.Second))
 }
+
+// waitingStore is a fake store whose reads wait in full although there is a record,
+// as a read does that reaches the store together with the append.
+type waitingStore struct {
+	scriptedStore
+	waiting chan struct{}
+}
+
+func (s *waitingStore) Read(ctx context.Context, _ string, from int64, wait time.Duration) (berylstore.Read, error) {
+	if wait > 0 {
+		select {
+		case s.waiting <- struct{}{}:
+		default:
+		}
+		select {
+		case <-ctx.Done():
+			return berylstore.Read{}, errors.Wrap(ctx.Err(), "read")
+		case <-time.After(wait):
+		}
+	}
+	return berylstore.Read{Records: []berylstore.Record{{Key: "a"}}, Next: from + 1, End: from + 1}, nil
+}
+
+// Guards against an entry that learns of its own claim only when the wait of its read
+// has ended, and against a cancelled wait that is taken for a failure of the store.
+func TestRefreshEndsTheWait(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	s := &waitingStore{waiting: make(chan struct{}, 1)}
+	read := make(chan Event, 100)
+	f := &Follower{
+		Store: s, Clock: time.Now, Topic: "t", Wait: time.Minute,
+		Handle: func(e Event) { read <- e },
+	}
+	go f.Run(ctx)
+	_, loaded := (<-read).(Loaded)
+	is.True(loaded)
+	<-s.waiting
+	f.Refresh()
+	select {
+	case e := <-read:
+		is.Equal(len(e.(Read).Records), 1)
+	case <-ctx.Done():
+		t.Fatal("no read within 5 s of the refresh")
+	}
+}
--- a/berylgateway/gateway.go
+++ b/berylgateway/gateway.go
@@ -190,8 +190,6 @@
 		}
 	case leadReleased:
 		d.YieldReceived(m.epoch)
-	case claimRecorded:
-		d.ClaimRecorded(now, m.claim)
 	case claimConflict:
 		d.ClaimConflict(m.claim)
 	case stepDue:
@@ -276,20 +274,19 @@
 	return err
 }
 
-// claim appends a claim to leadership. If its outcome is unknown, it is read back from
-// the topic.
+// claim appends a claim to leadership. The outcome is read back from the topic: the
+// store answers two entries that claim the same epoch alike, as it takes the second
+// claim for a repetition of the first.
 func (g *Gateway) claim(c beryldirector.Claim) {
 	r, err := c.Claim.Record()
 	if err == nil {
 		err = g.append(beryldirector.Persist{Epoch: c.Claim.Epoch, Records: []berylstore.Record{r}}, 0, c.At, _appendTimeout)
 	}
 	g.cfg.Log.Info("claim sent", "epoch", c.Claim.Epoch, "at", c.At, "err", err)
-	switch {
-	case err == nil:
-		g.loop.Tell(claimRecorded{claim: c})
-	case errors.Is(err, berylstore.ErrEndMismatch):
+	if errors.Is(err, berylstore.ErrEndMismatch) {
 		g.loop.Tell(claimConflict{claim: c})
 	}
+	g.jobs.Refresh()
 }
 
 func (g *Gateway) sendOrders(addr, node string, o berylreport.Orders) {
--- a/berylgateway/gateway_test.go
+++ b/berylgateway/gateway_test.go
@@ -206,6 +206,20 @@
 	is.True(m.has("/j9"))
 }
 
+// Lets two entries claim the same epoch at the same moment; the store acknowledges both
+// claims. Guards against two leaders, which start tasks twice and lose jobs.
+func TestOneOfTwoAcknowledgedClaimsLeads(t *testing.T) {
+	is := is.New(t)
+	m := newMemory()
+	m.claimants = 2
+	m.missAppends = true
+	entries := startEntries(t, m, 2)
+	for range 50 {
+		is.True(!entries[0].Leading() || !entries[1].Leading())
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
 // Guards against waiting for the takeover timeout of two seconds when only the leader
 // can't reach the store, and against a leader that resigns when no entry can.
 func TestLeaderYieldsWithoutStoreAccess(t *testing.T) {
--- a/berylgateway/memory_test.go
+++ b/berylgateway/memory_test.go
@@ -16,6 +16,16 @@
 	mu      sync.Mutex
 	records []berylstore.Record
 	epochs  map[string]int64
+	// answered has the offset of each append of the leader, by epoch and sequence
+	// number. The store takes another append with the same ones for a repetition.
+	answered map[[2]int64]int64
+	// missAppends makes each read that waits do so in full, as one does that reaches
+	// the store together with an append.
+	missAppends bool
+	// claimants is the number of entries of which a claim has to arrive before any
+	// is answered; claimed are those of which one has.
+	claimants int
+	claimed   map[*storeView]bool
 	// jobs is the number of job records that each producer has appended.
 	jobs map[string]int
 	// changed is closed and replaced at each append.
@@ -23,7 +33,7 @@
 }
 
 func newMemory() *memory {
-	return &memory{epochs: map[string]int64{}, jobs: map[string]int{}, changed: make(chan struct{})}
+	return &memory{epochs: map[string]int64{}, answered: map[[2]int64]int64{}, claimed: map[*storeView]bool{}, jobs: map[string]int{}, changed: make(chan struct{})}
 }
 
 // storeView is the store as one VM reaches it.
@@ -34,19 +44,29 @@
 }
 
 func (v *storeView) Append(_ context.Context, a berylstore.Append) (int64, error) {
+	if a.Producer == _leaderProducer && a.Seq == 0 {
+		v.awaitClaims()
+	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	key := [2]int64{a.Epoch, a.Seq}
+	first, repeated := v.answered[key]
 	switch {
 	case v.refused():
 		return 0, berylstore.ErrRejected
 	case a.Topic != "jobs":
 		return 0, nil
+	case repeated && a.Producer == _leaderProducer:
+		return first, nil
 	case a.Epoch < v.epochs[a.Producer]:
 		return 0, berylstore.ErrFenced
 	case a.ExpectedEnd >= 0 && a.ExpectedEnd != int64(len(v.records)):
 		return 0, berylstore.ErrEndMismatch
 	}
 	v.epochs[a.Producer] = a.Epoch
+	if a.Producer == _leaderProducer {
+		v.answered[key] = int64(len(v.records))
+	}
 	v.records = append(v.records, a.Records...)
 	for _, r := range a.Records {
 		if strings.HasPrefix(r.Key, "j/") {
@@ -58,9 +78,26 @@
 	return int64(len(v.records) - len(a.Records)), nil
 }
 
+// awaitClaims returns when enough entries have claimed.
+func (v *storeView) awaitClaims() {
+	for {
+		v.mu.Lock()
+		v.claimed[v] = true
+		n := len(v.claimed)
+		v.mu.Unlock()
+		if n >= v.claimants {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 func (v *storeView) Read(ctx context.Context, topic string, from int64, wait time.Duration) (berylstore.Read, error) {
 	v.mu.Lock()
 	changed := v.changed
+	if v.missAppends {
+		changed = nil
+	}
 	ready := topic == "jobs" && from < int64(len(v.records))
 	v.mu.Unlock()
 	if !ready && !v.refused() {
--- a/berylgateway/message.go
+++ b/berylgateway/message.go
@@ -41,8 +41,6 @@
 	// leadReleased means that the leader of the epoch has resigned in favour of this
 	// entry.
 	leadReleased struct{ epoch int64 }
-	// claimRecorded means that a claim was acknowledged.
-	claimRecorded struct{ claim beryldirector.Claim }
 	// claimConflict means that a claim was refused because the topic had grown.
 	claimConflict struct{ claim beryldirector.Claim }
 	// tick is sent periodically.
@@ -67,7 +65,6 @@
 func (appendFinished) message()   {}
 func (storeUnreachable) message() {}
 func (leadReleased) message()     {}
-func (claimRecorded) message()    {}
 func (claimConflict) message()    {}
 func (recordReceived) message()   {}
 func (tick) message()             {}
