--- a/beryldirector/departure.go
+++ b/beryldirector/departure.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -85,18 +84,21 @@
 // are being stopped come first, as they will need the capacity that was found for
 // them, and then the most urgent ones.
 func (d *Director) leavingUnits() []leavingUnit {
-	var units []leavingUnit
 	if d.Policy == nil {
 		return nil
 	}
-	seen := map[berylwork.Ref]int{}
-	for _, node := range slices.Sorted(maps.Keys(d.agents)) {
-		a := d.agents[node]
-		if !a.report.Draining {
-			continue
+	var nodes []string
+	for node, a := range d.agents {
+		if a.report.Draining {
+			nodes = append(nodes, node)
 		}
+	}
+	slices.Sort(nodes)
+	var units []leavingUnit
+	seen := map[berylwork.Ref]int{}
+	for _, node := range nodes {
 		d.eachActiveOn(node, func(s activeTask) {
-			u, ok := d.leavingUnitOf(s, a.leavesAt)
+			u, ok := d.leavingUnitOf(s, d.agents[node].leavesAt)
 			if !ok {
 				return
 			}
--- a/beryldirector/world_test.go
+++ b/beryldirector/world_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"berylglade/berylbook"
 	"berylglade/berylstore"
 	"berylglade/berylwork"
@@ -42,6 +44,8 @@
 	// gangs has the runs of gangs, and size the number of members of each gang.
 	gangs map[string]*worldGang
 	size  map[string]int
+	// moves counts the units that were stopped because their backend server leaves.
+	moves int
 	trace []string
 }
 
@@ -183,6 +187,27 @@
 	}
 }
 
+// departures schedules n announced departures of backend servers, most of them too
+// early for the runs to end. A new incarnation follows.
+func (w *world) departures(n int) {
+	for range n {
+		at := time.Duration(w.r.Int64N(int64(_worldFaultPeriod)))
+		notice := time.Duration(500+w.r.IntN(2500)) * time.Millisecond
+		a := w.agents[w.r.IntN(len(w.agents))]
+		w.after(at, func() {
+			s := a.server
+			w.note("%s leaves in %s", a.name, notice)
+			s.leavesAt = w.now.Add(notice)
+			w.after(notice, func() {
+				if a.server == s && s.up {
+					s.crash()
+					a.startServer()
+				}
+			})
+		})
+	}
+}
+
 func (w *world) jobs(n int) {
 	for i := range n {
 		id := "j" + strconv.Itoa(i)
@@ -257,6 +282,20 @@
 // WORLD_SEEDS sets the number of days and WORLD_SEED the first seed. After a failure,
 // the events of the day are written to the file that WORLD_TRACE names.
 func TestWorld(t *testing.T) {
+	_ = playWorlds(t, func(*world) {})
+}
+
+// TestWorldWithDepartures simulates the same days with backend servers that announce
+// that they leave. Guards against a unit that runs twice because it is moved.
+func TestWorldWithDepartures(t *testing.T) {
+	moves := playWorlds(t, func(w *world) { w.departures(12) })
+	is.New(t).True(moves > 0)
+}
+
+// playWorlds simulates the seeded days after prepare has added to their events. It
+// returns the number of units that were moved.
+func playWorlds(t *testing.T, prepare func(w *world)) int {
+	moves := 0
 	first, count := envInt("WORLD_SEED", 1), envInt("WORLD_SEEDS", 12)
 	for seed := first; seed < first+count; seed++ {
 		t.Run("seed "+strconv.Itoa(seed), func(t *testing.T) {
@@ -264,11 +303,14 @@
 			const jobs = 20
 			w.jobs(jobs)
 			w.faults(10)
+			prepare(w)
 			w.run(_worldFaultPeriod)
 			w.run(_worldRecoveryPeriod)
 			w.check(jobs)
+			moves += w.moves
 		})
 	}
+	return moves
 }
 
 func envInt(name string, fallback int) int {
--- a/beryldirector/worldagent_test.go
+++ b/beryldirector/worldagent_test.go
@@ -47,6 +47,7 @@
 		a.keeper.Heartbeat(a.w.now, berylkeeper.Heartbeat{
 			Incarnation: berylbook.Incarnation{Instance: "i-" + a.name, StartedAt: s.startedAt.UnixMilli()}, Addr: a.name, Service: "s", Zone: "z1",
 			Labels: []string{"r1-1"}, Capacity: berylroom.Resources{Millicores: 100_000, Accelerators: _worldSlots}, Seq: s.heartbeatSeq, Clock: s.clock(),
+			Draining: !s.leavesAt.IsZero(), Remaining: max(s.leavesAt.Sub(a.w.now).Milliseconds(), 0),
 		})
 		a.drive(a.keeper)
 	}
--- a/beryldirector/worldentry_test.go
+++ b/beryldirector/worldentry_test.go
@@ -91,6 +91,9 @@
 		case Announce:
 			e.w.announce(e)
 		case Note:
+			if effect.Text == "move" {
+				e.w.moves++
+			}
 			e.w.note("%s %s %v", e.name, effect.Text, effect.Args)
 		}
 	}
--- a/beryldirector/worldserver_test.go
+++ b/beryldirector/worldserver_test.go
@@ -39,11 +39,13 @@
 	startedAt    time.Time
 	up           bool
 	heartbeatSeq int64
-	fence        int64
-	deadline     int64
-	runs         map[berylreport.Key]time.Time
-	ends         []berylreport.End
-	count        int64
+	// leavesAt is when it leaves, if it has announced that; zero otherwise.
+	leavesAt time.Time
+	fence    int64
+	deadline int64
+	runs     map[berylreport.Key]time.Time
+	ends     []berylreport.End
+	count    int64
 	// lastEndBeforeExpiry is the number of the last end before the lease expired. Such
 	// ends don't count when they are acknowledged later.
 	lastEndBeforeExpiry int64
