berylentry: acknowledge a change after the view has it

Cause: the watcher of a change was answered inside the loop that applies the records, and the view was stored at the end of the message. The same holds for callers that wait for an offset and for a peer's configuration. Change: these replies are sent after the view has been stored. Before: TestChangeIsAcknowledgedAfterTheView, which reads the view inside the reply, fails (1 != 2). Ruled out: a second reader of the log; the view has one writer.

--- a/berylentry/control_test.go
+++ b/berylentry/control_test.go
@@ -156,6 +156,24 @@
 	is.Equal(request(t, e, "POST", "/v1/jobs", jobBody).err.Kind, "notrun")
 }
 
+// Guards against an operator's change that is acknowledged before the entry's own
+// view has it: the operator's next question was answered from the old one.
+func TestChangeIsAcknowledgedAfterTheView(t *testing.T) {
+	is := is.New(t)
+	_, url := startLog(t)
+	publishConfig(t, url)
+	e := startWithLog(t, "e1", url)
+	base := e.Config().Offset
+	seen := make(chan int64, 2)
+	look := func() { seen <- e.view.Load().config.Offset }
+	record := berylrecord.New(base, berylrecord.Change{By: "jo", Set: map[string]json.RawMessage{"classes/new": json.RawMessage(`{}`)}})
+	e.loop.Tell(watchChange{id: record.ID, done: t.Context().Done(), reply: func(changeResult) { look() }})
+	e.loop.Tell(awaitOffset{stream: berylrecord.StreamConfig, offset: base + 1, done: t.Context().Done(), reply: look})
+	is.NoErr(e.append(t.Context(), berylrecord.StreamConfig, record))
+	is.Equal(<-seen, base+1)
+	is.Equal(<-seen, base+1)
+}
+
 // Guards against accepting a guarantee, or a job, that the workers can never
 // hold.
 func TestImpossibleGuaranteeIsRejected(t *testing.T) {
--- a/berylentry/handle.go
+++ b/berylentry/handle.go
@@ -54,6 +54,9 @@
 	outage    outage
 	// viewStale is set when the view must be replaced.
 	viewStale bool
+	// replies are sent once the view has been replaced, as whoever gets one reads
+	// the view next.
+	replies []func()
 	// configConfirmed is set once this process has read stream config to its
 	// end and has a complete configuration.
 	configConfirmed bool
@@ -82,7 +85,7 @@
 		msg.reply(c.onConfigExchange(now, msg.request))
 	case adoptConfig:
 		c.adoptConfig(now, msg.config)
-		msg.reply()
+		c.replyLater(msg.reply)
 	case peerQuery:
 		msg.reply(c.onPeerQuery(now))
 	case peerReplies:
@@ -110,8 +113,16 @@
 		c.viewStale = false
 		c.publishView(now)
 	}
+	replies := c.replies
+	c.replies = nil
+	for _, reply := range replies {
+		reply()
+	}
 }
 
+// replyLater sends a reply after the view has been replaced.
+func (c *control) replyLater(reply func()) { c.replies = append(c.replies, reply) }
+
 // handleQuery handles the messages that do not change the state, except for
 // registering waiters.
 func (c *control) handleQuery(now time.Time, msg message) {
@@ -119,7 +130,7 @@
 	case awaitOffset:
 		r := c.readers[msg.stream]
 		r.waiters = append(r.waiters, msg)
-		r.releaseWaiters()
+		r.releaseWaiters(c.replyLater)
 	case watchChange:
 		c.watchers[msg.id] = msg
 	case findIntent:
@@ -142,7 +153,7 @@
 func (c *control) onTick(now time.Time) {
 	c.onMemberEvents(now, c.members.Tick(now))
 	for _, r := range c.readers {
-		r.releaseWaiters()
+		r.releaseWaiters(c.replyLater)
 	}
 	for id, w := range c.watchers {
 		if isClosed(w.done) {
@@ -268,7 +279,7 @@
 		r.lastReadSent = ev.Began
 		r.upto = ev.Upto
 		r.caughtUp = r.caughtUp || ev.CaughtUp()
-		r.releaseWaiters()
+		r.releaseWaiters(c.replyLater)
 	}
 }
 
@@ -294,7 +305,8 @@
 		outcome := c.merge.Apply(rec.Offset, rec.Record)
 		if w, ok := c.watchers[rec.ID]; ok {
 			delete(c.watchers, rec.ID)
-			w.reply(newChangeResult(rec.Offset, outcome))
+			result := newChangeResult(rec.Offset, outcome)
+			c.replyLater(func() { w.reply(result) })
 		}
 	}
 	c.merge.Confirm(ev.Upto)
--- a/berylentry/stream.go
+++ b/berylentry/stream.go
@@ -99,12 +99,12 @@
 
 // releaseWaiters answers the waiters whose offset has been read and drops those
 // that have been cancelled.
-func (r *reader) releaseWaiters() {
+func (r *reader) releaseWaiters(reply func(func())) {
 	pending := r.waiters[:0]
 	for _, w := range r.waiters {
 		switch {
 		case w.offset <= r.upto:
-			w.reply()
+			reply(w.reply)
 		case isClosed(w.done):
 		default:
 			pending = append(pending, w)
