beryldirector: move only what a departure harms

Cause: it moved every unit that outlasts its server. A routine run that starts again after the departure is mostly still in time, and the announced time is a minimum. In a rolling release units were moved up to three times. Change: a unit is moved if its step saves progress, since a stop saves all of it, or if its latest start is before the departure. The new cases of TestRunOutlastsItsLeavingServer fail with the old rule.

--- a/beryldirector/departure.go
+++ b/beryldirector/departure.go
@@ -28,14 +28,14 @@
 }
 
 // moveFromLeaving stops the units that can't end before one of their backend servers
-// leaves, if others have capacity for them now. The departure would end the runs
-// anyway, and the new ones would start that much later.
+// leaves, if others have capacity for them now and a new run after the departure would
+// be worse. Other units stay, as the announced time is a minimum.
 func (d *Director) moveFromLeaving(now time.Time) {
 	spare := map[string][]berylfit.Host{}
 	for _, u := range d.leavingUnits() {
 		stopping := u.stopping()
 		left := d.unitLeft(now, &u)
-		if !stopping && !outlasts(left, u.leavesAt.Sub(now)) {
+		if !stopping && (!outlasts(left, u.leavesAt.Sub(now)) || !d.worseAfterDeparture(&u)) {
 			continue
 		}
 		service := u.queue.Service
@@ -64,6 +64,12 @@
 	return time.Duration(_leftTolerance*float64(left)) > max(remaining, _lingerTime)
 }
 
+// worseAfterDeparture reports whether the departure costs more than a stop now: the
+// work since the last checkpoint, which a stop saves, or the job's due time.
+func (d *Director) worseAfterDeparture(u *leavingUnit) bool {
+	return u.job.Work.Steps[u.ref.Step].Checkpoints || u.leavesAt.After(d.latestStart(u.job, u.queue, u.ref))
+}
+
 // unitLeft returns the expected time until the unit ends; zero while one of its runs
 // has not been listed.
 func (d *Director) unitLeft(now time.Time, u *leavingUnit) time.Duration {
--- a/beryldirector/departure_test.go
+++ b/beryldirector/departure_test.go
@@ -1,6 +1,7 @@
 package beryldirector
 
 import (
+	"cmp"
 	"testing"
 	"time"
 
@@ -11,11 +12,14 @@
 
 // Announces that a backend server leaves while a task runs on it. Guards against a
 // run that is left there although it can't end before the departure, so that its job
-// is late by all the time until then.
+// is late by all the time until then; and against one that is stopped although a new
+// run after the departure does no harm.
 func TestRunOutlastsItsLeavingServer(t *testing.T) {
 	tests := []struct {
 		name string
-		step berylwork.Step
+		// queue is urgent if it is empty.
+		queue string
+		step  berylwork.Step
 		// rate is the progress of each task in percent per second.
 		rate float64
 		// listed is how long the run has been listed when the departure is
@@ -31,13 +35,16 @@
 		{name: "no capacity elsewhere", step: step(1, 1), rate: 20, listed: time.Second, full: true, want: berylbook.Working},
 		{name: "gang", step: gang(2, 1), rate: 20, listed: time.Second, want: berylbook.Stopping},
 		{name: "declared to end in time", step: step(1, 1), rate: 20, listed: 300 * time.Millisecond, want: berylbook.Working},
+		{name: "in time after the departure", queue: "routine", step: estimated(step(1, 1), 6000), rate: 10, listed: time.Second, want: berylbook.Working},
+		{name: "late after the departure", queue: "routine", step: step(1, 1), rate: 10, listed: time.Second, want: berylbook.Stopping},
+		{name: "in time, saves its progress", queue: "routine", step: saving(estimated(step(1, 1), 6000)), rate: 10, listed: time.Second, want: berylbook.Stopping},
 		{name: "declared to outlast it", step: estimated(step(1, 1), 6000), rate: 20, listed: 300 * time.Millisecond, want: berylbook.Stopping},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			h := newHarness(t)
 			h.report("n1", nil)
-			h.submit("j1", "urgent", tt.step)
+			h.submit("j1", cmp.Or(tt.queue, "urgent"), tt.step)
 			began := h.now
 			h.report("n1", listProgress(progressOfAll(tt.step.Count, 0)...))
 			if !tt.full {
@@ -85,6 +92,11 @@
 	return s
 }
 
+func saving(s berylwork.Step) berylwork.Step {
+	s.Checkpoints = true
+	return s
+}
+
 func progressOfAll(count int, progress float64) []float64 {
 	all := make([]float64, count)
 	for i := range all {
--- a/beryldirector/unit.go
+++ b/beryldirector/unit.go
@@ -118,7 +118,7 @@
 			}
 			base := proto
 			base.step = s
-			base.latestStart = proto.due.Add(-time.Duration(paths[s]) * time.Millisecond)
+			base.latestStart = proto.latestStartOf(paths, s)
 			units = appendUnits(units, base, j.Tasks[k][s])
 		}
 	}
@@ -170,6 +170,21 @@
 	u.due = u.startableAt.Add(allowed + u.queue.Target)
 }
 
+// latestStartOf returns when step s has to start so that the job is complete when it
+// is due, from the critical path of each step.
+func (u *unit) latestStartOf(paths []int64, s int) time.Time {
+	return u.due.Add(-time.Duration(paths[s]) * time.Millisecond)
+}
+
+// latestStart returns when a task's step has to start so that the job is complete when
+// it is due, if the declared times are right.
+func (d *Director) latestStart(j *berylbook.Job, q berylpolicy.Queue, ref berylwork.Ref) time.Time {
+	paths := criticalPaths(j.Work, d.capacity(q.Service))
+	u := unit{job: j, queue: q, occurrence: ref.Occurrence}
+	u.setTimes(paths)
+	return u.latestStartOf(paths, ref.Step)
+}
+
 // criticalPaths returns for each step the declared time of the longest chain of
 // steps that starts with it, in milliseconds. A step that needs more than a quarter
 // of capacity, the accelerators of the service, runs in waves.
