--- a/beryldirector/departure.go
+++ b/beryldirector/departure.go
@@ -130,8 +130,8 @@
 }
 
 // leavingUnitOf returns the unit of a task on a backend server that leaves. It returns
-// false for one that is not restarted, and for a long-running one, which no departure
-// leaves incomplete.
+// false if the job needs no further run, and for a long-running task, whose run has no
+// end that it could miss.
 func (d *Director) leavingUnitOf(s activeTask, leavesAt time.Time) (leavingUnit, bool) {
 	q, ok := d.Policy.Queue(s.job.Work.Queue)
 	if !ok || s.job.State.Final() || s.job.CancelledAt != 0 || s.job.Work.Steps[s.ref.Step].LongRunning {
