beryldirector: one function for the tasks of a unit

Three places selected a task or its whole gang: the new code for departures, the stop of a unit and the count of failures. unitTasks serves them all. The expected end of a unit that is already being stopped is no longer computed.

--- a/beryldirector/departure.go
+++ b/beryldirector/departure.go
@@ -34,9 +34,12 @@
 	spare := map[string][]berylfit.Host{}
 	for _, u := range d.leavingUnits() {
 		stopping := u.stopping()
-		left := d.unitLeft(now, &u)
-		if !stopping && (!outlasts(left, u.leavesAt.Sub(now)) || !d.worseAfterDeparture(&u)) {
-			continue
+		var left time.Duration
+		if !stopping {
+			left = d.unitLeft(now, &u)
+			if !outlasts(left, u.leavesAt.Sub(now)) || !d.worseAfterDeparture(&u) {
+				continue
+			}
 		}
 		service := u.queue.Service
 		if _, ok := spare[service]; !ok {
@@ -137,7 +140,7 @@
 	if !ok || s.job.State.Final() || s.job.CancelledAt != 0 || s.job.Work.Steps[s.ref.Step].LongRunning {
 		return leavingUnit{}, false
 	}
-	ref, tasks := unitOf(s)
+	ref, tasks := unitTasks(s.job, s.ref)
 	return leavingUnit{job: s.job, ref: ref, tasks: tasks, queue: q, leavesAt: leavesAt}, true
 }
 
@@ -148,17 +151,6 @@
 	return a
 }
 
-// unitOf returns the first task and all tasks of the unit to which a task belongs.
-func unitOf(s activeTask) (berylwork.Ref, []berylbook.Task) {
-	ref := s.ref
-	tasks := s.job.Tasks[ref.Occurrence][ref.Step]
-	if s.job.Work.Steps[ref.Step].Gang {
-		ref.Index = 0
-		return ref, tasks
-	}
-	return ref, tasks[ref.Index : ref.Index+1]
-}
-
 const (
 	// _leftTolerance is the part of the expected time of a run that is certain.
 	// Progress is in whole percent, so that a rate is exact to some 5%.
--- a/beryldirector/end.go
+++ b/beryldirector/end.go
@@ -134,10 +134,7 @@
 	if step.LongRunning {
 		return
 	}
-	tasks := j.Tasks[ref.Occurrence][ref.Step]
-	if !step.Gang {
-		tasks = tasks[ref.Index : ref.Index+1]
-	}
+	_, tasks := unitTasks(j, ref)
 	if tasks[0].LastFailedRun == run {
 		return
 	}
--- a/beryldirector/preempt.go
+++ b/beryldirector/preempt.go
@@ -230,10 +230,7 @@
 	if t == nil {
 		return
 	}
-	tasks := j.Tasks[ref.Occurrence][ref.Step]
-	if !j.Work.Steps[ref.Step].Gang {
-		tasks = tasks[ref.Index : ref.Index+1]
-	}
+	_, tasks := unitTasks(j, ref)
 	for i := range tasks {
 		tasks[i].Stop()
 	}
--- a/beryldirector/unit.go
+++ b/beryldirector/unit.go
@@ -47,6 +47,16 @@
 	return berylwork.Ref{Job: j.Work.ID, Occurrence: occurrence, Step: step, Index: index}.String()
 }
 
+// unitTasks returns the first task and all tasks of the unit to which a task belongs.
+func unitTasks(j *berylbook.Job, ref berylwork.Ref) (berylwork.Ref, []berylbook.Task) {
+	tasks := j.Tasks[ref.Occurrence][ref.Step]
+	if j.Work.Steps[ref.Step].Gang {
+		ref.Index = 0
+		return ref, tasks
+	}
+	return ref, tasks[ref.Index : ref.Index+1]
+}
+
 // pendingUnits returns the units that are ready to start, in the order in which they
 // are placed.
 func (d *Director) pendingUnits(now time.Time) []unit {
