berylbook: one record for each task

Cause: the progress of a job was one record with all its tasks. A scheduled job with 8 occurrences of 470 tasks exceeded the record limit of 256 KiB, which would have blocked the leader's appends for good.

Change: each task has a record of its own, written when it differs from what the topic has; the job's record has only its state. A job that can no longer change deletes the records of its tasks. Checkpoints alone cause no append; they go with the next one. An append is bounded to 512 KiB.

Ruled out: chunks of 8 tasks (750 bytes for each checkpoint of one task); a delta against the previous record (the newest record of each key has to suffice after a restart). Records of the earlier form are read, and written anew by a new leader. An earlier build can't read the new records, so that old and new entries must not run side by side.

Measured: TestChangeIsOneSmallRecord, one record below 256 bytes for one changed task of 3,760, where the whole record was.

--- a/berylbook/book.go
+++ b/berylbook/book.go
@@ -2,10 +2,11 @@
 // of one keyed topic in the platform's store.
 //
 // Entries append [Submission] and [Cancel] records. The leader appends
-// [Progress] records, each with the complete progress of one job, and [Claim]
-// records. Every entry applies the same records with [Book.Apply] and therefore
-// reaches the same state. A process that starts first reads the newest record
-// of each key, which gives the same result as reading the whole log.
+// [Progress] records, each with the state of one job, a record of each [Task]
+// that changes, and [Claim] records. Every entry applies the same records with
+// [Book.Apply] and therefore reaches the same state. A process that starts first
+// reads the newest record of each key, which gives the same result as reading the
+// whole log.
 package berylbook
 
 import (
@@ -23,6 +24,7 @@
 	_submissionPrefix = "j/"
 	_cancelPrefix     = "c/"
 	_progressPrefix   = "s/"
+	_taskPrefix       = "t/"
 	_leaderKey        = "leader"
 )
 
@@ -46,6 +48,7 @@
 type deferredUpdate struct {
 	cancel   int64
 	progress *Progress
+	tasks    map[berylwork.Ref]Task
 }
 
 // Apply applies one record. It returns the id of the job that changed, or an
@@ -64,6 +67,8 @@
 		return b.applyCancel(r)
 	case strings.HasPrefix(r.Key, _progressPrefix):
 		return b.applyProgress(r)
+	case strings.HasPrefix(r.Key, _taskPrefix):
+		return b.applyTask(r)
 	}
 	return ""
 }
@@ -105,6 +110,9 @@
 	if e := b.deferred[id]; e != nil {
 		delete(b.deferred, id)
 		j.cancel(e.cancel)
+		for ref, t := range e.tasks {
+			b.setTask(ref, t)
+		}
 		j.applyProgress(e.progress)
 	}
 	return id
@@ -152,6 +160,36 @@
 	return id
 }
 
+// applyTask applies the record of a task. A deleted one changes nothing, as the
+// Progress of its job says that no run of it exists.
+func (b *Book) applyTask(r berylstore.Record) string {
+	ref, ok := berylwork.ParseRef(strings.TrimPrefix(r.Key, _taskPrefix))
+	var t Task
+	if !ok || len(r.Value) == 0 || !b.decode(r, &t) {
+		return ""
+	}
+	if b.Jobs[ref.Job] == nil {
+		e := b.deferUpdate(ref.Job)
+		if e.tasks == nil {
+			e.tasks = map[berylwork.Ref]Task{}
+		}
+		e.tasks[ref] = t
+		return ""
+	}
+	b.setTask(ref, t)
+	return ref.Job
+}
+
+func (b *Book) setTask(ref berylwork.Ref, t Task) {
+	j, task := b.Task(ref)
+	if task == nil {
+		b.Undecodable++
+		return
+	}
+	*task = t
+	j.quiescent = false
+}
+
 // Task returns the task that ref names and its job. Either is nil if it does
 // not exist.
 func (b *Book) Task(ref berylwork.Ref) (*Job, *Task) {
--- a/berylbook/book_test.go
+++ b/berylbook/book_test.go
@@ -1,6 +1,7 @@
 package berylbook
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -16,17 +17,36 @@
 	j := NewJob(&work)
 	first, err := (&Submission{Work: work}).Record()
 	is.NoErr(err)
-	j.Tasks[0][0][1] = Task{Run: 3, Phase: Working, Incarnation: Incarnation{Node: "n", Instance: "i", StartedAt: 4}, Failures: 1, Checkpoint: "s"}
-	second, err := j.Record(7)
-	is.NoErr(err)
+	j.Tasks[0][0][1] = workingTask()
+	recorded := &Recorded{}
+	list := append([]berylstore.Record{first}, changes(is, j, recorded)...)
 	j.Tasks[0][0][1].Phase = Done
-	third, err := j.Record(7)
-	is.NoErr(err)
+	list = append(list, changes(is, j, recorded)...)
 	cancel, err := (&Cancel{At: 9}).Record("j1")
 	is.NoErr(err)
 	claim, err := (&Claim{Epoch: 7, Node: "e"}).Record()
 	is.NoErr(err)
-	return []berylstore.Record{first, second, third, cancel, claim}
+	return append(list, cancel, claim)
+}
+
+func workingTask() Task {
+	return Task{Run: 3, Phase: Working, Incarnation: Incarnation{Node: "n", Instance: "i", StartedAt: 4}, Failures: 1, Checkpoint: "s"}
+}
+
+func changes(is *is.I, j *Job, recorded *Recorded) []berylstore.Record {
+	list, err := j.Changes(7, recorded)
+	is.NoErr(err)
+	return list
+}
+
+// newestOf returns the newest record of each key, without deleted ones.
+func newestOf(list []berylstore.Record) []berylstore.Record {
+	newest := map[string]berylstore.Record{}
+	for _, r := range list {
+		newest[r.Key] = r
+	}
+	maps.DeleteFunc(newest, func(_ string, r berylstore.Record) bool { return len(r.Value) == 0 })
+	return slices.Collect(maps.Values(newest))
 }
 
 // Guards against a state that depends on how the records are read: the newest
@@ -38,7 +58,7 @@
 	for _, r := range records(is) {
 		all.Apply(r)
 	}
-	newest := slices.Delete(records(is), 1, 2)
+	newest := newestOf(records(is))
 	for range 20 {
 		rand.Shuffle(len(newest), func(i, j int) { newest[i], newest[j] = newest[j], newest[i] })
 		var some Book
@@ -57,7 +77,7 @@
 	is := is.New(t)
 	var b Book
 	list := records(is)
-	for _, r := range list[:2] {
+	for _, r := range list[:3] {
 		b.Apply(r)
 	}
 	b.Apply(list[0])
@@ -77,10 +97,10 @@
 	var b Book
 	list := records(is)
 	b.Apply(list[0])
-	for _, key := range []string{"j/j1", "s/j1", "c/j1", "leader", "other"} {
+	for _, key := range []string{"j/j1", "s/j1", "c/j1", "t/j1.0.0.0", "t/j1.0.0.7", "t/j1", "leader", "other"} {
 		b.Apply(berylstore.Record{Key: key, Value: []byte{0xff, 0x00}})
 	}
-	is.Equal(b.Undecodable, 3)
+	is.Equal(b.Undecodable, 5)
 	is.Equal(b.Jobs["j1"].ClientState(), Pending)
 }
 
@@ -104,3 +124,78 @@
 	is.Equal(b.Waiting("q"), 1)
 	is.Equal(b.Waiting("other"), 0)
 }
+
+// Guards against records whose size grows with the job instead of the change: each is
+// read by all entries, and a record of a scheduled job with many tasks exceeded the
+// store's limit of 256 KiB.
+func TestChangeIsOneSmallRecord(t *testing.T) {
+	const limit = 256
+	is := is.New(t)
+	j := NewJob(&berylwork.Work{ID: "j1", Steps: []berylwork.Step{{Count: 470}}, Times: 8})
+	for k := range j.Tasks {
+		for i := range j.Tasks[k][0] {
+			j.Tasks[k][0][i] = workingTask()
+		}
+	}
+	recorded := &Recorded{}
+	is.Equal(len(changes(is, j, recorded)), 8*470+1)
+	is.Equal(len(changes(is, j, recorded)), 0)
+	j.Tasks[3][0][400].Phase = Done
+	list := changes(is, j, recorded)
+	is.Equal(len(list), 1)
+	is.Equal(list[0].Key, "t/j1.3.0.400")
+	is.True(len(list[0].Value) < limit)
+}
+
+// Guards against records of tasks that remain in the topic for ever, and against a run
+// of an ended job that a late reader takes for active.
+func TestQuiescentJobDeletesItsTasks(t *testing.T) {
+	is := is.New(t)
+	work := berylwork.Work{ID: "j1", Steps: []berylwork.Step{{Count: 2}}}
+	j := NewJob(&work)
+	submission, err := (&Submission{Work: work}).Record()
+	is.NoErr(err)
+	recorded := &Recorded{}
+	j.Tasks[0][0][0] = workingTask()
+	list := append([]berylstore.Record{submission}, changes(is, j, recorded)...)
+	j.State, j.EndedAt = Failed, 9
+	j.Tasks[0][0][0].Phase = Stopping
+	list = append(list, changes(is, j, recorded)...)
+	var b Book
+	for _, r := range newestOf(list) {
+		b.Apply(r)
+	}
+	is.True(b.Jobs["j1"].State.Final())
+	is.True(b.Jobs["j1"].Active())
+	j.Tasks[0][0][0].Phase = Idle
+	list = append(list, changes(is, j, recorded)...)
+	is.Equal(len(newestOf(list)), 2)
+	// The pages of a topic are not a snapshot: the newest Progress is read first, and
+	// then older records once more.
+	var late Book
+	for _, r := range append(newestOf(list), list[1:]...) {
+		late.Apply(r)
+	}
+	is.True(late.Jobs["j1"].Quiescent())
+}
+
+// Guards against progress of an earlier version, with all tasks in one record, that is
+// lost when that record is replaced.
+func TestCombinedProgressIsRecordedAnew(t *testing.T) {
+	is := is.New(t)
+	work := berylwork.Work{ID: "j1", Steps: []berylwork.Step{{Count: 2}}}
+	submission, err := (&Submission{Work: work}).Record()
+	is.NoErr(err)
+	combined, err := record("s/j1", &Progress{Epoch: 1, Tasks: [][][]Task{{{{Run: 1, Phase: Done}, workingTask()}}}})
+	is.NoErr(err)
+	var b Book
+	b.Apply(submission)
+	b.Apply(combined)
+	j := b.Jobs["j1"]
+	list := append([]berylstore.Record{submission, combined}, changes(is, j, j.Recorded())...)
+	var after Book
+	for _, r := range newestOf(list) {
+		after.Apply(r)
+	}
+	is.Equal(after.Jobs["j1"].Tasks, b.Jobs["j1"].Tasks)
+}
--- a/berylbook/job.go
+++ b/berylbook/job.go
@@ -100,6 +100,9 @@
 
 	// quiescent caches a true result of Quiescent.
 	quiescent bool
+	// combined is true if the tasks were in the job's Progress, so that the next
+	// Progress deletes them.
+	combined bool
 }
 
 // NewJob returns a job without progress.
@@ -129,8 +132,9 @@
 	j.EndedAt = p.EndedAt
 	if p.Tasks != nil {
 		j.Tasks = p.Tasks
+		j.combined = true
 	}
-	if p.Tasks == nil && p.State.Final() {
+	if p.Tasks == nil && p.State.Final() && !p.Separate {
 		j.clearRuns()
 	}
 }
--- a/berylbook/record.go
+++ b/berylbook/record.go
@@ -19,13 +19,17 @@
 	At int64 `cbor:"a"`
 }
 
-// Progress records the complete progress of one job.
+// Progress records the state of one job.
 type Progress struct {
 	// Epoch is the epoch of the leader that wrote the record.
-	Epoch   int64      `cbor:"e"`
-	State   State      `cbor:"s,omitempty"`
-	EndedAt int64      `cbor:"n,omitempty"`
-	Tasks   [][][]Task `cbor:"t,omitempty"`
+	Epoch   int64 `cbor:"e"`
+	State   State `cbor:"s,omitempty"`
+	EndedAt int64 `cbor:"n,omitempty"`
+	// Separate means that the tasks have records of their own.
+	Separate bool `cbor:"k,omitempty"`
+	// Tasks are those of a record of an earlier version, which had all tasks. In a
+	// final state without Tasks and without Separate, no run exists.
+	Tasks [][][]Task `cbor:"t,omitempty"`
 }
 
 // Claim records which process leads. A claim with a lower epoch than the newest
@@ -52,16 +56,6 @@
 // Record returns the record of the claim.
 func (c *Claim) Record() (berylstore.Record, error) { return record(_leaderKey, c) }
 
-// Record returns the record of the job's progress, written under epoch. Once
-// the job is final and has no active run, the record omits the tasks.
-func (j *Job) Record(epoch int64) (berylstore.Record, error) {
-	p := Progress{Epoch: epoch, State: j.State, EndedAt: j.EndedAt}
-	if !j.State.Final() || j.Active() {
-		p.Tasks = j.Tasks
-	}
-	return record(_progressPrefix+j.Work.ID, &p)
-}
-
 // Tombstones returns the records that delete a job.
 func Tombstones(id string) []berylstore.Record {
 	return []berylstore.Record{{Key: _submissionPrefix + id}, {Key: _cancelPrefix + id}, {Key: _progressPrefix + id}}
@@ -72,8 +66,10 @@
 	return berylstore.Record{Key: key, Value: value}, err
 }
 
-// IsProgress reports whether r records the progress of a job.
-func IsProgress(r berylstore.Record) bool { return strings.HasPrefix(r.Key, _progressPrefix) }
+// IsProgress reports whether r records the progress of a job or of a task.
+func IsProgress(r berylstore.Record) bool {
+	return strings.HasPrefix(r.Key, _progressPrefix) || strings.HasPrefix(r.Key, _taskPrefix)
+}
 
 // IsClaim reports whether r records a claim to leadership.
 func IsClaim(r berylstore.Record) bool { return r.Key == _leaderKey }
--- a/beryldirector/director.go
+++ b/beryldirector/director.go
@@ -120,6 +120,12 @@
 	// in the append in flight.
 	dirty    map[string]bool
 	inFlight map[string]bool
+	// checkpointed has the jobs of which only checkpoints differ from the topic. They
+	// do not cause an append before the next renewal of the claim.
+	checkpointed map[string]bool
+	// recorded is the progress of each job as the topic has it, or will have after
+	// the append in flight.
+	recorded map[string]*berylbook.Recorded
 	// enqueued are clients' records that the next append includes.
 	enqueued []berylstore.Record
 	// appending is true while an append is in flight, and appendedAt is when the
@@ -192,6 +198,8 @@
 		agents:       map[string]*agentState{},
 		dirty:        map[string]bool{},
 		inFlight:     map[string]bool{},
+		checkpointed: map[string]bool{},
+		recorded:     map[string]*berylbook.Recorded{},
 		orderedAt:    map[runKey]time.Time{},
 		readySince:   map[string]time.Time{},
 		runTimeRatio: map[string]float64{},
@@ -268,6 +276,8 @@
 	j := d.Book.Jobs[id]
 	if j == nil {
 		delete(d.dirty, id)
+		delete(d.checkpointed, id)
+		delete(d.recorded, id)
 		return
 	}
 	if d.Leading() && j.CancelledAt != 0 && !j.State.Final() {
@@ -293,6 +303,8 @@
 	d.enqueued = nil
 	clear(d.dirty)
 	clear(d.inFlight)
+	clear(d.checkpointed)
+	clear(d.recorded)
 	clear(d.orderedAt)
 	clear(d.bestRunTime)
 	clear(d.restarts)
@@ -332,27 +344,60 @@
 	}
 	records := d.enqueued
 	d.enqueued = nil
-	for _, id := range slices.Sorted(maps.Keys(d.dirty)) {
+	records = d.appendChanges(records, d.dirty)
+	if renew || len(records) > 0 {
+		records = d.appendChanges(records, d.checkpointed)
+	}
+	if renew {
+		records = append(records, d.renewalRecords()...)
+		records = append(records, d.expiredJobs(now)...)
+	}
+	if len(records) == 0 {
+		return
+	}
+	d.appending = true
+	d.appendedAt = now
+	d.effects = append(d.effects, Persist{Epoch: d.epoch, Records: records})
+}
+
+// appendChanges appends the records of the changed jobs and removes these jobs from
+// changed. Jobs that exceed the size of an append remain there.
+func (d *Director) appendChanges(records []berylstore.Record, changed map[string]bool) []berylstore.Record {
+	size := recordsSize(records)
+	for _, id := range slices.Sorted(maps.Keys(changed)) {
+		if size > _maxAppendSize {
+			break
+		}
+		delete(changed, id)
 		j := d.Book.Jobs[id]
 		if j == nil {
 			continue
 		}
-		r, err := j.Record(d.epoch)
+		if d.recorded[id] == nil {
+			d.recorded[id] = &berylbook.Recorded{}
+		}
+		changes, err := j.Changes(d.epoch, d.recorded[id])
 		if err != nil {
 			d.note("progress can't be encoded", "job", id, "err", err)
 			continue
 		}
-		records = append(records, r)
+		if len(changes) == 0 {
+			continue
+		}
+		size += recordsSize(changes)
+		records = append(records, changes...)
 		d.inFlight[id] = true
 	}
-	clear(d.dirty)
-	if renew {
-		records = append(records, d.renewalRecords()...)
-		records = append(records, d.expiredJobs(now)...)
+	return records
+}
+
+// recordsSize returns the size of the records in bytes, without their headers.
+func recordsSize(records []berylstore.Record) int {
+	n := 0
+	for _, r := range records {
+		n += len(r.Key) + len(r.Value)
 	}
-	d.appending = true
-	d.appendedAt = now
-	d.effects = append(d.effects, Persist{Epoch: d.epoch, Records: records})
+	return n
 }
 
 // expiredJobs returns records that remove the jobs whose retention has ended.
@@ -414,4 +459,7 @@
 	// _maxRemovals bounds the records by which one append removes ended jobs. Those
 	// of the last job may exceed it.
 	_maxRemovals = 300
+	// _maxAppendSize is the size of an append, in bytes, from which further jobs wait
+	// for the next one. The store accepts 2 MiB, and the last job may exceed it.
+	_maxAppendSize = 512 << 10
 )
--- a/beryldirector/election.go
+++ b/beryldirector/election.go
@@ -49,12 +49,24 @@
 		d.appending = false
 		d.note("leading", "epoch", d.epoch, "jobs", len(d.Book.Jobs))
 		d.effects = append(d.effects, Announce{Epoch: d.epoch})
+		d.noteRecorded()
 		d.resumeJobs(now)
 	case !mine && d.Leading() && c.Epoch > d.epoch:
 		d.Deposed()
 	}
 }
 
+// noteRecorded notes the progress of the jobs that may still change, which is that of
+// the topic up to the claim.
+func (d *Director) noteRecorded() {
+	clear(d.recorded)
+	for _, j := range d.Book.Sorted() {
+		if !j.Quiescent() {
+			d.recorded[j.Work.ID] = j.Recorded()
+		}
+	}
+}
+
 // resumeJobs updates the jobs that changed while there was no leader.
 func (d *Director) resumeJobs(now time.Time) {
 	for _, j := range d.Book.Sorted() {
--- a/beryldirector/election_test.go
+++ b/beryldirector/election_test.go
@@ -18,13 +18,13 @@
 	h := newHarness(t)
 	h.report("n1", nil)
 	h.submit("j1", "routine", step(1, 1))
-	old, err := h.d.Book.Jobs["j1"].Record(0)
+	old, err := h.d.Book.Jobs["j1"].Changes(0, &berylbook.Recorded{})
 	h.is.NoErr(err)
 	h.holdAppends = true
 	h.report("n1", func(r *berylreport.Report) {
 		r.Ends = []berylreport.End{end(1, "j1.0.0.0", 1, berylreport.Done)}
 	})
-	h.d.ApplyRecords(h.now, []berylstore.Record{old}, h.topicEnd)
+	h.d.ApplyRecords(h.now, old, h.topicEnd)
 	h.is.Equal(h.phase("j1", 0), berylbook.Done)
 }
 
--- a/beryldirector/report.go
+++ b/beryldirector/report.go
@@ -211,7 +211,7 @@
 	}
 	if run.Checkpoint != "" && run.Checkpoint != t.Checkpoint {
 		d.saveCheckpoint(j, ref, run.Checkpoint)
-		d.markDirty(j.Work.ID)
+		d.checkpointed[j.Work.ID] = true
 	}
 }
 
