berylgateway: relay between the leader and agents that can't reach each other

Cause: with bridge_cut the failure domains of the leader and of an agent don't reach each other while a third one reaches both. Such an agent hears of the leader from every other entry, fails to reach it, and asks again; its backend server gets no orders, no end of it is known, and after nine seconds its leases lapse.

Change: an agent that the leader did not answer asks the entries to pass its reports on; the leader sends its orders the way of the report. The agent counts contact from the time at which it sent the report, so that the ages add up; epochs fence as before; a relay that was suspended passes nothing on. Every 5 s the agent tries the leader itself.

Alternatives: a leader in a zone that all reach (none may exist, and the cut moves); a relay role of its own (state that would have to be found again).

--- a/beryldirector/orders.go
+++ b/beryldirector/orders.go
@@ -99,13 +99,14 @@
 	return b.String()
 }
 
-// Addr returns the address of the agent of a node.
-func (d *Director) Addr(node string) string {
+// Addr returns the address of the agent of a node, and that of the entry that relays
+// messages to it; empty if it reports to this entry itself.
+func (d *Director) Addr(node string) (addr, via string) {
 	a := d.agents[node]
 	if a == nil {
-		return ""
+		return "", ""
 	}
-	return a.report.Addr
+	return a.report.Addr, a.report.Via
 }
 
 // _orderInterval is the minimum time between two computations of the orders.
--- a/berylgateway/gateway.go
+++ b/berylgateway/gateway.go
@@ -125,12 +125,7 @@
 	g.serveRecord(s)
 	g.servePeerChecks(s)
 	g.servePolicy(s)
-	berylrpc.Handle(s, berylreport.MethodReport, func(ctx context.Context, r *berylreport.Report) (*berylreport.Answer, error) {
-		a, err := berylcontrol.Ask(ctx, g.loop, func(reply func(berylreport.Answer)) message {
-			return reportReceived{report: *r, reply: reply}
-		})
-		return &a, err
-	})
+	g.serveReports(s)
 }
 
 // Start starts the control actor. It must be called before Run and before the first
@@ -265,7 +260,8 @@
 	}
 	g.leading.Store(g.director.Leading())
 	for node, o := range g.director.Orders(now) {
-		go g.sendOrders(g.director.Addr(node), node, o)
+		addr, via := g.director.Addr(node)
+		go g.sendOrders(addr, via, node, o)
 	}
 }
 
@@ -293,12 +289,12 @@
 	g.jobs.Refresh()
 }
 
-func (g *Gateway) sendOrders(addr, node string, o berylreport.Orders) {
+func (g *Gateway) sendOrders(addr, via, node string, o berylreport.Orders) {
 	ctx, cancel := context.WithTimeout(g.ctx, _orderTimeout)
 	defer cancel()
-	receipt, err := berylrpc.Call[berylreport.Orders, berylreport.Receipt](ctx, g.client, addr, berylreport.MethodOrders, &o)
+	receipt, err := g.deliverOrders(ctx, addr, via, o)
 	if err != nil {
-		g.cfg.Log.Warn("orders not delivered", "node", node, "epoch", o.Epoch, "start", len(o.Start), "stop", len(o.Stop), "err", err)
+		g.cfg.Log.Warn("orders not delivered", "node", node, "via", via, "epoch", o.Epoch, "start", len(o.Start), "stop", len(o.Stop), "err", err)
 		return
 	}
 	if receipt.Epoch > o.Epoch {
--- a/berylreport/report.go
+++ b/berylreport/report.go
@@ -27,6 +27,12 @@
 	Node string `cbor:"n"`
 	// Addr is the agent's address for Orders.
 	Addr string `cbor:"a"`
+	// Relay asks an entry that does not lead to pass the report on to the leader, as
+	// the agent can't reach it.
+	Relay bool `cbor:"y,omitempty"`
+	// Via is the address of the entry that has passed the report on, which also
+	// relays orders to the agent; empty if the agent has sent it to the leader.
+	Via string `cbor:"w,omitempty"`
 	// Seq increases with each report of one agent process; a report with a lower
 	// number than an earlier one is ignored.
 	Seq int64 `cbor:"q"`
--- a/berylsidecar/sidecar.go
+++ b/berylsidecar/sidecar.go
@@ -62,6 +62,13 @@
 	// leader is the address of the leader; empty while it is unknown.
 	leader    string
 	nextEntry int
+	// unreachable is the address of the leader if it did not answer, at unreachableAt;
+	// empty otherwise.
+	unreachable   string
+	unreachableAt time.Time
+	// relay is the address of the entry that relays reports to the leader; empty if
+	// none is known.
+	relay string
 	// misses is the number of reports since the last one that the leader answered.
 	misses int
 	// lastLookup is when the entries were last read from the store.
@@ -241,6 +248,9 @@
 	if now.Sub(s.lastReport) < _reportInterval && !s.keeper.Changed() {
 		return
 	}
+	if s.leader == s.relay && s.unreachable != "" && !s.relaying(now) {
+		s.leader = s.unreachable
+	}
 	addr := s.reportTarget()
 	if addr == "" {
 		s.refreshEntries(now)
@@ -250,6 +260,7 @@
 	s.reporting = true
 	s.lastReport = now
 	r := s.keeper.Report(now)
+	r.Relay = s.relaying(now)
 	sent := s.keeper.BackendClock(now)
 	ctx, cancel := context.WithTimeout(s.ctx, _reportTimeout)
 	s.cancelReport = cancel
@@ -264,6 +275,7 @@
 	}
 	s.cfg.Log.Info("leader announced", "addr", l.Leader, "epoch", l.Epoch, "before", s.leader)
 	s.leader = l.Leader
+	s.unreachable, s.relay = "", ""
 	s.misses = 0
 	s.lastReport = now.Add(-_reportInterval)
 	if s.reporting {
@@ -313,10 +325,12 @@
 		}
 		s.leader = m.addr
 		s.misses = 0
+		s.noteRelay(m.addr, m.answer.Leader)
 		return
 	}
 	s.misses++
-	if m.answer.Leader != "" && m.answer.Leader != m.addr && m.answer.Epoch >= s.keeper.Epoch() {
+	known := m.answer.Leader != "" && m.answer.Leader != m.addr && m.answer.Epoch >= s.keeper.Epoch()
+	if known && !(s.relaying(now) && m.answer.Leader == s.unreachable) {
 		s.leader = m.answer.Leader
 		s.lastReport = now.Add(-_reportInterval)
 		return
@@ -324,11 +338,38 @@
 	s.tryNextEntry(now)
 }
 
+// relaying reports whether reports are to be relayed, because the leader did not answer
+// this agent lately. It may answer others: two failure domains can be cut off from each
+// other while a third one reaches both.
+func (s *Sidecar) relaying(now time.Time) bool {
+	return s.unreachable != "" && now.Sub(s.unreachableAt) < _directInterval
+}
+
+// noteRelay notes that the leader has answered a report that was sent to addr.
+func (s *Sidecar) noteRelay(addr, leader string) {
+	if addr == leader || s.unreachable == "" {
+		s.unreachable, s.relay = "", ""
+		return
+	}
+	s.relay = addr
+}
+
 func (s *Sidecar) leaderUnreachable(now time.Time, addr string, err error) {
 	if s.leader != "" {
 		s.cfg.Log.Warn("leader not reached", "addr", addr, "err", err)
 	}
 	s.misses++
+	switch {
+	case addr == s.relay:
+		s.relay = ""
+	case addr == s.leader:
+		s.unreachable, s.unreachableAt = addr, now
+	}
+	if s.relay != "" {
+		s.leader = s.relay
+		s.lastReport = now.Add(-_reportInterval)
+		return
+	}
 	s.tryNextEntry(now)
 }
 
@@ -370,8 +411,11 @@
 	_reportInterval    = 500 * time.Millisecond
 	_minReportInterval = 5 * time.Millisecond
 	// _nextEntryDelay is the delay before the next entry is tried.
-	_nextEntryDelay    = 100 * time.Millisecond
-	_reportTimeout     = 700 * time.Millisecond
+	_nextEntryDelay = 100 * time.Millisecond
+	_reportTimeout  = 700 * time.Millisecond
+	// _directInterval is how long reports are relayed before one is sent to the leader
+	// itself again. That one may take _reportTimeout, during which there is no contact.
+	_directInterval    = 5 * time.Second
 	_minLookupInterval = time.Second
 	_lookupTimeout     = time.Second
 	// _missesBeforeLookup is the number of reports without an answer of the leader
