berylentry: answer requests on idle connections while stopping

Change: a stopping entry serves on for 0.5 s and closes each connection with its reply, as berylsite does already, and only then shuts the server down.

Before: TestGracefulStopAnswersOnIdleConnections fails without the wait (EOF on the second request). After: it passes, with the other tests of the package.

--- a/berylentry/control_test.go
+++ b/berylentry/control_test.go
@@ -1,8 +1,12 @@
 package berylentry
 
 import (
+	"bufio"
 	"encoding/json"
 	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -306,6 +310,43 @@
 	is.True(starts(1))
 }
 
+// A caller sends a request on an idle connection when the entry has begun to stop.
+// Guards against a connection that is closed with the request on its way.
+func TestGracefulStopAnswersOnIdleConnections(t *testing.T) {
+	is := is.New(t)
+	s := testSettings("e1")
+	s.Log = "http://127.0.0.1:1"
+	s.Drain = berylduration.Duration(5 * time.Second)
+	e, stop := startStoppable(t, s, nil)
+	offerConfig(t, e, testConfig())
+	var d net.Dialer
+	conn, err := d.DialContext(t.Context(), "tcp", e.HTTPAddr)
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	r := bufio.NewReader(conn)
+	exchange := func() *http.Response {
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+e.HTTPAddr+"/v1/config", nil)
+		is.NoErr(err)
+		is.NoErr(req.Write(conn))
+		resp, err := http.ReadResponse(r, req)
+		is.NoErr(err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		is.NoErr(err)
+		is.NoErr(resp.Body.Close())
+		return resp
+	}
+	is.True(!exchange().Close)
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		stop()
+	}()
+	<-e.stopping
+	time.Sleep(_closeTime / 5)
+	is.True(exchange().Close)
+	<-stopped
+}
+
 // Guards against a planned stop that interrupts a call in progress, or that
 // leaves the entry ready for new ones.
 func TestGracefulStopFinishesCalls(t *testing.T) {
--- a/berylentry/entry.go
+++ b/berylentry/entry.go
@@ -218,7 +218,7 @@
 // itself.
 func (e *Entry) server() *http.Server {
 	return &http.Server{
-		Handler:           berylapi.New(e, e.settings.Operators),
+		Handler:           e.closeWhileStopping(berylapi.New(e, e.settings.Operators)),
 		ReadHeaderTimeout: _headerTimeout,
 		ReadTimeout:       _readTimeout,
 		IdleTimeout:       _idleTimeout,
@@ -226,6 +226,20 @@
 	}
 }
 
+// closeWhileStopping asks callers to close their connections while the entry stops.
+func (e *Entry) closeWhileStopping(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-e.stopping:
+			w.Header().Set("Connection", "close")
+		default:
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// shutdown serves on until callers have closed the connections that they use, as the
+// server closes idle connections at once, also if a request is on its way there.
 func (e *Entry) shutdown(srv *http.Server) error {
 	klog.InfoS("entry stops", "name", e.settings.Name)
 	close(e.stopping)
@@ -237,6 +251,7 @@
 	defer cancel()
 	var wg sync.WaitGroup
 	wg.Go(e.handOver)
+	berylclock.Pause(ctx, min(_closeTime, drain/2))
 	err := srv.Shutdown(ctx)
 	wg.Wait()
 	if err != nil {
@@ -244,3 +259,7 @@
 	}
 	return nil
 }
+
+// _closeTime is how long a stopping entry goes on to serve. Callers in steady use send
+// another request within it, whose reply closes the connection.
+const _closeTime = 500 * time.Millisecond
