berylkeeper: a restarted agent denies no run that an earlier process may have started

All processes are killed at 34 s. The new leader knows of a run from the record of its start only and orders it again; the restarted agent, whose backend server was draining, answered at once that the run did not exist (34.755 s, side-hardwick-west-2), and the task was started elsewhere while its first run went on until 36.8 s.

Change: a start that arrives at an agent whose backend server lived before it is treated as perhaps sent by an earlier process: it exists if the listing has it, otherwise it is stopped, and absent only in a later listing.

Ruled out: recording that a run was listed (a record for each start; the agent would still be wrong between start and record).

--- a/berylkeeper/calls.go
+++ b/berylkeeper/calls.go
@@ -70,6 +70,12 @@
 	}
 	switch r.phase {
 	case starting:
+		if k.heartbeat.Draining && k.listed {
+			// The listing does not have it, but an earlier process may have sent a start
+			// that is carried out late, so it is stopped first.
+			k.setPhase(now, r, stopping)
+			return k.runCall(now, r)
+		}
 		lease := k.lease(now)
 		if lease == 0 || !k.listed || k.unverified || k.strays {
 			return IssuedCall{}, false
--- a/berylkeeper/keeper.go
+++ b/berylkeeper/keeper.go
@@ -13,6 +13,7 @@
 package berylkeeper
 
 import (
+	"slices"
 	"time"
 
 	"berylglade/berylbook"
@@ -111,11 +112,14 @@
 	// heartbeatAt is when heartbeat arrived.
 	heartbeatAt time.Time
 	known       bool
-	fence       int64
-	epoch       int64
-	runs        map[berylreport.Key]*run
-	listing     berylexecutor.Listing
-	listed      bool
+	// inherited is true if an earlier process of this agent may have sent starts to
+	// this incarnation.
+	inherited bool
+	fence     int64
+	epoch     int64
+	runs      map[berylreport.Key]*run
+	listing   berylexecutor.Listing
+	listed    bool
 	// pastEnds has the unacknowledged ends of the previous incarnation, as the
 	// leader may not have received them.
 	pastEnds berylreport.PastEnds
@@ -188,6 +192,7 @@
 		return false
 	}
 	if !same {
+		k.inherited = !k.known && b.Seq > _firstHeartbeat
 		k.resetIncarnation()
 	}
 	if b.Draining != k.heartbeat.Draining || !same {
@@ -268,9 +273,13 @@
 	if k.runs[s.Key] != nil {
 		return
 	}
-	r := &run{start: s, phase: starting, changedAt: now}
+	r := &run{start: s, phase: starting, unconfirmed: k.inherited, changedAt: now}
 	k.runs[s.Key] = r
-	if k.heartbeat.Draining {
+	switch {
+	case k.exists(s.Key):
+		// An earlier process of this agent has started it.
+		r.phase = accepted
+	case k.heartbeat.Draining && !r.unconfirmed:
 		// The leader ordered this start before it learned that the backend server is
 		// draining.
 		r.phase = absent
@@ -278,6 +287,11 @@
 	}
 }
 
+// exists reports whether the last listing has the run.
+func (k *Keeper) exists(key berylreport.Key) bool {
+	return slices.ContainsFunc(k.listing.Runs, func(r berylreport.Run) bool { return r.Key == key })
+}
+
 func (k *Keeper) applyStop(now time.Time, key berylreport.Key) {
 	r := k.runs[key]
 	if r == nil {
@@ -377,6 +391,8 @@
 }
 
 const (
+	// _firstHeartbeat is the number of the first heartbeat of an incarnation.
+	_firstHeartbeat = 1
 	// _startValidity limits how late a start may be carried out. Starts that are
 	// delivered late arrive two seconds or more after they were sent.
 	_startValidity = 1800 * time.Millisecond
--- a/berylkeeper/outcome.go
+++ b/berylkeeper/outcome.go
@@ -188,6 +188,9 @@
 		r := k.runs[key]
 		if listed[key] || ended[key] {
 			r.listed = true
+			if r.phase == starting && !r.inFlight {
+				r.phase = accepted
+			}
 		}
 		if r.phase != stopped || o.Seq <= r.stopSeq {
 			continue
