berylgateway: bound the reads of all entries together

Change: all entries together read at most 500 times a second, so that the interval is 2 ms for each entry: 6 ms with three entries, 110 ms with 55. A request about a job that is not known still reads at once.

--- a/berylfollower/follower.go
+++ b/berylfollower/follower.go
@@ -60,9 +60,9 @@
 	Topic string
 	// Wait is how long a read waits for a new record.
 	Wait time.Duration
-	// Interval is the minimum time between two reads that return records. The leader
-	// appends many times a second, and each entry reads each append.
-	Interval time.Duration
+	// Interval returns the minimum time between two reads that return records; nil means
+	// none. The leader appends many times a second, and each entry reads each append.
+	Interval func() time.Duration
 	// Handle is called for each event, one at a time.
 	Handle func(e Event)
 
@@ -176,10 +176,13 @@
 
 // pause waits for Interval. Refresh ends it.
 func (f *Follower) pause(ctx context.Context) {
+	if f.Interval == nil {
+		return
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if f.setWait(cancel) {
-		berylclock.Pause(ctx, f.Interval)
+		berylclock.Pause(ctx, f.Interval())
 		f.clearWait()
 	}
 }
--- a/berylfollower/follower_test.go
+++ b/berylfollower/follower_test.go
@@ -115,7 +115,7 @@
 	}
 	read := make(chan Event, 10)
 	f := &Follower{
-		Store: s, Clock: time.Now, Topic: "t", Wait: time.Millisecond, Interval: time.Minute,
+		Store: s, Clock: time.Now, Topic: "t", Wait: time.Millisecond, Interval: func() time.Duration { return time.Minute },
 		Handle: func(e Event) { read <- e },
 	}
 	go f.Run(ctx)
--- a/berylgateway/gateway.go
+++ b/berylgateway/gateway.go
@@ -111,7 +111,7 @@
 	}
 	g.ctx, g.stop = context.WithCancel(context.Background())
 	g.jobs = &berylfollower.Follower{
-		Store: cfg.Store, Clock: cfg.Clock, Topic: cfg.TopicJobs, Wait: _jobsReadWait, Interval: _jobsReadInterval, Handle: g.onJobsEvent,
+		Store: cfg.Store, Clock: cfg.Clock, Topic: cfg.TopicJobs, Wait: _jobsReadWait, Interval: g.jobsReadInterval, Handle: g.onJobsEvent,
 	}
 	g.operator = &berylfollower.Follower{
 		Store: cfg.Store, Clock: cfg.Clock, Topic: cfg.TopicOperator, Wait: _policyReadWait, Handle: g.onPolicyEvent,
@@ -159,6 +159,12 @@
 	_ = eg.Wait()
 }
 
+// jobsReadInterval returns the interval at which each of the known entries may read the
+// jobs' topic.
+func (g *Gateway) jobsReadInterval() time.Duration {
+	return time.Duration(len(*g.peers.Load())) * time.Second / _jobsReadsPerSecond
+}
+
 // Close ends Run. Afterwards, requests that need the store fail.
 func (g *Gateway) Close() { g.stop() }
 
@@ -334,10 +340,11 @@
 	// when the desired state is older than a few seconds.
 	_jobsReadWait   = 800 * time.Millisecond
 	_policyReadWait = 800 * time.Millisecond
-	// _jobsReadInterval limits the reads of all entries together while the leader
-	// appends with every event. A state that a client waits for is read at once.
-	_jobsReadInterval = 50 * time.Millisecond
-	_tickInterval     = 100 * time.Millisecond
+	// _jobsReadsPerSecond limits the reads of all entries together while the leader
+	// appends with every event. The store serves some thousand calls a second, and a
+	// state that a client waits for is read at once.
+	_jobsReadsPerSecond = 500
+	_tickInterval       = 100 * time.Millisecond
 	// _stepDelay is slightly above the director's minimum interval between two
 	// scheduling passes.
 	_stepDelay = 22 * time.Millisecond
