--- a/berylbook/book.go
+++ b/berylbook/book.go
@@ -104,6 +104,10 @@
 	if !b.decode(r, &s) {
 		return ""
 	}
+	if s.Work.ID != id || s.Work.Validate() != nil {
+		b.Undecodable++
+		return ""
+	}
 	j := NewJob(&s.Work)
 	b.Jobs[id] = j
 	b.unsorted = true
--- a/berylbook/book_test.go
+++ b/berylbook/book_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"berylglade/berylroom"
 	"berylglade/berylstore"
 	"berylglade/berylwork"
 )
@@ -125,6 +126,52 @@
 	is.Equal(b.Waiting("other"), 0)
 }
 
+// Guards against a record that ends every process that reads it, at each restart again:
+// one with a negative or a huge number of tasks, with a dependency on a step that does
+// not exist, or with the tasks of another job.
+func TestInvalidJobsAreIgnored(t *testing.T) {
+	tests := []struct {
+		name string
+		work berylwork.Work
+	}{
+		{name: "no steps", work: berylwork.Work{}},
+		{name: "negative count", work: berylwork.Work{Steps: []berylwork.Step{{Count: -1}}}},
+		{name: "huge count", work: berylwork.Work{Steps: []berylwork.Step{{Count: 1 << 40}}}},
+		{name: "huge number of occurrences", work: berylwork.Work{Times: 1 << 40, Steps: []berylwork.Step{{Count: 1}}}},
+		{name: "many in total", work: berylwork.Work{Times: 100, Steps: []berylwork.Step{{Count: 10_000}}}},
+		{name: "later step", work: berylwork.Work{Steps: []berylwork.Step{{Count: 1, After: []int{3}}}}},
+		{name: "negative accelerators", work: berylwork.Work{Steps: []berylwork.Step{{Count: 1, Need: berylroom.Resources{Accelerators: -8}}}}},
+		{name: "other id", work: berylwork.Work{ID: "j2", Steps: []berylwork.Step{{Count: 1}}}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			if tt.work.ID == "" {
+				tt.work.ID = "j1"
+			}
+			r, err := record("j/j1", &Submission{Work: tt.work})
+			is.NoErr(err)
+			var b Book
+			is.Equal(b.Apply(r), "")
+			is.Equal(b.Undecodable, 1)
+			is.Equal(len(b.Jobs), 0)
+		})
+	}
+	t.Run("tasks of another job", func(t *testing.T) {
+		is := is.New(t)
+		work := berylwork.Work{ID: "j1", Steps: []berylwork.Step{{Count: 2}, {Count: 1}}}
+		submission, err := (&Submission{Work: work}).Record()
+		is.NoErr(err)
+		other, err := record("s/j1", &Progress{Epoch: 1, State: Running, Tasks: [][][]Task{{{{Run: 1, Phase: Done}}}}})
+		is.NoErr(err)
+		var b Book
+		b.Apply(submission)
+		b.Apply(other)
+		is.Equal(len(b.Jobs["j1"].Tasks[0][0]), 2)
+		is.Equal(len(b.Jobs["j1"].Tasks[0][1]), 1)
+	})
+}
+
 // Guards against records whose size grows with the job instead of the change: each is
 // read by all entries, and a record of a scheduled job with many tasks exceeded the
 // store's limit of 256 KiB.
--- a/berylbook/job.go
+++ b/berylbook/job.go
@@ -1,6 +1,8 @@
 package berylbook
 
 import (
+	"slices"
+
 	"berylglade/berylwork"
 )
 
@@ -130,7 +132,7 @@
 	}
 	j.State = p.State
 	j.EndedAt = p.EndedAt
-	if p.Tasks != nil {
+	if j.sameShape(p.Tasks) {
 		j.Tasks = p.Tasks
 		j.combined = true
 	}
@@ -139,6 +141,12 @@
 	}
 }
 
+// sameShape reports whether tasks has those of all occurrences and steps.
+func (j *Job) sameShape(tasks [][][]Task) bool {
+	same := func(a, b []Task) bool { return len(a) == len(b) }
+	return slices.EqualFunc(j.Tasks, tasks, func(a, b [][]Task) bool { return slices.EqualFunc(a, b, same) })
+}
+
 // clearRuns marks all active runs of a final job as ended.
 func (j *Job) clearRuns() {
 	j.Each(func(_ berylwork.Ref, t *Task) {
--- a/berylgateway/gateway.go
+++ b/berylgateway/gateway.go
@@ -170,6 +170,7 @@
 
 // handle runs in the control actor.
 func (g *Gateway) handle(now time.Time, msg message) {
+	defer g.restartDirector(msg)
 	d := g.director
 	switch m := msg.(type) {
 	case jobsEvent:
--- a/berylgateway/gateway_test.go
+++ b/berylgateway/gateway_test.go
@@ -240,6 +240,28 @@
 	}
 }
 
+// Guards against an event that ends the process of the leader, and then those of its
+// successors, and against a director that decides with partly changed state.
+func TestPanicEndsOnlyTheLead(t *testing.T) {
+	is := is.New(t)
+	m := newMemory()
+	entries := startEntries(t, m, 2)
+	lead := leader(entries)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	is.Equal(lead.Intake.Serve(ctx, submit("j1")), berylintake.Reply{})
+	lead.loop.Tell(resignRequested{reply: func(resignation) { panic("malformed") }})
+	await(t, time.Second, "the end of the lead", func() bool { return !lead.Leading() })
+	await(t, 4*time.Second, "a leader", func() bool { return leader(entries) != nil })
+	is.Equal(lead.Intake.Serve(ctx, submit("j2")), berylintake.Reply{})
+	for _, e := range entries {
+		for _, id := range []string{"j1", "j2"} {
+			reply := e.Intake.Serve(ctx, berylintake.Request{Verb: berylintake.State, ID: id})
+			is.Equal(reply.Kind, berylerror.Kind(0))
+		}
+	}
+}
+
 // Guards against waiting for the takeover timeout of two seconds when only the leader
 // can't reach the store, and against a leader that resigns when no entry can.
 func TestLeaderYieldsWithoutStoreAccess(t *testing.T) {
--- a/berylgateway/message.go
+++ b/berylgateway/message.go
@@ -1,6 +1,9 @@
 package berylgateway
 
 import (
+	"fmt"
+	"runtime/debug"
+
 	"berylglade/beryldirector"
 	"berylglade/berylfollower"
 	"berylglade/berylpolicy"
@@ -53,6 +56,28 @@
 	}
 )
 
+// restartDirector replaces the director after a panic, whose state may be partly
+// changed, with one that has to read the jobs again and does not lead. The process and
+// its requests go on. It has to be deferred.
+func (g *Gateway) restartDirector(msg message) {
+	r := recover()
+	if r == nil {
+		return
+	}
+	g.cfg.CountDecision("panic")
+	g.cfg.Log.Error("event panicked; reading the jobs again", "event", fmt.Sprintf("%T", msg), "epoch", g.director.Epoch(),
+		"panic", fmt.Sprint(r), "stack", string(debug.Stack()))
+	policy := g.director.Policy
+	g.director = beryldirector.New(g.cfg.Self, g.cfg.Limits)
+	g.director.Policy = policy
+	g.director.Deposed()
+	g.leading.Store(false)
+	g.stepScheduled = false
+	g.pendingReplies.appendSent()
+	g.pendingReplies.resolve(errDeposed)
+	g.jobs.Reload()
+}
+
 // resignation is the last append of a leader with its sequence number.
 type resignation struct {
 	persist beryldirector.Persist
--- a/berylrpc/rpc_test.go
+++ b/berylrpc/rpc_test.go
@@ -65,6 +65,27 @@
 	}
 }
 
+// Guards against a malformed message that ends the whole process because the function
+// that handles it panics.
+func TestPanicFailsOnlyItsCall(t *testing.T) {
+	is := is.New(t)
+	addr := serve(t, func(_ context.Context, req *berylmessage.Tombstone) (*berylmessage.TombstoneReply, error) {
+		if req.Call == "malformed" {
+			panic("index out of range")
+		}
+		return &berylmessage.TombstoneReply{Confirmed: true}, nil
+	})
+	c := NewClient()
+	defer func() { _ = c.Close() }()
+	call := func(name string) error {
+		_, err := Call[berylmessage.Tombstone, berylmessage.TombstoneReply](
+			context.Background(), c, addr, berylmessage.MethodTombstone, &berylmessage.Tombstone{Call: name})
+		return err
+	}
+	is.Equal(berylerror.Of(call("malformed")), berylerror.Internal)
+	is.NoErr(call("c"))
+}
+
 // Guards against reporting "not run" for a request that was sent, and "unknown"
 // for one that was not.
 func TestCallTransportFailures(t *testing.T) {
--- a/berylrpc/server.go
+++ b/berylrpc/server.go
@@ -9,7 +9,10 @@
 
 import (
 	"context"
+	"fmt"
+	"log/slog"
 	"net"
+	"runtime/debug"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -40,6 +43,10 @@
 
 // Server serves registered functions.
 type Server struct {
+	// Log receives an error for each call whose function has panicked; slog.Default if
+	// nil.
+	Log *slog.Logger
+
 	handlers map[berylmessage.Method]handler
 }
 
@@ -77,12 +84,28 @@
 	if !ok {
 		return withCode(berylerror.Invalid.Errorf("unknown method %q", rpc))
 	}
-	if err := h(stream.Context(), stream); err != nil {
+	if err := s.call(h, stream, rpc); err != nil {
 		return withCode(err)
 	}
 	return stream.CloseSend()
 }
 
+// call runs a registered function. If it panics, only this call fails: a message of one
+// peer must not end the process.
+func (s *Server) call(h handler, stream drpc.Stream, rpc string) (err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			err = berylerror.Internal.Errorf("%s panicked: %v", rpc, r)
+			log := s.Log
+			if log == nil {
+				log = slog.Default()
+			}
+			log.Error("call panicked", "method", rpc, "panic", fmt.Sprint(r), "stack", string(debug.Stack()))
+		}
+	}()
+	return h(stream.Context(), stream)
+}
+
 // withCode attaches the kind of err as the error code that drpc transmits.
 func withCode(err error) error {
 	return drpcerr.WithCode(err, uint64(berylerror.Of(err)))
