beryldirector: take over after one second from a leader whose process is gone

Cause: after the loss of a leader nobody led for 2.0 to 2.5 s, on every site.

Change: an entry that has read nothing of the leader for 0.65 s asks it whether it leads. After two checks without a yes the takeover timeout is 1 s instead of 2 s. A leader that is only cut off from this entry is fenced by the claim; as it may go on to extend leases until its leader lease ends, the successor counts contact with silent backend servers from then. Delays of claims also count from the end of an outage, and an entry on a small VM that led before does not claim at once.

Alternatives: a shorter timeout for all (a slow store makes a live leader silent for 1.1 s); a vote of entries (no better evidence, and another protocol).

Before: TestTakeoverFromUnreachableLeader and TestSmallEntryWaitsAfterOutage fail; TestEarlyTakeoverCountsTheEarlierLeaderLease fails with the time of the election. After: they pass.

--- a/beryldirector/director.go
+++ b/beryldirector/director.go
@@ -84,6 +84,14 @@
 	Epoch int64
 }
 
+// CheckLeader asks the entry to find out whether the leader of Epoch at Addr still
+// leads, as it has written nothing for some time. If not, or if it does not answer, the
+// entry calls [Director.LeaderUnreachable].
+type CheckLeader struct {
+	Epoch int64
+	Addr  string
+}
+
 // Note is a log line about a decision. Text is also a value of a metric label.
 type Note struct {
 	Text string
@@ -91,12 +99,13 @@
 	Args []any
 }
 
-func (Persist) effect()  {}
-func (Claim) effect()    {}
-func (Reload) effect()   {}
-func (Announce) effect() {}
-func (Probe) effect()    {}
-func (Note) effect()     {}
+func (Persist) effect()     {}
+func (Claim) effect()       {}
+func (Reload) effect()      {}
+func (Announce) effect()    {}
+func (Probe) effect()       {}
+func (CheckLeader) effect() {}
+func (Note) effect()        {}
 
 // Director is the state machine. It is not safe for concurrent use.
 type Director struct {
@@ -136,11 +145,23 @@
 	// or claim was started.
 	leaseFrom time.Time
 	electedAt time.Time
+	// earlierLeaseEnd is when the leader lease of every earlier leader has ended: until
+	// then it may have extended leases of backend servers. It is not before electedAt.
+	earlierLeaseEnd time.Time
+	// earlierLeaderSeenAt is when the last record of another leader was read, or when
+	// the Book was restored.
+	earlierLeaderSeenAt time.Time
 	// leaderSeenAt is when the last record of the current leader was read, or when
 	// the Book was restored.
 	leaderSeenAt time.Time
-	// readAt is the time of the last successful read of the topic.
-	readAt time.Time
+	// readAt is the time of the last successful read of the topic, and readSince that of
+	// the first one since reads failed for longer than _maxReadAge.
+	readAt    time.Time
+	readSince time.Time
+	// checkedAt is when the leader was last checked. failedChecks are the checks that
+	// have failed since it last wrote a record.
+	checkedAt    time.Time
+	failedChecks int
 	// claimedAt is when this entry last claimed leadership; zero if the claim may
 	// be repeated at once.
 	claimedAt time.Time
@@ -234,7 +255,7 @@
 // which it has been read. It is called after an empty read too, which confirms that
 // nothing has changed.
 func (d *Director) ApplyRecords(now time.Time, records []berylstore.Record, end int64) {
-	d.readAt = now
+	d.noteRead(now)
 	d.ApplyBacklog(now, records, end)
 }
 
@@ -254,7 +275,7 @@
 		before := d.Book.Claim
 		id := d.Book.Apply(r)
 		if d.Book.Claim != before || d.writtenByLeader(r) {
-			d.leaderSeenAt = now
+			d.noteLeader(now)
 		}
 		if d.Book.Claim != before {
 			d.claimChanged(now)
@@ -265,6 +286,23 @@
 	}
 }
 
+// noteRead notes a read that has reached the end of the topic.
+func (d *Director) noteRead(now time.Time) {
+	if now.Sub(d.readAt) > _maxReadAge {
+		d.readSince = now
+	}
+	d.readAt = now
+}
+
+// noteLeader notes a record of the leader, which may be this entry.
+func (d *Director) noteLeader(now time.Time) {
+	d.leaderSeenAt = now
+	d.failedChecks = 0
+	if !d.leads(d.Book.Claim) {
+		d.earlierLeaderSeenAt = now
+	}
+}
+
 // EnqueueRecord applies a client's record and includes it in the next append,
 // together with the decisions that follow from it. It returns false if this entry
 // holds no leader lease; the caller then has to append the record itself. A slow
@@ -332,8 +370,9 @@
 	d.index = nil
 	d.stale = false
 	d.topicEnd = end
-	d.readAt = now
+	d.noteRead(now)
 	d.leaderSeenAt = now
+	d.earlierLeaderSeenAt = now
 }
 
 func (d *Director) markDirty(id string) {
--- a/beryldirector/election.go
+++ b/beryldirector/election.go
@@ -28,6 +28,15 @@
 	_smallCores = 0.3
 	// _claimSlots is the number of different delays.
 	_claimSlots = 5
+	// _checkAfter is the silence of the leader from which it is checked, every
+	// _checkInterval. An idle leader writes every 0.6 s.
+	_checkAfter    = 650 * time.Millisecond
+	_checkInterval = 150 * time.Millisecond
+	// _earlyTakeover is how long a leader may be silent that does not answer this entry
+	// either, after _checksBeforeTakeover checks. The store may take 250 ms for its
+	// append and for the read of it.
+	_earlyTakeover        = time.Second
+	_checksBeforeTakeover = 2
 )
 
 // writtenByLeader reports whether r is a claim or a job's progress. Only the leader
@@ -39,12 +48,13 @@
 // claimChanged handles a new claim in the topic.
 func (d *Director) claimChanged(now time.Time) {
 	c := d.Book.Claim
-	mine := c.Node == d.Self.Node && c.Boot == d.Self.Boot
+	mine := d.leads(c)
 	switch {
 	case mine && !c.Resigned && c.Epoch > d.epoch:
 		d.epoch = c.Epoch
 		d.index = nil
 		d.electedAt = now
+		d.earlierLeaseEnd = later(now, d.earlierLeaderSeenAt.Add(d.Limits.LeaderLease))
 		d.leaseFrom = d.claimedAt
 		d.appendedAt = now
 		d.appending = false
@@ -57,6 +67,18 @@
 	}
 }
 
+// leads reports whether the claim is that of this process.
+func (d *Director) leads(c berylbook.Claim) bool {
+	return c.Node == d.Self.Node && c.Boot == d.Self.Boot
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // noteRecorded notes the progress of the jobs that may still change, which is that of
 // the topic up to the claim.
 func (d *Director) noteRecorded() {
@@ -91,19 +113,10 @@
 		return
 	}
 	c := d.Book.Claim
-	wait := d.claimDelay(c.Epoch)
-	if c.Epoch > 0 && !c.Resigned && c.Node != d.Self.Node {
-		wait += d.Limits.Takeover
-	}
-	if c.Node == d.Self.Node && c.Boot != d.Self.Boot {
-		// An earlier process of this entry led. The new epoch fences its orders,
-		// as it would those of another entry.
-		wait = 0
-	}
-	if c.Epoch > 0 && c.Epoch == d.yieldedEpoch {
-		wait = 0
-	}
-	if now.Sub(d.leaderSeenAt) < wait {
+	wait := d.claimWait(now, c)
+	if now.Sub(d.leaderSeenAt) < wait || now.Sub(d.readSince) < min(wait, d.claimDelay(c.Epoch)) {
+		// After an outage of the store the leader has been silent for all entries, and
+		// only the delay as of its end orders them.
 		return
 	}
 	d.claimedAt = now
@@ -113,6 +126,53 @@
 	}})
 }
 
+// claimWait returns how long after the last record of the leader of claim c this entry
+// claims leadership.
+func (d *Director) claimWait(now time.Time, c berylbook.Claim) time.Duration {
+	switch {
+	case c.Epoch > 0 && c.Epoch == d.yieldedEpoch:
+		return 0
+	case c.Node == d.Self.Node && c.Boot != d.Self.Boot && !d.small():
+		// An earlier process of this entry led. The new epoch fences its orders, as it
+		// would those of another entry.
+		return 0
+	case c.Epoch == 0 || c.Resigned || c.Node == d.Self.Node:
+		return d.claimDelay(c.Epoch)
+	default:
+		d.checkLeader(now, c)
+		return d.takeover() + d.claimDelay(c.Epoch)
+	}
+}
+
+// small reports whether the VM has less CPU than the leader of many agents needs.
+func (d *Director) small() bool { return d.Self.Cores > 0 && d.Self.Cores < _smallCores }
+
+// takeover returns how long the leader may be silent. A leader whose process is gone
+// need not be waited for: a claim fences one that is alive, and its successor takes the
+// leases that it may have extended into account.
+func (d *Director) takeover() time.Duration {
+	if d.failedChecks >= _checksBeforeTakeover {
+		return min(_earlyTakeover, d.Limits.Takeover)
+	}
+	return d.Limits.Takeover
+}
+
+// checkLeader requests a check of the leader that has been silent for some time.
+func (d *Director) checkLeader(now time.Time, c berylbook.Claim) {
+	if now.Sub(d.leaderSeenAt) < _checkAfter || now.Sub(d.checkedAt) < _checkInterval {
+		return
+	}
+	d.checkedAt = now
+	d.effects = append(d.effects, CheckLeader{Epoch: c.Epoch, Addr: c.Addr})
+}
+
+// LeaderUnreachable handles the failure of a check of the leader of epoch.
+func (d *Director) LeaderUnreachable(epoch int64) {
+	if d.Book.Claim.Epoch == epoch {
+		d.failedChecks++
+	}
+}
+
 // probe requests a Probe when an append has had no answer for some time.
 func (d *Director) probe(now time.Time) {
 	if !d.appending || now.Sub(d.appendedAt) < _probeAfter || now.Sub(d.probedAt) < _probeInterval {
@@ -153,7 +213,7 @@
 func (d *Director) claimDelay(epoch int64) time.Duration {
 	h := xxhash.Sum64String(d.Self.Node + "/" + strconv.FormatInt(epoch, 10))
 	delay := time.Duration(h%_claimSlots) * _claimSpacing
-	if d.Self.Cores > 0 && d.Self.Cores < _smallCores {
+	if d.small() {
 		delay += _claimSlots * _claimSpacing
 	}
 	return delay
--- a/beryldirector/election_test.go
+++ b/beryldirector/election_test.go
@@ -190,3 +190,139 @@
 	other.YieldReceived(epoch)
 	h.is.True(claims())
 }
+
+// follower returns a Director that has read a claim of entry-2 and a run ordered by it,
+// and when.
+func follower(t *testing.T) (*Director, time.Time) {
+	is := is.New(t)
+	d := New(Self{Node: "entry-1", Boot: 1, Addr: "10.0.0.9:7000"}, testLimits())
+	d.Policy = testPolicy()
+	now := startTime()
+	d.Restore(now, berylbook.Book{}, 0)
+	claim := berylbook.Claim{Epoch: 1, Node: "entry-2", Boot: 1, Addr: "10.0.0.8:7000"}
+	elected, err := claim.Record()
+	is.NoErr(err)
+	work := berylwork.Work{ID: "j1", Queue: "routine", Steps: []berylwork.Step{step(1, 1)}}
+	submission, err := (&berylbook.Submission{Work: work}).Record()
+	is.NoErr(err)
+	j := berylbook.NewJob(&work)
+	j.Tasks[0][0][0] = berylbook.Task{Run: 1, Phase: berylbook.Ordered, Incarnation: incarnation("n1")}
+	started, err := j.Changes(1, &berylbook.Recorded{})
+	is.NoErr(err)
+	// The entry has read the topic for longer than any delay of a claim.
+	for range 40 {
+		now = now.Add(50 * time.Millisecond)
+		d.ApplyRecords(now, nil, 0)
+	}
+	d.ApplyRecords(now, append([]berylstore.Record{elected, submission}, started...), 4)
+	d.Effects()
+	return d, now
+}
+
+// Guards against two seconds without a leader although its process is gone, and against
+// a takeover from a leader that answers, or that one check did not reach.
+func TestTakeoverFromUnreachableLeader(t *testing.T) {
+	const latest = 1600 * time.Millisecond
+	tests := []struct {
+		name   string
+		failed int
+		want   bool
+	}{
+		{name: "leader answers"},
+		{name: "one check failed", failed: 1},
+		{name: "two checks failed", failed: 2, want: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			d, seen := follower(t)
+			failed, claims := 0, 0
+			for now := seen; now.Sub(seen) < latest; now = now.Add(50 * time.Millisecond) {
+				d.ApplyRecords(now, nil, 4)
+				d.Step(now)
+				for _, e := range d.Effects() {
+					switch e := e.(type) {
+					case CheckLeader:
+						is.True(now.Sub(seen) >= _checkAfter)
+						is.Equal(e, CheckLeader{Epoch: 1, Addr: "10.0.0.8:7000"})
+						if failed < tt.failed {
+							failed++
+							d.LeaderUnreachable(e.Epoch)
+						}
+					case Claim:
+						is.True(now.Sub(seen) >= _earlyTakeover)
+						claims++
+					}
+				}
+			}
+			is.Equal(claims > 0, tt.want)
+		})
+	}
+}
+
+// The earlier leader is only cut off from this entry and goes on to extend leases until
+// its leader lease ends. Guards against a run that is given up while its lease, extended
+// meanwhile, is still valid: its task would run twice at the same time.
+func TestEarlyTakeoverCountsTheEarlierLeaderLease(t *testing.T) {
+	is := is.New(t)
+	d, seen := follower(t)
+	now := seen.Add(_earlyTakeover)
+	claim := berylbook.Claim{Epoch: 2, Node: "entry-1", Boot: 1, Addr: "10.0.0.9:7000"}
+	r, err := claim.Record()
+	is.NoErr(err)
+	d.claimedAt = now
+	d.ApplyRecords(now, []berylstore.Record{r}, 5)
+	is.True(d.Leading())
+	leaseEnd := seen.Add(testLimits().LeaderLease).Add(testLimits().LeaseExpiry)
+	for now.Before(leaseEnd) {
+		is.Equal(d.Book.Jobs["j1"].Tasks[0][0][0].Phase.Active(), true)
+		now = now.Add(50 * time.Millisecond)
+		d.ApplyRecords(now, nil, 5)
+		d.Step(now)
+		for _, e := range d.Effects() {
+			if _, ok := e.(Persist); ok {
+				d.Committed(now)
+			}
+		}
+	}
+	for range 40 {
+		now = now.Add(50 * time.Millisecond)
+		d.Step(now)
+	}
+	is.True(d.Book.Jobs["j1"].Tasks[0][0][0].Run == 1 && !d.Book.Jobs["j1"].Tasks[0][0][0].Phase.Active())
+}
+
+// The store was away for all entries for longer than the takeover timeout. Guards against
+// a lead that goes to an entry on a small VM: the delays had all passed before the end of
+// the outage, so that the first claim won.
+func TestSmallEntryWaitsAfterOutage(t *testing.T) {
+	is := is.New(t)
+	tests := []struct {
+		name  string
+		cores float64
+		until time.Duration
+		want  bool
+	}{
+		{name: "large", cores: 0.8, until: _claimSlots * _claimSpacing, want: true},
+		{name: "small", cores: 0.192, until: _claimSlots * _claimSpacing},
+		{name: "small, nobody else claims", cores: 0.192, until: 2*_claimSlots*_claimSpacing + 100*time.Millisecond, want: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d, seen := follower(t)
+			d.Self.Cores = tt.cores
+			end := seen.Add(9 * time.Second)
+			claims := 0
+			for now := end; now.Sub(end) < tt.until; now = now.Add(20 * time.Millisecond) {
+				d.ApplyRecords(now, nil, 4)
+				d.Step(now)
+				for _, e := range d.Effects() {
+					if _, ok := e.(Claim); ok {
+						claims++
+					}
+				}
+			}
+			is.Equal(claims > 0, tt.want)
+		})
+	}
+}
--- a/beryldirector/end.go
+++ b/beryldirector/end.go
@@ -238,7 +238,7 @@
 
 func (d *Director) expireRun(now time.Time, j *berylbook.Job, ref berylwork.Ref, t *berylbook.Task) {
 	a := d.agents[t.Incarnation.Node]
-	contact := d.electedAt
+	contact := d.earlierLeaseEnd
 	if a != nil {
 		contact = a.contactAt
 	}
--- a/beryldirector/report.go
+++ b/beryldirector/report.go
@@ -17,8 +17,8 @@
 	report berylreport.Report
 	// contactAt is when this entry last answered a report while it held the leader
 	// lease; such an answer extends the lease of the backend server. It starts as
-	// the time of the election, as an earlier leader may have extended the lease
-	// until then.
+	// the end of the leader lease of an earlier leader, which may have extended the
+	// lease until then.
 	contactAt  time.Time
 	reportedAt time.Time
 	rack       string
@@ -75,7 +75,7 @@
 	}
 	a := d.agents[r.Node]
 	if a == nil {
-		a = &agentState{contactAt: d.electedAt}
+		a = &agentState{contactAt: d.earlierLeaseEnd}
 		d.agents[r.Node] = a
 	}
 	if r.Boot < a.report.Boot || (r.Boot == a.report.Boot && r.Seq <= a.report.Seq) {
--- a/beryldirector/worldentry_test.go
+++ b/beryldirector/worldentry_test.go
@@ -88,6 +88,8 @@
 			e.w.after(e.w.latency(), func() { e.load(d) })
 		case Probe:
 			e.probe(d, effect.Epoch)
+		case CheckLeader:
+			e.w.after(e.w.latency(), func() { e.checkLeader(d, effect) })
 		case Announce:
 			e.w.announce(e)
 		case Note:
@@ -148,6 +150,21 @@
 	})
 }
 
+// checkLeader checks whether the leader answers. One in ten checks of a leader that is
+// alive fails, as it does while the two entries are cut off from each other.
+func (e *worldEntry) checkLeader(d *Director, c CheckLeader) {
+	if e.d != d || !e.up {
+		return
+	}
+	for _, other := range e.w.entries {
+		if other.name == c.Addr && other.up && other.d.Epoch() == c.Epoch && e.w.r.IntN(10) > 0 {
+			return
+		}
+	}
+	d.LeaderUnreachable(c.Epoch)
+	e.carryOut(d)
+}
+
 func (e *worldEntry) deposed(d *Director, epoch int64) {
 	if e.d == d && e.up && d.Epoch() == epoch {
 		d.Deposed()
--- a/berylgateway/gateway.go
+++ b/berylgateway/gateway.go
@@ -194,6 +194,10 @@
 		d.YieldReceived(m.epoch)
 	case claimConflict:
 		d.ClaimConflict(m.claim)
+	case leaderUnreachable:
+		d.LeaderUnreachable(m.epoch)
+	case leadAsked:
+		m.reply(d.Epoch())
 	case stepDue:
 		g.stepScheduled = false
 	case tick:
@@ -258,6 +262,8 @@
 			g.jobs.Reload()
 		case beryldirector.Probe:
 			go g.probe(e)
+		case beryldirector.CheckLeader:
+			go g.checkLeader(e)
 		case beryldirector.Announce:
 			go g.announce(e)
 		case beryldirector.Note:
--- a/berylgateway/message.go
+++ b/berylgateway/message.go
@@ -46,6 +46,11 @@
 	leadReleased struct{ epoch int64 }
 	// claimConflict means that a claim was refused because the topic had grown.
 	claimConflict struct{ claim beryldirector.Claim }
+	// leaderUnreachable means that the leader of the epoch does not answer or does not
+	// lead any more.
+	leaderUnreachable struct{ epoch int64 }
+	// leadAsked asks under which epoch this entry leads.
+	leadAsked struct{ reply func(int64) }
 	// tick is sent periodically.
 	tick struct{}
 	// stepDue triggers the scheduling pass that the director has deferred.
@@ -84,14 +89,16 @@
 	seq     int64
 }
 
-func (jobsEvent) message()        {}
-func (policyChanged) message()    {}
-func (reportReceived) message()   {}
-func (appendFinished) message()   {}
-func (storeUnreachable) message() {}
-func (leadReleased) message()     {}
-func (claimConflict) message()    {}
-func (recordReceived) message()   {}
-func (tick) message()             {}
-func (stepDue) message()          {}
-func (resignRequested) message()  {}
+func (jobsEvent) message()         {}
+func (policyChanged) message()     {}
+func (reportReceived) message()    {}
+func (appendFinished) message()    {}
+func (storeUnreachable) message()  {}
+func (leadReleased) message()      {}
+func (claimConflict) message()     {}
+func (leaderUnreachable) message() {}
+func (leadAsked) message()         {}
+func (recordReceived) message()    {}
+func (tick) message()              {}
+func (stepDue) message()           {}
+func (resignRequested) message()   {}
--- a/berylgateway/probe.go
+++ b/berylgateway/probe.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"berylglade/berylcontrol"
 	"berylglade/beryldirector"
 	"berylglade/berylerror"
 	"berylglade/berylmessage"
@@ -13,6 +14,8 @@
 const (
 	// methodStoreCheck asks a peer whether it can reach the store.
 	methodStoreCheck berylmessage.Method = "reach"
+	// methodLeads asks a peer under which epoch it leads.
+	methodLeads berylmessage.Method = "leads"
 	// methodClaim asks a peer to claim leadership.
 	methodClaim berylmessage.Method = "claim"
 )
@@ -32,6 +35,14 @@
 	Epoch int64 `cbor:"e"`
 }
 
+// leadQuestion is the empty request of methodLeads.
+type leadQuestion struct{}
+
+// leadAnswer has the epoch under which the answering entry leads, or zero.
+type leadAnswer struct {
+	Epoch int64 `cbor:"e"`
+}
+
 // empty is a reply without fields.
 type empty struct{}
 
@@ -41,12 +52,28 @@
 	berylrpc.Handle(s, methodStoreCheck, func(ctx context.Context, _ *storeCheck) (*storeAnswer, error) {
 		return &storeAnswer{Cores: g.cfg.Self.Cores}, g.checkStore(ctx)
 	})
+	berylrpc.Handle(s, methodLeads, func(ctx context.Context, _ *leadQuestion) (*leadAnswer, error) {
+		epoch, err := berylcontrol.Ask(ctx, g.loop, func(reply func(int64)) message { return leadAsked{reply: reply} })
+		return &leadAnswer{Epoch: epoch}, err
+	})
 	berylrpc.Handle(s, methodClaim, func(_ context.Context, h *handover) (*empty, error) {
 		g.loop.Tell(leadReleased{epoch: h.Epoch})
 		return &empty{}, nil
 	})
 }
 
+// checkLeader asks the leader whether it still leads.
+func (g *Gateway) checkLeader(c beryldirector.CheckLeader) {
+	ctx, cancel := context.WithTimeout(g.ctx, _leaderCheckTimeout)
+	defer cancel()
+	a, err := berylrpc.Call[leadQuestion, leadAnswer](ctx, g.client, c.Addr, methodLeads, &leadQuestion{})
+	if err == nil && a.Epoch == c.Epoch {
+		return
+	}
+	g.cfg.Log.Info("silent leader does not answer", "epoch", c.Epoch, "leader", c.Addr, "err", err)
+	g.loop.Tell(leaderUnreachable{epoch: c.Epoch})
+}
+
 // checkStore checks that the store answers. It requests the page after the highest
 // possible key, which is empty.
 func (g *Gateway) checkStore(ctx context.Context) error {
@@ -122,6 +149,9 @@
 	// _storeCheckTimeout is above the response time of a slow store, 250 ms.
 	_storeCheckTimeout = 450 * time.Millisecond
 	_probeTimeout      = 600 * time.Millisecond
+	// _leaderCheckTimeout exceeds the time for which a busy leader's control actor is
+	// occupied.
+	_leaderCheckTimeout = 250 * time.Millisecond
 	// _probeGrace is how long answers of larger peers are awaited after the first one.
 	_probeGrace = 50 * time.Millisecond
 	// _probedPeers is the number of peers that are asked. If a quarter of the entries
