beryldirector: don't retry a failed task on the host where it failed

Hosts where a unit failed were only tried last.

Change: a unit is not placed on hosts where it failed for 6 s of waiting, if other hosts could take it when they are free. The other tasks of its step may use them.

Ruled out: a fixed delay before a retry (the host is still the only free one); excluding hosts with many failures for all units (jobs that can never be done would exclude sound hosts).

Before: TestFailedTaskWaitsForAnotherHost fails (run 5 instead of 1 after a second). After: it and TestFailedTaskDoesNotHoldUpItsStep pass.

--- a/beryldirector/place.go
+++ b/beryldirector/place.go
@@ -102,6 +102,10 @@
 func (d *Director) placeUnit(now time.Time, u *unit, hosts, known []berylfit.Host) bool {
 	demand := demandOf(u.job, u.occurrence, u.step, len(u.tasks))
 	demand.Avoid = d.failedOn[u.name()]
+	demand.Exclude = len(demand.Avoid) > 0 && u.waited < _maxAvoidWait
+	if demand.Exclude && !demand.Fits(known) {
+		demand.Exclude = false
+	}
 	if demand.OneRack && demand.Count > 1 {
 		demand.Spread = u.waited > d.rackWait(u) || (!d.justElected(now) && !demand.FitsOneRack(known))
 	}
@@ -113,11 +117,12 @@
 		deductResources(hosts, places, &demand)
 		return true
 	}
+	// The other tasks of the step may run on the hosts that are excluded for this one.
 	if u.queue.Priority != 0 {
 		d.reserve(now, u, hosts, &demand)
-		return false
+		return demand.Exclude
 	}
-	return d.reserveOrPreempt(now, u, hosts, &demand)
+	return d.reserveOrPreempt(now, u, hosts, &demand) || demand.Exclude
 }
 
 // justElected reports whether agents may not have reported to this leader yet.
@@ -181,6 +186,10 @@
 	_maxReservations = 3
 	// _searchInterval is how long a reservation is reused before the next search.
 	_searchInterval = 300 * time.Millisecond
+	// _maxAvoidWait is how long a unit waits for a host on which it has not failed. A
+	// host that fails all its runs at once always has capacity, and would use up all
+	// attempts of a job within a second.
+	_maxAvoidWait = 6 * time.Second
 	// _refusalBackoff is how long no task is started on a backend server after it
 	// refused a start, because it has less capacity than the Book shows.
 	_refusalBackoff = 400 * time.Millisecond
--- a/berylfit/fit.go
+++ b/berylfit/fit.go
@@ -65,10 +65,15 @@
 	// Avoid contains hosts that are tried last, because a run of these tasks
 	// failed there.
 	Avoid map[string]bool
+	// Exclude means that the hosts to avoid are not tried at all.
+	Exclude bool
 }
 
-// Eligible reports whether the host has the required label.
+// Eligible reports whether the host has the required label and is not excluded.
 func (d *Demand) Eligible(h *Host) bool {
+	if d.Exclude && d.Avoid[h.Node] {
+		return false
+	}
 	return d.Label == "" || slices.Contains(h.Labels, d.Label)
 }
 
@@ -105,6 +110,12 @@
 	return ok
 }
 
+// Fits reports whether the tasks would fit if nothing else ran.
+func (d *Demand) Fits(hosts []Host) bool {
+	_, ok := d.pack(hosts, allIndexes(hosts), func(h *Host) berylroom.Resources { return h.Total })
+	return ok
+}
+
 type resourcesFunc func(h *Host) berylroom.Resources
 
 // search tries healthy hosts first when the tasks need one rack: otherwise a
