--- a/beryldirector/place_test.go
+++ b/beryldirector/place_test.go
@@ -382,3 +382,23 @@
 	h.is.Equal(h.d.Book.Jobs["j1"].Tasks[0][0][0].Run, 1)
 	h.is.Equal(h.d.Book.Jobs["j1"].Tasks[0][0][1].Run, 2)
 }
+
+// The store is away for eight seconds, in which reports are answered without the leader
+// lease, and then answers again. Guards against a start on a backend server whose lease is
+// about to be given up: the run is given up at once, and carried out with the next
+// contact, so that its task runs twice at the same time.
+func TestNoStartWithoutContact(t *testing.T) {
+	h := newHarness(t)
+	h.report("n1", nil)
+	h.holdAppends = true
+	h.advance(8 * time.Second)
+	h.is.True(!h.report("n1", nil).FromLeader)
+	h.holdAppends = false
+	h.d.Committed(h.now)
+	h.submit("j1", "urgent", step(1, 1))
+	h.advance(200 * time.Millisecond)
+	h.is.Equal(h.d.Book.Jobs["j1"].Tasks[0][0][0].Run, 0)
+	h.is.True(h.report("n1", nil).FromLeader)
+	h.advance(200 * time.Millisecond)
+	h.is.Equal(h.d.Book.Jobs["j1"].Tasks[0][0][0].Run, 1)
+}
--- a/berylkeeper/calls.go
+++ b/berylkeeper/calls.go
@@ -76,6 +76,10 @@
 			k.setPhase(now, r, stopping)
 			return k.runCall(now, r)
 		}
+		if now.Sub(r.changedAt) > _startValidity {
+			k.dropStart(now, r)
+			return k.runCall(now, r)
+		}
 		lease := k.lease(now)
 		if lease == 0 || !k.listed || k.unverified || k.strays {
 			return IssuedCall{}, false
@@ -94,6 +98,16 @@
 	}
 }
 
+// dropStart gives up a start that could not be sent in time: the leader may have given
+// up the run meanwhile. A start that may have been sent is stopped.
+func (k *Keeper) dropStart(now time.Time, r *run) {
+	if r.unconfirmed {
+		k.setPhase(now, r, stopping)
+		return
+	}
+	k.setPhase(now, r, absent)
+}
+
 func (k *Keeper) issueCall(c berylexecutor.Call, timeout time.Duration) IssuedCall {
 	k.lastSeq++
 	return IssuedCall{Call: c, Seq: k.lastSeq, Timeout: timeout}
--- a/berylkeeper/keeper_test.go
+++ b/berylkeeper/keeper_test.go
@@ -380,3 +380,39 @@
 	is.Equal(k.Report(now).PastEnds, berylreport.PastEnds{Incarnation: old, Ends: []berylreport.End{done}})
 	is.Equal(len(k.Report(now).Ends), 0)
 }
+
+// The agent has no contact with a leader for some seconds after it received a start.
+// Guards against a start that is carried out with the next contact: the leader may have
+// given up the run and started its task elsewhere.
+func TestStartIsDroppedWhenLate(t *testing.T) {
+	tests := []struct {
+		name string
+		// sent is true if the start was sent once, without an outcome.
+		sent bool
+	}{
+		{name: "never sent"},
+		{name: "outcome unknown", sent: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			now := start()
+			k := readyKeeper(is, now)
+			if !tt.sent {
+				now = now.Add(limits().LeaderTimeout + limits().Lease + time.Second)
+			}
+			k.Orders(now, orders(k, []string{"a.0.0.0"}, nil))
+			starts := callsOf[berylexecutor.StartCall](k.Calls(now))
+			is.Equal(len(starts) == 1, tt.sent)
+			if tt.sent {
+				k.Outcome(now, Outcome{Call: starts[0].Call, Seq: starts[0].Seq, Err: timeoutError()})
+			}
+			now = now.Add(_startValidity + time.Millisecond)
+			k.Answer(berylreport.Answer{Epoch: 3, FromLeader: true}, k.Incarnation(), k.BackendClock(now))
+			calls := k.Calls(now)
+			is.Equal(len(callsOf[berylexecutor.StartCall](calls)), 0)
+			is.Equal(len(callsOf[berylexecutor.StopCall](calls)) == 1, tt.sent)
+			is.Equal(len(k.Report(now).Absent) == 1, !tt.sent)
+		})
+	}
+}
