berylintake: don't wait for a read from a store that does not answer

Cause: a question about a job that is not known waits for a read of the topic since 'deny a job only after a read that covers the request'.

Change: no such read while reads fail or appends stall; the request is forwarded or refused at once.

Before: TestUnknownJobIsRefusedAtOnceWithoutStore fails (0.7 s). After: it passes.

--- a/berylgateway/gateway_test.go
+++ b/berylgateway/gateway_test.go
@@ -152,6 +152,20 @@
 	is.Equal(reply.Kind, berylerror.Expired)
 }
 
+// Guards against a request that waits for a read of the store although the store does not
+// answer this entry: its client, or the peer that forwarded it, tries another one.
+func TestUnknownJobIsRefusedAtOnceWithoutStore(t *testing.T) {
+	is := is.New(t)
+	entries := startEntries(t, newMemory(), 2)
+	isolated := entries[0]
+	isolated.refused.Store(true)
+	await(t, 2*time.Second, "failing reads", func() bool { return isolated.View.ReadsFailing(time.Now()) > 500*time.Millisecond })
+	began := time.Now()
+	reply := isolated.Intake.ServeForwarded(t.Context(), berylintake.Request{Verb: berylintake.State, ID: "unknown"})
+	is.Equal(reply.Kind, berylerror.NotRun)
+	is.True(time.Since(began) < 200*time.Millisecond)
+}
+
 // Guards against an entry that refuses every request with an API key because the store
 // answers only its peers, and against one that takes an old state of a peer for fresh.
 func TestPolicyIsConfirmedByPeers(t *testing.T) {
--- a/berylintake/intake.go
+++ b/berylintake/intake.go
@@ -230,15 +230,14 @@
 }
 
 // facts returns the input of the decision on a request that arrived at now. For a job
-// that is not known it reads the topic first.
+// that is not known it reads the topic first, unless the store seems not to answer this
+// entry.
 func (i *Intake) facts(ctx context.Context, now time.Time, r Request) Facts {
-	f := Facts{Job: i.View.Job(r.ID)}
-	if (r.Verb == State || r.Verb == Cancel) && !f.Job.Known {
+	f := Facts{Job: i.View.Job(r.ID), AppendsFailing: i.Producer.StalledFor(now), ReadsFailing: i.View.ReadsFailing(now)}
+	if (r.Verb == State || r.Verb == Cancel) && !f.Job.Known && !storeUnreachable(f) {
 		f.Confirmed = i.confirm(ctx, now)
 		f.Job = i.View.Job(r.ID)
 	}
-	f.AppendsFailing = i.Producer.StalledFor(now)
-	f.ReadsFailing = i.View.ReadsFailing(now)
 	if r.Verb == Count {
 		f.Waiting, f.Job.At = i.View.Waiting(r.Queue.Name)
 	}
