--- a/beryldirector/director.go
+++ b/beryldirector/director.go
@@ -16,8 +16,6 @@
 package beryldirector
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"berylglade/berylbook"
@@ -251,90 +249,6 @@
 	d.effects = append(d.effects, Note{Text: text, Args: args})
 }
 
-// ApplyRecords applies records that were read from the topic. End is the offset up to
-// which it has been read. It is called after an empty read too, which confirms that
-// nothing has changed.
-func (d *Director) ApplyRecords(now time.Time, records []berylstore.Record, end int64) {
-	d.noteRead(now)
-	d.ApplyBacklog(now, records, end)
-}
-
-// ApplyBacklog applies records of a read that has not reached the end of the topic. It
-// does not confirm that this entry knows the topic: a later record may be a claim.
-func (d *Director) ApplyBacklog(now time.Time, records []berylstore.Record, end int64) {
-	d.topicEnd = end
-	if len(records) > 0 {
-		defer d.resetIndex()
-	}
-	for _, r := range records {
-		if d.Leading() && berylbook.IsProgress(r) {
-			// Only the leader writes progress: its own is applied already, and
-			// that of an earlier leader is older than the Book.
-			continue
-		}
-		before := d.Book.Claim
-		id := d.Book.Apply(r)
-		if d.Book.Claim != before || d.writtenByLeader(r) {
-			d.noteLeader(now)
-		}
-		if d.Book.Claim != before {
-			d.claimChanged(now)
-		}
-		if id != "" {
-			d.jobChanged(now, id)
-		}
-	}
-}
-
-// noteRead notes a read that has reached the end of the topic.
-func (d *Director) noteRead(now time.Time) {
-	if now.Sub(d.readAt) > _maxReadAge {
-		d.readSince = now
-	}
-	d.readAt = now
-}
-
-// noteLeader notes a record of the leader, which may be this entry.
-func (d *Director) noteLeader(now time.Time) {
-	d.leaderSeenAt = now
-	d.failedChecks = 0
-	if !d.leads(d.Book.Claim) {
-		d.earlierLeaderSeenAt = now
-	}
-}
-
-// EnqueueRecord applies a client's record and includes it in the next append,
-// together with the decisions that follow from it. It returns false if this entry
-// holds no leader lease; the caller then has to append the record itself. A slow
-// store handles one append at a time, so that separate appends of the record and
-// of the start would wait twice.
-func (d *Director) EnqueueRecord(now time.Time, r berylstore.Record) bool {
-	if !d.hasLease(now) {
-		return false
-	}
-	d.enqueued = append(d.enqueued, r)
-	d.resetIndex()
-	if id := d.Book.Apply(r); id != "" {
-		d.jobChanged(now, id)
-	}
-	return true
-}
-
-// jobChanged handles a change of a job by a record.
-func (d *Director) jobChanged(now time.Time, id string) {
-	j := d.Book.Jobs[id]
-	if j == nil {
-		delete(d.dirty, id)
-		delete(d.checkpointed, id)
-		delete(d.recorded, id)
-		return
-	}
-	if d.Leading() && j.CancelledAt != 0 && !j.State.Final() {
-		d.stopJob(j, "cancelled")
-		d.updateState(now, j)
-	}
-}
-
 // Committed handles the success of the append in flight.
 func (d *Director) Committed(now time.Time) {
 	d.appending = false
@@ -363,119 +277,13 @@
 	d.effects = append(d.effects, Reload{})
 }
 
-// Restore replaces the Book with one that was read from the topic. End is the end
-// of the topic as of that read.
-func (d *Director) Restore(now time.Time, book berylbook.Book, end int64) {
-	d.Book = book
-	d.index = nil
-	d.stale = false
-	d.topicEnd = end
-	d.noteRead(now)
-	d.leaderSeenAt = now
-	d.earlierLeaderSeenAt = now
-}
-
 func (d *Director) markDirty(id string) {
 	d.dirty[id] = true
 }
 
-// resetIndex notes that the Book has other jobs. A leader skips the records that
-// replace tasks.
-func (d *Director) resetIndex() {
-	if !d.Leading() || d.index == nil {
-		d.index = nil
-		return
-	}
-	d.index.live = nil
-}
-
 // isRecorded reports whether the topic has the current state of the job.
 func (d *Director) isRecorded(id string) bool { return !d.dirty[id] && !d.inFlight[id] }
 
-// flush starts an append of the enqueued records and the changed jobs, or of a
-// renewal of the claim, unless an append is in flight.
-func (d *Director) flush(now time.Time) {
-	if !d.Leading() || d.appending {
-		return
-	}
-	renew := now.Sub(d.appendedAt) > _renewInterval
-	if len(d.dirty) == 0 && len(d.enqueued) == 0 && !renew {
-		return
-	}
-	records := d.enqueued
-	d.enqueued = nil
-	records = d.appendChanges(records, d.dirty)
-	if renew || len(records) > 0 {
-		records = d.appendChanges(records, d.checkpointed)
-	}
-	if renew {
-		records = append(records, d.renewalRecords()...)
-		records = append(records, d.expiredJobs(now)...)
-	}
-	if len(records) == 0 {
-		return
-	}
-	d.appending = true
-	d.appendedAt = now
-	d.effects = append(d.effects, Persist{Epoch: d.epoch, Records: records})
-}
-
-// appendChanges appends the records of the changed jobs and removes these jobs from
-// changed. Jobs that exceed the size of an append remain there.
-func (d *Director) appendChanges(records []berylstore.Record, changed map[string]bool) []berylstore.Record {
-	size := recordsSize(records)
-	for _, id := range slices.Sorted(maps.Keys(changed)) {
-		if size > _maxAppendSize {
-			break
-		}
-		delete(changed, id)
-		j := d.Book.Jobs[id]
-		if j == nil {
-			continue
-		}
-		if d.recorded[id] == nil {
-			d.recorded[id] = &berylbook.Recorded{}
-		}
-		changes, err := j.Changes(d.epoch, d.recorded[id])
-		if err != nil {
-			d.note("progress can't be encoded", "job", id, "err", err)
-			continue
-		}
-		if len(changes) == 0 {
-			continue
-		}
-		size += recordsSize(changes)
-		records = append(records, changes...)
-		d.inFlight[id] = true
-	}
-	return records
-}
-
-// recordsSize returns the size of the records in bytes, without their headers.
-func recordsSize(records []berylstore.Record) int {
-	n := 0
-	for _, r := range records {
-		n += len(r.Key) + len(r.Value)
-	}
-	return n
-}
-
-// expiredJobs returns records that remove the jobs whose retention has ended.
-func (d *Director) expiredJobs(now time.Time) []berylstore.Record {
-	var records []berylstore.Record
-	limit := now.Add(-d.Limits.Retention).UnixMilli()
-	for _, j := range d.Book.Sorted() {
-		id := j.Work.ID
-		if j.State.Final() && j.EndedAt < limit && !j.Active() {
-			records = append(records, berylbook.Tombstones(id)...)
-		}
-		if len(records) > _maxRemovals {
-			break
-		}
-	}
-	return records
-}
-
 // Deferred reports whether a placement pass or orders were deferred, so that Step and
 // Orders should be called again soon.
 func (d *Director) Deferred() bool { return d.placementDeferred || d.ordersDeferred }
@@ -514,9 +322,6 @@
 }
 
 const (
-	// _renewInterval is how often an idle leader renews its claim. Limits.Takeover
-	// is several times as long.
-	_renewInterval = 600 * time.Millisecond
 	// _placeInterval is the minimum time between two placement passes, so that one
 	// pass handles the reports of many agents. The time of a pass grows with the number
 	// of agents, and so does the interval, by _placeIntervalPerAgent up to
@@ -526,10 +331,4 @@
 	_maxPlaceInterval      = 100 * time.Millisecond
 	// _slowCheckInterval is the minimum time between two checks for slow runs.
 	_slowCheckInterval = 250 * time.Millisecond
-	// _maxRemovals bounds the records by which one append removes ended jobs. Those
-	// of the last job may exceed it.
-	_maxRemovals = 300
-	// _maxAppendSize is the size of an append, in bytes, from which further jobs wait
-	// for the next one. The store accepts 2 MiB, and the last job may exceed it.
-	_maxAppendSize = 512 << 10
 )
--- a/beryldirector/world_test.go
+++ b/beryldirector/world_test.go
@@ -292,27 +292,45 @@
 	is.New(t).True(moves > 0)
 }
 
+// TestWorldRegressions simulates days on which a task ran twice: a start was ordered for a
+// backend server without contact, given up at once, and carried out with the next contact.
+func TestWorldRegressions(t *testing.T) {
+	for _, seed := range []int{5102, 5122, 5274, 5386} {
+		_ = playWorld(t, seed, func(*world) {})
+	}
+	for _, seed := range []int{5120, 5224, 5328, 5386, 5394} {
+		_ = playWorld(t, seed, func(w *world) { w.departures(12) })
+	}
+}
+
 // playWorlds simulates the seeded days after prepare has added to their events. It
 // returns the number of units that were moved.
 func playWorlds(t *testing.T, prepare func(w *world)) int {
 	moves := 0
 	first, count := envInt("WORLD_SEED", 1), envInt("WORLD_SEEDS", 12)
 	for seed := first; seed < first+count; seed++ {
-		t.Run("seed "+strconv.Itoa(seed), func(t *testing.T) {
-			w := newWorld(t, uint64(seed))
-			const jobs = 20
-			w.jobs(jobs)
-			w.faults(10)
-			prepare(w)
-			w.run(_worldFaultPeriod)
-			w.run(_worldRecoveryPeriod)
-			w.check(jobs)
-			moves += w.moves
-		})
+		moves += playWorld(t, seed, prepare)
 	}
 	return moves
 }
 
+// playWorld simulates one day and returns the number of units that were moved.
+func playWorld(t *testing.T, seed int, prepare func(w *world)) int {
+	moves := 0
+	t.Run("seed "+strconv.Itoa(seed), func(t *testing.T) {
+		w := newWorld(t, uint64(seed))
+		const jobs = 20
+		w.jobs(jobs)
+		w.faults(10)
+		prepare(w)
+		w.run(_worldFaultPeriod)
+		w.run(_worldRecoveryPeriod)
+		w.check(jobs)
+		moves = w.moves
+	})
+	return moves
+}
+
 func envInt(name string, fallback int) int {
 	n, err := strconv.Atoi(os.Getenv(name))
 	if err != nil {
--- /dev/null
+++ b/berylkeeper/start_test.go
@@ -0,0 +1,101 @@
+package berylkeeper
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"berylglade/berylbook"
+	"berylglade/berylexecutor"
+	"berylglade/berylreport"
+)
+
+// The agent restarts while its backend server is draining, and a new leader, which does
+// not know yet that a run was started, orders it again. Guards against a run that is
+// reported as absent though it exists: its task would run twice at the same time.
+func TestRunOfEarlierProcessWhileDraining(t *testing.T) {
+	run := berylreport.Run{Key: key("a.0.0.0")}
+	tests := []struct {
+		name        string
+		orderFirst  bool
+		runs        []berylreport.Run
+		wantStopped bool
+	}{
+		{name: "listed, then ordered", runs: []berylreport.Run{run}},
+		{name: "ordered, then listed", orderFirst: true, runs: []berylreport.Run{run}},
+		{name: "start may still be carried out", wantStopped: true},
+		{name: "ordered first, start may still be carried out", orderFirst: true, wantStopped: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			now := start()
+			k := New("side-1", "10.0.0.1:7000", 78, limits())
+			k.Heartbeat(now, Heartbeat{
+				Incarnation: berylbook.Incarnation{Instance: "i-1", StartedAt: 5}, Addr: "10.0.0.1:80", Seq: 12, Clock: 10_000, Draining: true,
+			})
+			first := only[berylexecutor.RenewCall](is, k.Calls(now))
+			order := func() { k.Orders(now, orders(k, []string{"a.0.0.0"}, nil)) }
+			if tt.orderFirst {
+				order()
+				is.Equal(len(k.Report(now).Absent), 0)
+				is.Equal(len(callsOf[berylexecutor.StopCall](k.Calls(now))), 0)
+			}
+			k.Outcome(now, Outcome{Call: first.Call, Seq: first.Seq, Listing: berylexecutor.Listing{Clock: 10_000, StartedAt: 5, Runs: tt.runs}})
+			if !tt.orderFirst {
+				order()
+			}
+			is.Equal(len(k.Report(now).Absent), 0)
+			calls := k.Calls(now)
+			is.Equal(len(callsOf[berylexecutor.StartCall](calls)), 0)
+			stops := callsOf[berylexecutor.StopCall](calls)
+			is.Equal(len(stops) == 1, tt.wantStopped)
+			if !tt.wantStopped {
+				return
+			}
+			k.Outcome(now, Outcome{Call: stops[0].Call, Seq: stops[0].Seq})
+			is.Equal(len(k.Report(now).Absent), 0)
+			later := only[berylexecutor.RenewCall](is, slices.DeleteFunc(k.Calls(now), func(c IssuedCall) bool { return c.Seq <= stops[0].Seq }))
+			k.Outcome(now, Outcome{Call: later.Call, Seq: later.Seq, Listing: berylexecutor.Listing{Clock: 10_001, StartedAt: 5}})
+			is.Equal(k.Report(now).Absent, []berylreport.Key{key("a.0.0.0")})
+		})
+	}
+}
+
+// The agent has no contact with a leader for some seconds after it received a start.
+// Guards against a start that is carried out with the next contact: the leader may have
+// given up the run and started its task elsewhere.
+func TestStartIsDroppedWhenLate(t *testing.T) {
+	tests := []struct {
+		name string
+		// sent is true if the start was sent once, without an outcome.
+		sent bool
+	}{
+		{name: "never sent"},
+		{name: "outcome unknown", sent: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			now := start()
+			k := readyKeeper(is, now)
+			if !tt.sent {
+				now = now.Add(limits().LeaderTimeout + limits().Lease + time.Second)
+			}
+			k.Orders(now, orders(k, []string{"a.0.0.0"}, nil))
+			starts := callsOf[berylexecutor.StartCall](k.Calls(now))
+			is.Equal(len(starts) == 1, tt.sent)
+			if tt.sent {
+				k.Outcome(now, Outcome{Call: starts[0].Call, Seq: starts[0].Seq, Err: timeoutError()})
+			}
+			now = now.Add(_startValidity + time.Millisecond)
+			k.Answer(berylreport.Answer{Epoch: 3, FromLeader: true}, k.Incarnation(), k.BackendClock(now))
+			calls := k.Calls(now)
+			is.Equal(len(callsOf[berylexecutor.StartCall](calls)), 0)
+			is.Equal(len(callsOf[berylexecutor.StopCall](calls)) == 1, tt.sent)
+			is.Equal(len(k.Report(now).Absent) == 1, !tt.sent)
+		})
+	}
+}
