beryldirector: a leader that answers keeps the lead after an outage of the store

Cause: after an outage for all that lasts longer than the takeover timeout every entry found the leader silent for too long and claimed before the leader's next append. Each such change costs the reports of all agents anew and 0.5 s without preemption.

Change: the silence counts from the end of the outage, unless two checks of the leader have failed.

Before: TestLeaderThatAnswersKeepsTheLeadAfterOutage fails (a claim 0.2 s after the end). TestSmallEntryWaitsAfterOutage lets the checks fail now, as its leader is gone.

--- a/beryldirector/election.go
+++ b/beryldirector/election.go
@@ -114,7 +114,7 @@
 	}
 	c := d.Book.Claim
 	wait := d.claimWait(now, c)
-	if now.Sub(d.leaderSeenAt) < wait || now.Sub(d.readSince) < min(wait, d.claimDelay(c.Epoch)) {
+	if now.Sub(d.silentSince(c)) < wait || now.Sub(d.readSince) < min(wait, d.claimDelay(c.Epoch)) {
 		// After an outage of the store the leader has been silent for all entries, and
 		// only the delay as of its end orders them.
 		return
@@ -144,6 +144,16 @@
 	}
 }
 
+// silentSince returns the time from which the silence of the leader of claim c counts.
+// After an outage of the store a leader that is alive needs some time for its next
+// append, so the silence counts from the end of the outage, unless checks have failed.
+func (d *Director) silentSince(c berylbook.Claim) time.Time {
+	if c.Epoch == 0 || c.Resigned || c.Epoch == d.yieldedEpoch || c.Node == d.Self.Node || d.failedChecks >= _checksBeforeTakeover {
+		return d.leaderSeenAt
+	}
+	return later(d.leaderSeenAt, d.readSince)
+}
+
 // small reports whether the VM has less CPU than the leader of many agents needs.
 func (d *Director) small() bool { return d.Self.Cores > 0 && d.Self.Cores < _smallCores }
 
--- a/beryldirector/election_test.go
+++ b/beryldirector/election_test.go
@@ -292,9 +292,9 @@
 	is.True(d.Book.Jobs["j1"].Tasks[0][0][0].Run == 1 && !d.Book.Jobs["j1"].Tasks[0][0][0].Phase.Active())
 }
 
-// The store was away for all entries for longer than the takeover timeout. Guards against
-// a lead that goes to an entry on a small VM: the delays had all passed before the end of
-// the outage, so that the first claim won.
+// The store was away for all entries for longer than the takeover timeout, and the leader
+// is gone. Guards against a lead that goes to an entry on a small VM: the delays had all
+// passed before the end of the outage, so that the first claim won.
 func TestSmallEntryWaitsAfterOutage(t *testing.T) {
 	is := is.New(t)
 	tests := []struct {
@@ -317,7 +317,10 @@
 				d.ApplyRecords(now, nil, 4)
 				d.Step(now)
 				for _, e := range d.Effects() {
-					if _, ok := e.(Claim); ok {
+					switch e := e.(type) {
+					case CheckLeader:
+						d.LeaderUnreachable(e.Epoch)
+					case Claim:
 						claims++
 					}
 				}
@@ -326,3 +329,31 @@
 		})
 	}
 }
+
+// Guards against a leader that loses its lead with each outage of the store for all: the
+// others claim before its next append, and its agents have to report anew.
+func TestLeaderThatAnswersKeepsTheLeadAfterOutage(t *testing.T) {
+	is := is.New(t)
+	d, seen := follower(t)
+	end := seen.Add(9 * time.Second)
+	now := end
+	claims := 0
+	step := func() {
+		now = now.Add(20 * time.Millisecond)
+		d.ApplyRecords(now, nil, 4)
+		d.Step(now)
+		for _, e := range d.Effects() {
+			if _, ok := e.(Claim); ok {
+				claims++
+			}
+		}
+	}
+	for now.Sub(end) < testLimits().Takeover-100*time.Millisecond {
+		step()
+	}
+	is.Equal(claims, 0)
+	for now.Sub(end) < testLimits().Takeover+_claimSlots*_claimSpacing+100*time.Millisecond {
+		step()
+	}
+	is.True(claims > 0)
+}
