berylintake: refusals in an outage for all ask clients to return later

The refusal of an entry that is asked by another one, when neither reaches the store, named one second each time; only those of failing appends grew with the outage.

Change: such a refusal names the time for which the store has failed, one to four seconds, so that five tries span an outage of nine seconds. An entry that is cut off alone still asks for one second.

Before: TestRetriesOutlastOutage fails for outages of 5 s and 9 s. After: it passes.

--- a/berylintake/intake.go
+++ b/berylintake/intake.go
@@ -110,7 +110,11 @@
 	if storeUnreachable(f) && !hasEnded(r, f) {
 		switch {
 		case f.Forwarded:
-			return reject("this entry cannot reach the store either")
+			// Two entries don't reach the store, so that the client would use up its
+			// retries if it came back each second.
+			a := reject("this entry cannot reach the store either")
+			a.RetryAfter = retryAfter(max(f.ReadsFailing, f.AppendsFailing))
+			return a
 		case f.CanForward:
 			return Forward{}
 		}
--- a/berylintake/intake_test.go
+++ b/berylintake/intake_test.go
@@ -40,6 +40,7 @@
 		{name: "state with stale state, with peers", readsFailing: time.Second, verb: State, job: berylview.Job{Known: true, State: berylbook.Running, Account: "a", At: stale}, forward: true},
 		{name: "state after completion with stale state, with peers", readsFailing: time.Second, verb: State, job: berylview.Job{Known: true, State: berylbook.Completed, Account: "a", At: stale}},
 		{name: "new job with stale state, forwarded", readsFailing: time.Second, verb: Submit, job: berylview.Job{At: stale}, noPeers: true, forwarded: true, want: berylerror.NotRun, retry: time.Second},
+		{name: "new job in a long outage, forwarded", readsFailing: 3 * time.Second, verb: Submit, job: berylview.Job{At: stale}, noPeers: true, forwarded: true, want: berylerror.NotRun, retry: 3 * time.Second},
 		{name: "new job, forwarded", verb: Submit, job: berylview.Job{At: fresh}, noPeers: true, forwarded: true, record: true},
 		{name: "cancel while appends fail, with peers", verb: Cancel, job: known, appendsFailing: time.Second, forward: true},
 		{name: "known job", verb: Submit, job: known},
@@ -78,3 +79,33 @@
 		})
 	}
 }
+
+// The store is down for all entries, and a client tries its request five times, as often as
+// the users' clients do. Guards against a client that has used up its retries before the
+// store is back, because each refusal asks it to return after one second.
+func TestRetriesOutlastOutage(t *testing.T) {
+	const tries = 5
+	for _, outage := range []time.Duration{2 * time.Second, 5 * time.Second, 9 * time.Second} {
+		t.Run(outage.String(), func(t *testing.T) {
+			is := is.New(t)
+			start := time.UnixMilli(1_000_000)
+			accepted := false
+			// The first try arrives when the entries have just noticed the outage.
+			at := 300 * time.Millisecond
+			for range tries {
+				now := start.Add(at)
+				f := Facts{Job: berylview.Job{At: start}, Forwarded: true}
+				if at < outage {
+					f.ReadsFailing = at
+				}
+				switch d := Decide(now, Request{Verb: Submit, ID: "j"}, f).(type) {
+				case Record:
+					accepted = true
+				case Answer:
+					at += d.RetryAfter
+				}
+			}
+			is.True(accepted)
+		})
+	}
+}
