berylbook: bound the records of one job in an append

Cause, found by reading: a job may have 100,000 tasks. When it ended, the deletions of all its tasks were one append of up to 3.5 MB; the store accepts 2 MiB, so that the leader would have repeated that append for ever.

Change: at most 4,000 records of one job go into an append, and the job remains changed until the topic has the rest. The Progress of a quiescent job precedes the deletion of its tasks: a reader of a part of them must not take an ended job for one that has to run. Task records that a deposed leader left behind are deleted with the job.

Test: TestLargeChangesAreSplit.

--- a/berylbook/book.go
+++ b/berylbook/book.go
@@ -164,12 +164,15 @@
 	return id
 }
 
-// applyTask applies the record of a task. A deleted one changes nothing, as the
-// Progress of its job says that no run of it exists.
+// applyTask applies the record of a task.
 func (b *Book) applyTask(r berylstore.Record) string {
 	ref, ok := berylwork.ParseRef(strings.TrimPrefix(r.Key, _taskPrefix))
+	if ok && len(r.Value) == 0 {
+		b.deleteTask(ref)
+		return ""
+	}
 	var t Task
-	if !ok || len(r.Value) == 0 || !b.decode(r, &t) {
+	if !ok || !b.decode(r, &t) {
 		return ""
 	}
 	if b.Jobs[ref.Job] == nil {
@@ -184,6 +187,15 @@
 	return ref.Job
 }
 
+// deleteTask applies the deletion of a task's record. The Progress of its job, which
+// precedes it, says that no run exists.
+func (b *Book) deleteTask(ref berylwork.Ref) {
+	j, t := b.Task(ref)
+	if t != nil && j.Quiescent() {
+		*t = Task{}
+	}
+}
+
 func (b *Book) setTask(ref berylwork.Ref, t Task) {
 	j, task := b.Task(ref)
 	if task == nil {
--- a/berylbook/book_test.go
+++ b/berylbook/book_test.go
@@ -35,8 +35,9 @@
 }
 
 func changes(is *is.I, j *Job, recorded *Recorded) []berylstore.Record {
-	list, err := j.Changes(7, recorded)
+	list, more, err := j.Changes(7, recorded, 1<<20)
 	is.NoErr(err)
+	is.True(!more)
 	return list
 }
 
@@ -226,6 +227,44 @@
 	is.True(late.Jobs["j1"].Quiescent())
 }
 
+// Guards against an append that exceeds the limit of the store for ever, and against a
+// reader of a part of the changes that takes an ended job for one that has to run.
+func TestLargeChangesAreSplit(t *testing.T) {
+	const tasks, limit = 2500, 1000
+	is := is.New(t)
+	work := berylwork.Work{ID: "j1", Steps: []berylwork.Step{{Count: tasks}}}
+	submission, err := (&Submission{Work: work}).Record()
+	is.NoErr(err)
+	j := NewJob(&work)
+	recorded := &Recorded{}
+	var book Book
+	book.Apply(submission)
+	write := func(check func()) {
+		for more := true; more; {
+			var list []berylstore.Record
+			list, more, err = j.Changes(1, recorded, limit)
+			is.NoErr(err)
+			is.True(len(list) <= limit+1)
+			for _, r := range list {
+				book.Apply(r)
+			}
+			check()
+		}
+	}
+	for i := range tasks {
+		j.Tasks[0][0][i] = workingTask()
+	}
+	write(func() {})
+	is.Equal(book.Jobs["j1"].Tasks, j.Tasks)
+	for i := range tasks {
+		j.Tasks[0][0][i].Phase = Done
+	}
+	j.State, j.EndedAt = Completed, 9
+	write(func() { is.True(book.Jobs["j1"].Quiescent()) })
+	is.Equal(len(changes(is, j, recorded)), 0)
+	is.Equal(len(book.Jobs["j1"].TaskTombstones()), 0)
+}
+
 // Guards against progress of an earlier version, with all tasks in one record, that is
 // lost when that record is replaced.
 func TestCombinedProgressIsRecordedAnew(t *testing.T) {
--- a/berylbook/changes.go
+++ b/berylbook/changes.go
@@ -10,8 +10,9 @@
 type Recorded struct {
 	state   State
 	endedAt int64
-	// written is true once the topic has a Progress of the job.
-	written bool
+	// written is true once the topic has a Progress of the job, and quiescent if that
+	// says that no run exists.
+	written, quiescent bool
 	// tasks is indexed like Job.Tasks; nil if the topic has no task of the job.
 	tasks [][][]Task
 }
@@ -41,52 +42,70 @@
 	return &r.tasks[ref.Occurrence][ref.Step][ref.Index]
 }
 
-// Changes returns the records that bring the topic from r to the state of the job, and
-// updates r. A job may have thousands of tasks, all entries read each record, and one
-// event changes few tasks, so each task has a record of its own. Once the job is final
-// and has no active run, its tasks are deleted.
-func (j *Job) Changes(epoch int64, r *Recorded) ([]berylstore.Record, error) {
-	quiescent := j.State.Final() && !j.Active()
+// Changes returns records that bring the topic from r towards the state of the job, at
+// most about limit of them, and updates r. More is true if others have to follow. A job
+// may have thousands of tasks, all entries read each record, and one event changes few
+// tasks, so each task has a record of its own. Once the job is final and has no active
+// run, its tasks are deleted.
+func (j *Job) Changes(epoch int64, r *Recorded, limit int) (records []berylstore.Record, more bool, err error) {
 	if r.tasks == nil {
-		r.copyTasks(&Job{Work: j.Work, Tasks: NewJob(j.Work).Tasks})
+		r.copyTasks(NewJob(j.Work))
+	}
+	quiescent := j.State.Final() && !j.Active()
+	if quiescent {
+		// Before the tasks are deleted, the topic has to say that none runs again.
+		records, err = j.changedState(epoch, r, quiescent)
+		if err != nil {
+			return nil, false, err
+		}
 	}
-	records, err := j.changedTasks(r, quiescent)
+	tasks, more, err := j.changedTasks(r, quiescent, limit)
 	if err != nil {
-		return nil, err
+		return nil, false, err
 	}
-	if r.written && r.state == j.State && r.endedAt == j.EndedAt && !(quiescent && len(records) > 0) {
-		return records, nil
+	records = append(records, tasks...)
+	if quiescent || more {
+		return records, more, nil
+	}
+	state, err := j.changedState(epoch, r, quiescent)
+	return append(records, state...), false, err
+}
+
+// changedState returns the Progress of the job if it differs from r.
+func (j *Job) changedState(epoch int64, r *Recorded, quiescent bool) ([]berylstore.Record, error) {
+	if r.written && r.state == j.State && r.endedAt == j.EndedAt && r.quiescent == quiescent {
+		return nil, nil
 	}
-	// The Progress follows the tasks: a reader that applies an older record of a task
-	// again clears it with the Progress of a quiescent job.
 	p, err := record(_progressPrefix+j.Work.ID, &Progress{Epoch: epoch, State: j.State, EndedAt: j.EndedAt, Separate: !quiescent})
 	if err != nil {
 		return nil, err
 	}
-	r.state, r.endedAt, r.written = j.State, j.EndedAt, true
-	return append(records, p), nil
+	r.state, r.endedAt, r.quiescent, r.written = j.State, j.EndedAt, quiescent, true
+	return []berylstore.Record{p}, nil
 }
 
-// changedTasks returns the records of the tasks that differ from r, or their deletion if
-// the job is quiescent.
-func (j *Job) changedTasks(r *Recorded, quiescent bool) ([]berylstore.Record, error) {
-	var records []berylstore.Record
-	var failed error
+// changedTasks returns records of at most limit tasks that differ from r, or their
+// deletion if the job is quiescent, and whether there are others.
+func (j *Job) changedTasks(r *Recorded, quiescent bool, limit int) (records []berylstore.Record, more bool, err error) {
 	j.Each(func(ref berylwork.Ref, t *Task) {
 		old := r.task(ref)
-		switch {
-		case quiescent && *old != (Task{}):
-			records = append(records, berylstore.Record{Key: _taskPrefix + ref.String()})
-			*old = Task{}
-		case !quiescent && *old != *t:
-			rec, err := record(_taskPrefix+ref.String(), t)
-			if err != nil {
-				failed = err
-				return
-			}
-			records = append(records, rec)
-			*old = *t
+		want := *t
+		if quiescent {
+			want = Task{}
+		}
+		if *old == want || more || err != nil {
+			return
+		}
+		if len(records) >= limit {
+			more = true
+			return
+		}
+		rec := berylstore.Record{Key: _taskPrefix + ref.String()}
+		if !quiescent {
+			rec, err = record(rec.Key, t)
 		}
+		records = append(records, rec)
+		*old = want
 	})
-	return records, failed
+	return records, more, err
 }
--- a/berylbook/record.go
+++ b/berylbook/record.go
@@ -56,11 +56,23 @@
 // Record returns the record of the claim.
 func (c *Claim) Record() (berylstore.Record, error) { return record(_leaderKey, c) }
 
-// Tombstones returns the records that delete a job.
+// Tombstones returns the records that delete a job, but for those of its tasks.
 func Tombstones(id string) []berylstore.Record {
 	return []berylstore.Record{{Key: _submissionPrefix + id}, {Key: _cancelPrefix + id}, {Key: _progressPrefix + id}}
 }
 
+// TaskTombstones returns the records that delete the tasks of a quiescent job that the
+// topic still has, because its leader was deposed before it deleted them.
+func (j *Job) TaskTombstones() []berylstore.Record {
+	var records []berylstore.Record
+	j.Each(func(ref berylwork.Ref, t *Task) {
+		if *t != (Task{}) {
+			records = append(records, berylstore.Record{Key: _taskPrefix + ref.String()})
+		}
+	})
+	return records
+}
+
 func record(key string, v any) (berylstore.Record, error) {
 	value, err := cbor.Marshal(v)
 	return berylstore.Record{Key: key, Value: value}, err
--- a/beryldirector/append.go
+++ b/beryldirector/append.go
@@ -38,22 +38,25 @@
 }
 
 // appendChanges appends the records of the changed jobs and removes these jobs from
-// changed. Jobs that exceed the size of an append remain there.
+// changed. What exceeds the size of an append remains there.
 func (d *Director) appendChanges(records []berylstore.Record, changed map[string]bool) []berylstore.Record {
 	size := recordsSize(records)
 	for _, id := range slices.Sorted(maps.Keys(changed)) {
 		if size > _maxAppendSize {
 			break
 		}
-		delete(changed, id)
 		j := d.Book.Jobs[id]
 		if j == nil {
+			delete(changed, id)
 			continue
 		}
 		if d.recorded[id] == nil {
 			d.recorded[id] = &berylbook.Recorded{}
 		}
-		changes, err := j.Changes(d.epoch, d.recorded[id])
+		changes, more, err := j.Changes(d.epoch, d.recorded[id], _maxJobRecords)
+		if !more {
+			delete(changed, id)
+		}
 		if err != nil {
 			d.note("progress can't be encoded", "job", id, "err", err)
 			continue
@@ -85,6 +88,9 @@
 		id := j.Work.ID
 		if j.State.Final() && j.EndedAt < limit && !j.Active() {
 			records = append(records, berylbook.Tombstones(id)...)
+			if d.recorded[id] == nil {
+				records = append(records, j.TaskTombstones()...)
+			}
 		}
 		if len(records) > _maxRemovals {
 			break
@@ -101,6 +107,8 @@
 	// of the last job may exceed it.
 	_maxRemovals = 300
 	// _maxAppendSize is the size of an append, in bytes, from which further jobs wait
-	// for the next one. The store accepts 2 MiB, and the last job may exceed it.
+	// for the next one. The store accepts 2 MiB.
 	_maxAppendSize = 512 << 10
+	// _maxJobRecords bounds the records of one job in one append, some 130 bytes each.
+	_maxJobRecords = 4000
 )
--- a/beryldirector/election_test.go
+++ b/beryldirector/election_test.go
@@ -18,7 +18,7 @@
 	h := newHarness(t)
 	h.report("n1", nil)
 	h.submit("j1", "routine", step(1, 1))
-	old, err := h.d.Book.Jobs["j1"].Changes(0, &berylbook.Recorded{})
+	old, _, err := h.d.Book.Jobs["j1"].Changes(0, &berylbook.Recorded{}, 10)
 	h.is.NoErr(err)
 	h.holdAppends = true
 	h.report("n1", func(r *berylreport.Report) {
@@ -207,7 +207,7 @@
 	is.NoErr(err)
 	j := berylbook.NewJob(&work)
 	j.Tasks[0][0][0] = berylbook.Task{Run: 1, Phase: berylbook.Ordered, Incarnation: incarnation("n1")}
-	started, err := j.Changes(1, &berylbook.Recorded{})
+	started, _, err := j.Changes(1, &berylbook.Recorded{}, 10)
 	is.NoErr(err)
 	// The entry has read the topic for longer than any delay of a claim.
 	for range 40 {
