berylentry, berylsidecar, berylgateway: lint, and no claim after a planned stop

A process that stops resigns; after a panic its new director would have claimed again. The other changes are those that the linter asked for.

--- a/berylentry/control_test.go
+++ b/berylentry/control_test.go
@@ -324,7 +324,8 @@
 	is.NoErr(err)
 	defer func() { _ = conn.Close() }()
 	r := bufio.NewReader(conn)
-	exchange := func() *http.Response {
+	// exchange reports whether the reply closes the connection.
+	exchange := func() bool {
 		req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+e.HTTPAddr+"/v1/config", nil)
 		is.NoErr(err)
 		is.NoErr(req.Write(conn))
@@ -333,9 +334,9 @@
 		_, err = io.Copy(io.Discard, resp.Body)
 		is.NoErr(err)
 		is.NoErr(resp.Body.Close())
-		return resp
+		return resp.Close
 	}
-	is.True(!exchange().Close)
+	is.True(!exchange())
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
@@ -343,7 +344,7 @@
 	}()
 	<-e.stopping
 	time.Sleep(_closeTime / 5)
-	is.True(exchange().Close)
+	is.True(exchange())
 	<-stopped
 }
 
--- a/berylgateway/gateway.go
+++ b/berylgateway/gateway.go
@@ -88,6 +88,8 @@
 	// stepScheduled is true while a stepDue message is scheduled. It is owned by the
 	// actor.
 	stepScheduled bool
+	// shuttingDown is true once the process is stopping. It is owned by the actor.
+	shuttingDown bool
 	// seq is the sequence number of the last append in the current epoch. It is
 	// owned by the actor.
 	seq  int64
@@ -184,6 +186,7 @@
 	case appendFinished:
 		g.finishAppend(now, m)
 	case resignRequested:
+		g.shuttingDown = true
 		p, _ := d.Resign()
 		m.reply(resignation{persist: p, seq: g.seq + 1})
 	case storeUnreachable:
--- a/berylgateway/gateway_test.go
+++ b/berylgateway/gateway_test.go
@@ -264,7 +264,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
 	is.Equal(lead.Intake.Serve(ctx, submit("j1")), berylintake.Reply{})
-	lead.loop.Tell(resignRequested{reply: func(resignation) { panic("malformed") }})
+	lead.loop.Tell(leadAsked{reply: func(int64) { panic("malformed") }})
 	await(t, time.Second, "the end of the lead", func() bool { return !lead.Leading() })
 	await(t, 4*time.Second, "a leader", func() bool { return leader(entries) != nil })
 	is.Equal(lead.Intake.Serve(ctx, submit("j2")), berylintake.Reply{})
--- a/berylgateway/message.go
+++ b/berylgateway/message.go
@@ -76,6 +76,9 @@
 	g.director = beryldirector.New(g.cfg.Self, g.cfg.Limits)
 	g.director.Policy = policy
 	g.director.Deposed()
+	if g.shuttingDown {
+		_, _ = g.director.Resign()
+	}
 	g.leading.Store(false)
 	g.stepScheduled = false
 	g.pendingReplies.appendSent()
--- a/berylsidecar/leader.go
+++ b/berylsidecar/leader.go
@@ -101,7 +101,7 @@
 	}
 	s.misses++
 	known := m.answer.Leader != "" && m.answer.Leader != m.addr && m.answer.Epoch >= s.keeper.Epoch()
-	if known && !(s.relaying(now) && m.answer.Leader == s.unreachable) {
+	if known && (!s.relaying(now) || m.answer.Leader != s.unreachable) {
 		s.leader = m.answer.Leader
 		s.lastReport = now.Add(-_reportInterval)
 		return
@@ -130,10 +130,10 @@
 		s.cfg.Log.Warn("leader not reached", "addr", addr, "err", err)
 	}
 	s.misses++
-	switch {
-	case addr == s.relay:
+	switch addr {
+	case s.relay:
 		s.relay = ""
-	case addr == s.leader:
+	case s.leader:
 		s.unreachable, s.unreachableAt = addr, now
 	}
 	if s.relay != "" {
