beryldirector: let a failed gang return to the only rack that fits

Change: hosts are left out only if the unit fits without them into one rack, where it needs one.

Before: TestFailedGangReturnsToItsRack fails. After: it passes.

--- a/beryldirector/failed_test.go
+++ b/beryldirector/failed_test.go
@@ -63,3 +63,24 @@
 	h.is.Equal(h.d.Book.Jobs["j1"].Tasks[0][0][0].Run, 1)
 	h.is.Equal(h.d.Book.Jobs["j1"].Tasks[0][0][1].Run, 2)
 }
+
+// A gang needs all hosts of the only rack that is large enough, and failed once. Guards
+// against a gang that waits for a rack without the host where it failed.
+func TestFailedGangReturnsToItsRack(t *testing.T) {
+	h := newHarness(t)
+	for _, node := range []string{"n1", "n2"} {
+		h.report(node, nil)
+	}
+	h.report("n3", func(r *berylreport.Report) { r.Labels = []string{"a", "r1-2"} })
+	gang := step(2, 8)
+	gang.Gang, gang.OneRack = true, true
+	h.submit("j1", "urgent", gang)
+	h.report("n1", func(r *berylreport.Report) {
+		r.Ends = []berylreport.End{end(1, "j1.0.0.0", 1, berylreport.Failed)}
+	})
+	h.report("n2", func(r *berylreport.Report) {
+		r.Ends = []berylreport.End{end(1, "j1.0.0.1", 1, berylreport.GangBroken)}
+	})
+	h.advance(300 * time.Millisecond)
+	h.is.Equal(h.d.Book.Jobs["j1"].Tasks[0][0][0].Run, 2)
+}
--- a/beryldirector/place.go
+++ b/beryldirector/place.go
@@ -112,7 +112,7 @@
 	demand := demandOf(u.job, u.occurrence, u.step, len(u.tasks))
 	demand.Avoid = d.failedOn[u.name()]
 	demand.Exclude = len(demand.Avoid) > 0 && u.waited < _maxAvoidWait
-	if demand.Exclude && !demand.Fits(known) {
+	if demand.Exclude && !demand.FitsOneRack(known) {
 		demand.Exclude = false
 	}
 	if demand.OneRack && demand.Count > 1 {
--- a/berylfit/fit.go
+++ b/berylfit/fit.go
@@ -101,8 +101,8 @@
 	return d.search(hosts, func(h *Host) berylroom.Resources { return h.Free.Add(h.Releasing) })
 }
 
-// FitsOneRack reports whether the tasks would fit into one rack if nothing else
-// ran.
+// FitsOneRack reports whether the tasks would fit if nothing else ran: into one rack, if
+// they need one.
 func (d *Demand) FitsOneRack(hosts []Host) bool {
 	one := *d
 	one.Spread = false
@@ -110,12 +110,6 @@
 	return ok
 }
 
-// Fits reports whether the tasks would fit if nothing else ran.
-func (d *Demand) Fits(hosts []Host) bool {
-	_, ok := d.pack(hosts, allIndexes(hosts), func(h *Host) berylroom.Resources { return h.Total })
-	return ok
-}
-
 type resourcesFunc func(h *Host) berylroom.Resources
 
 // search tries healthy hosts first when the tasks need one rack: otherwise a
