--- a/beryldirector/failed_test.go
+++ b/beryldirector/failed_test.go
@@ -65,7 +65,7 @@
 }
 
 // A gang needs all hosts of the only rack that is large enough, and failed once. Guards
-// against a gang that waits for a rack without the host where it failed.
+// against a gang that is spread over racks to avoid the host where it failed.
 func TestFailedGangReturnsToItsRack(t *testing.T) {
 	h := newHarness(t)
 	for _, node := range []string{"n1", "n2"} {
@@ -82,5 +82,9 @@
 		r.Ends = []berylreport.End{end(1, "j1.0.0.1", 1, berylreport.GangBroken)}
 	})
 	h.advance(300 * time.Millisecond)
-	h.is.Equal(h.d.Book.Jobs["j1"].Tasks[0][0][0].Run, 2)
+	tasks := h.d.Book.Jobs["j1"].Tasks[0][0]
+	h.is.Equal(tasks[0].Run, 2)
+	for _, task := range tasks {
+		h.is.True(task.Incarnation.Node != "n3")
+	}
 }
