beryldirector: one claim time, one builder of the live jobs, no work deferred without the lead

When an entry claims was decided by three functions with the same conditions (claimWait, silentSince, takeover) and a fourth condition at the call; claimTime states each case once, with the same times. currentIndex and liveJobs called each other. Both are written anew without a change of behaviour.

A deposed leader whose orders or placement pass had been deferred went on to be called every 22 ms: TestNothingIsDeferredWithoutTheLead fails without the change.

--- a/beryldirector/director.go
+++ b/beryldirector/director.go
@@ -284,9 +284,11 @@
 // isRecorded reports whether the topic has the current state of the job.
 func (d *Director) isRecorded(id string) bool { return !d.dirty[id] && !d.inFlight[id] }
 
-// Deferred reports whether a placement pass or orders were deferred, so that Step and
-// Orders should be called again soon.
-func (d *Director) Deferred() bool { return d.placementDeferred || d.ordersDeferred }
+// Deferred reports whether a placement pass or orders of the leader were deferred, so
+// that Step and Orders should be called again soon.
+func (d *Director) Deferred() bool {
+	return d.Leading() && (d.placementDeferred || d.ordersDeferred)
+}
 
 // Step performs what depends on the time: claims of leadership, timeouts, placement
 // and the append of changes.
--- a/beryldirector/election.go
+++ b/beryldirector/election.go
@@ -113,10 +113,7 @@
 		return
 	}
 	c := d.Book.Claim
-	wait := d.claimWait(now, c)
-	if now.Sub(d.silentSince(c)) < wait || now.Sub(d.readSince) < min(wait, d.claimDelay(c.Epoch)) {
-		// After an outage of the store the leader has been silent for all entries, and
-		// only the delay as of its end orders them.
+	if now.Before(d.claimTime(now, c)) {
 		return
 	}
 	d.claimedAt = now
@@ -126,47 +123,36 @@
 	}})
 }
 
-// claimWait returns how long after the last record of the leader of claim c this entry
-// claims leadership.
-func (d *Director) claimWait(now time.Time, c berylbook.Claim) time.Duration {
+// claimTime returns when this entry claims leadership after the leader of claim c. After
+// an outage of the store the leader has been silent for all entries, and only delays as
+// of its end order them.
+func (d *Director) claimTime(now time.Time, c berylbook.Claim) time.Time {
+	delay := d.claimDelay(c.Epoch)
+	silentSince := later(d.leaderSeenAt, d.readSince)
 	switch {
 	case c.Epoch > 0 && c.Epoch == d.yieldedEpoch:
-		return 0
+		return now
 	case c.Node == d.Self.Node && c.Boot != d.Self.Boot && !d.small():
 		// An earlier process of this entry led. The new epoch fences its orders, as it
 		// would those of another entry.
-		return 0
+		return now
 	case c.Epoch == 0 || c.Resigned || c.Node == d.Self.Node:
-		return d.claimDelay(c.Epoch)
-	default:
-		d.checkLeader(now, c)
-		return d.takeover() + d.claimDelay(c.Epoch)
+		return silentSince.Add(delay)
 	}
-}
-
-// silentSince returns the time from which the silence of the leader of claim c counts.
-// After an outage of the store a leader that is alive needs some time for its next
-// append, so the silence counts from the end of the outage, unless checks have failed.
-func (d *Director) silentSince(c berylbook.Claim) time.Time {
-	if c.Epoch == 0 || c.Resigned || c.Epoch == d.yieldedEpoch || c.Node == d.Self.Node || d.failedChecks >= _checksBeforeTakeover {
-		return d.leaderSeenAt
+	d.checkLeader(now, c)
+	if d.failedChecks < _checksBeforeTakeover {
+		// A leader that is alive needs some time for its next append after an outage.
+		return silentSince.Add(d.Limits.Takeover + delay)
 	}
-	return later(d.leaderSeenAt, d.readSince)
+	// A leader whose process is gone need not be waited for: a claim fences one that is
+	// alive, and its successor takes the leases that it may have extended into account.
+	wait := min(_earlyTakeover, d.Limits.Takeover)
+	return later(d.leaderSeenAt.Add(wait), d.readSince).Add(delay)
 }
 
 // small reports whether the VM has less CPU than the leader of many agents needs.
 func (d *Director) small() bool { return d.Self.Cores > 0 && d.Self.Cores < _smallCores }
 
-// takeover returns how long the leader may be silent. A leader whose process is gone
-// need not be waited for: a claim fences one that is alive, and its successor takes the
-// leases that it may have extended into account.
-func (d *Director) takeover() time.Duration {
-	if d.failedChecks >= _checksBeforeTakeover {
-		return min(_earlyTakeover, d.Limits.Takeover)
-	}
-	return d.Limits.Takeover
-}
-
 // checkLeader requests a check of the leader that has been silent for some time.
 func (d *Director) checkLeader(now time.Time, c berylbook.Claim) {
 	if now.Sub(d.leaderSeenAt) < _checkAfter || now.Sub(d.checkedAt) < _checkInterval {
--- a/beryldirector/election_test.go
+++ b/beryldirector/election_test.go
@@ -357,3 +357,14 @@
 	}
 	is.True(claims > 0)
 }
+
+// Guards against a deposed leader that is called every 22 ms for orders which it no longer
+// sends.
+func TestNothingIsDeferredWithoutTheLead(t *testing.T) {
+	h := newHarness(t)
+	_ = h.d.Orders(h.now)
+	_ = h.d.Orders(h.now)
+	h.is.True(h.d.Deferred())
+	h.d.Deposed()
+	h.is.True(!h.d.Deferred())
+}
--- a/beryldirector/index.go
+++ b/beryldirector/index.go
@@ -36,15 +36,16 @@
 
 // currentIndex returns the index of the Book.
 func (d *Director) currentIndex() *index {
-	if d.index == nil {
-		d.index = &index{byNode: map[string][]activeTask{}}
-		for _, j := range d.liveJobs() {
-			j.Each(func(ref berylwork.Ref, t *berylbook.Task) {
-				if t.Phase.Active() {
-					d.index.add(j, ref, t)
-				}
-			})
-		}
+	if d.index != nil {
+		return d.index
+	}
+	d.index = &index{live: d.findLiveJobs(), byNode: map[string][]activeTask{}}
+	for _, j := range d.index.live {
+		j.Each(func(ref berylwork.Ref, t *berylbook.Task) {
+			if t.Phase.Active() {
+				d.index.add(j, ref, t)
+			}
+		})
 	}
 	return d.index
 }
@@ -52,21 +53,24 @@
 // liveJobs returns the jobs that may still change, ordered by id. Some may have ended
 // since the last submission.
 func (d *Director) liveJobs() []*berylbook.Job {
-	x := d.index
-	if x == nil {
-		x = d.currentIndex()
-	}
+	x := d.currentIndex()
 	if x.live == nil {
-		x.live = []*berylbook.Job{}
-		for _, j := range d.Book.Sorted() {
-			if !j.Quiescent() {
-				x.live = append(x.live, j)
-			}
-		}
+		x.live = d.findLiveJobs()
 	}
 	return x.live
 }
 
+// findLiveJobs returns the jobs of the Book that may still change; it is not nil.
+func (d *Director) findLiveJobs() []*berylbook.Job {
+	live := []*berylbook.Job{}
+	for _, j := range d.Book.Sorted() {
+		if !j.Quiescent() {
+			live = append(live, j)
+		}
+	}
+	return live
+}
+
 // add adds a task whose newest run was ordered.
 func (x *index) add(j *berylbook.Job, ref berylwork.Ref, t *berylbook.Task) {
 	node := t.Incarnation.Node
