berylkeeper: refuse starts that are based on an old report

Cause: an order carries no age. The agent counted the validity of a start from its delivery, so a start that waited in the connection during a cut was carried out 12.7 s after it was sent, while the leader had given up the run 9.77 s after its last contact. Ruled out: the epoch, as the leader was the same; a late call to the backend server, as its deadline holds. Change: reports carry the clock of the backend server, orders return it as their basis, and a start is valid until the basis plus the leader timeout of 3.5 s, in the agent and in the deadline that the backend server checks. That is earlier than any time at which the leader gives up the run for want of contact.

--- a/beryldirector/orders.go
+++ b/beryldirector/orders.go
@@ -38,7 +38,9 @@
 			continue
 		}
 		d.advanceAckedEnd(a)
-		orders[node] = berylreport.Orders{Epoch: d.epoch, Incarnation: a.report.Incarnation, Acked: a.ackedEnd, Stop: slices.Clone(a.unknown)}
+		orders[node] = berylreport.Orders{
+			Epoch: d.epoch, Incarnation: a.report.Incarnation, Basis: a.report.Clock, Acked: a.ackedEnd, Stop: slices.Clone(a.unknown),
+		}
 	}
 	d.eachActive(func(s activeTask) { d.addOrder(orders, s) })
 	return d.dropRepeated(now, orders)
--- a/beryldirector/world_test.go
+++ b/beryldirector/world_test.go
@@ -34,6 +34,9 @@
 	fence   int64
 	seqs    map[string]bool
 	storeUp bool
+	// holdOrders is true if orders to a disconnected agent are delivered when it is
+	// connected again, as TCP does. Otherwise they are lost.
+	holdOrders bool
 
 	entries []*worldEntry
 	agents  []*worldAgent
@@ -164,7 +167,7 @@
 				})
 			case 3:
 				a.disconnected = true
-				w.after(length, func() { a.disconnected = false })
+				w.after(length, a.reconnect)
 			case 4:
 				a.up = false
 				w.after(length, func() {
@@ -187,6 +190,35 @@
 	}
 }
 
+// cuts schedules n cuts of single agents that last about as long as a lease. Orders that
+// are sent meanwhile are delivered at the end of the cut.
+func (w *world) cuts(n int) {
+	w.holdOrders = true
+	for range n {
+		at := time.Duration(w.r.Int64N(int64(_worldFaultPeriod)))
+		length := 8500*time.Millisecond + time.Duration(w.r.IntN(4000))*time.Millisecond
+		a := w.agents[w.r.IntN(len(w.agents))]
+		w.after(at, func() {
+			w.note("%s is cut off for %s", a.name, length)
+			a.disconnected = true
+			w.after(length, a.reconnect)
+		})
+	}
+}
+
+// outages schedules n outages of the store that last about as long as a lease.
+func (w *world) outages(n int) {
+	for range n {
+		at := time.Duration(w.r.Int64N(int64(_worldFaultPeriod)))
+		length := 8500*time.Millisecond + time.Duration(w.r.IntN(2500))*time.Millisecond
+		w.after(at, func() {
+			w.note("store is down for %s", length)
+			w.storeUp = false
+			w.after(length, func() { w.storeUp = true })
+		})
+	}
+}
+
 // departures schedules n announced departures of backend servers, most of them too
 // early for the runs to end. A new incarnation follows.
 func (w *world) departures(n int) {
@@ -292,6 +324,20 @@
 	is.New(t).True(moves > 0)
 }
 
+// TestWorldWithHeldOrders simulates the same days with cuts in which orders wait in the
+// connection to an agent. Guards against a start that is carried out after a cut although
+// the leader has given it up.
+func TestWorldWithHeldOrders(t *testing.T) {
+	_ = playWorlds(t, func(w *world) { w.cuts(6) })
+}
+
+// TestWorldWithLongOutages simulates the same days with outages of the store after which
+// leases expire. Guards against a start that is given up when it has just been ordered,
+// and still carried out.
+func TestWorldWithLongOutages(t *testing.T) {
+	_ = playWorlds(t, func(w *world) { w.outages(3) })
+}
+
 // TestWorldRegressions simulates days on which a task ran twice: a start was ordered for a
 // backend server without contact, given up at once, and carried out with the next contact.
 func TestWorldRegressions(t *testing.T) {
@@ -303,6 +349,14 @@
 	}
 }
 
+// TestWorldHeldOrderRegressions simulates days on which a start that waited in a connection
+// to an agent during a cut was carried out after it, while the task ran elsewhere.
+func TestWorldHeldOrderRegressions(t *testing.T) {
+	for _, seed := range []int{66, 68, 172, 174, 222, 236, 251, 271} {
+		_ = playWorld(t, seed, func(w *world) { w.cuts(6) })
+	}
+}
+
 // playWorlds simulates the seeded days after prepare has added to their events. It
 // returns the number of units that were moved.
 func playWorlds(t *testing.T, prepare func(w *world)) int {
--- a/beryldirector/worldagent_test.go
+++ b/beryldirector/worldagent_test.go
@@ -22,9 +22,12 @@
 	// startedAt is when the agent's process was started.
 	startedAt    time.Time
 	disconnected bool
-	target       int
-	reporting    bool
-	reportedAt   time.Time
+	// held are the messages that wait in connections to the agent while it is
+	// disconnected.
+	held       []func()
+	target     int
+	reporting  bool
+	reportedAt time.Time
 
 	server *worldServer
 }
@@ -166,14 +169,43 @@
 			continue
 		}
 		w.after(w.latency(), func() {
-			if a.up && !a.disconnected && e.up {
-				a.keeper.Orders(w.now, o)
-				a.drive(a.keeper)
+			if !a.up || !e.up {
+				return
+			}
+			if a.disconnected {
+				a.hold(o)
+				return
 			}
+			a.keeper.Orders(w.now, o)
+			a.drive(a.keeper)
 		})
 	}
 }
 
+// hold keeps orders in the connection to the agent, if the day has such connections. They
+// are delivered after the cut, unless the agent's process has ended.
+func (a *worldAgent) hold(o berylreport.Orders) {
+	if !a.w.holdOrders {
+		return
+	}
+	k := a.keeper
+	a.held = append(a.held, func() {
+		if a.up && a.keeper == k {
+			k.Orders(a.w.now, o)
+			a.drive(k)
+		}
+	})
+}
+
+// reconnect ends a cut. What waits in connections is delivered soon.
+func (a *worldAgent) reconnect() {
+	a.disconnected = false
+	for _, deliver := range a.held {
+		a.w.after(time.Duration(a.w.r.IntN(800))*time.Millisecond, deliver)
+	}
+	a.held = nil
+}
+
 // announce makes agents report to a new leader, and abandon a report that the
 // previous one has not answered.
 func (w *world) announce(e *worldEntry) {
--- a/berylkeeper/calls.go
+++ b/berylkeeper/calls.go
@@ -76,7 +76,8 @@
 			k.setPhase(now, r, stopping)
 			return k.runCall(now, r)
 		}
-		if now.Sub(r.changedAt) > _startValidity {
+		clock := k.BackendClock(now)
+		if now.Sub(r.changedAt) > _startValidity || clock > r.startUntil {
 			k.dropStart(now, r)
 			return k.runCall(now, r)
 		}
@@ -87,7 +88,7 @@
 		r.inFlight = true
 		// A start has a short deadline, so that the backend server refuses it if it
 		// is delivered seconds late.
-		deadline := min(lease, k.BackendClock(now)+_startValidity.Milliseconds())
+		deadline := min(lease, clock+_startValidity.Milliseconds(), r.startUntil)
 		k.deadline = max(k.deadline, deadline)
 		return k.issueCall(berylexecutor.StartCall{Target: k.target(), Start: r.start, Deadline: deadline}, _callTimeout), true
 	case stopping:
--- a/berylkeeper/keeper.go
+++ b/berylkeeper/keeper.go
@@ -83,6 +83,9 @@
 	stopSeq int64
 	// changedAt is when the phase last changed.
 	changedAt time.Time
+	// startUntil is the last time at which the backend server may carry out the start,
+	// on its clock in milliseconds. The leader doesn't give up the run before.
+	startUntil int64
 }
 
 // Outcome is the result of a call.
@@ -253,13 +256,11 @@
 		return berylreport.Receipt{Epoch: k.epoch}
 	}
 	k.ack(o.Acked)
-	for _, s := range o.Start {
-		k.applyStart(now, s)
-	}
+	late := !k.applyStarts(now, o)
 	for _, key := range o.Stop {
 		k.applyStop(now, key)
 	}
-	return berylreport.Receipt{Epoch: k.epoch}
+	return berylreport.Receipt{Epoch: k.epoch, Late: late}
 }
 
 func (k *Keeper) ack(n int64) {
@@ -269,11 +270,30 @@
 	}
 }
 
-func (k *Keeper) applyStart(now time.Time, s berylreport.Start) {
-	if k.runs[s.Key] != nil {
+// applyStarts applies the starts of orders, unless the orders were delivered so late that
+// the leader may have given up the runs. Then it returns false, and the leader orders what
+// it still wants again after the next report.
+func (k *Keeper) applyStarts(now time.Time, o berylreport.Orders) bool {
+	if len(o.Start) == 0 {
+		return true
+	}
+	until := o.Basis + k.Limits.LeaderTimeout.Milliseconds()
+	if o.Basis == 0 || k.BackendClock(now) > until {
+		k.changed = true
+		return false
+	}
+	for _, s := range o.Start {
+		k.applyStart(now, s, until)
+	}
+	return true
+}
+
+func (k *Keeper) applyStart(now time.Time, s berylreport.Start, until int64) {
+	if r := k.runs[s.Key]; r != nil {
+		r.startUntil = max(r.startUntil, until)
 		return
 	}
-	r := &run{start: s, phase: starting, unconfirmed: k.inherited, changedAt: now}
+	r := &run{start: s, phase: starting, unconfirmed: k.inherited, changedAt: now, startUntil: until}
 	k.runs[s.Key] = r
 	switch {
 	case k.exists(s.Key):
--- a/berylkeeper/keeper_test.go
+++ b/berylkeeper/keeper_test.go
@@ -55,8 +55,8 @@
 
 func key(task string) berylreport.Key { return berylreport.Key{Task: task, Run: 1} }
 
-func orders(k *Keeper, starts []string, stops []string) berylreport.Orders {
-	o := berylreport.Orders{Epoch: 3, Incarnation: k.Incarnation()}
+func orders(now time.Time, k *Keeper, starts []string, stops []string) berylreport.Orders {
+	o := berylreport.Orders{Epoch: 3, Incarnation: k.Incarnation(), Basis: k.BackendClock(now)}
 	for _, s := range starts {
 		o.Start = append(o.Start, berylreport.Start{Key: key(s)})
 	}
@@ -140,7 +140,7 @@
 			is := is.New(t)
 			now := start()
 			k := readyKeeper(is, now)
-			k.Orders(now, orders(k, []string{"a.0.0.0"}, nil))
+			k.Orders(now, orders(now, k, []string{"a.0.0.0"}, nil))
 			if tt.unanswered {
 				c := only[berylexecutor.StartCall](is, k.Calls(now))
 				k.Outcome(now, Outcome{Call: c.Call, Seq: c.Seq, Err: timeoutError()})
@@ -168,7 +168,7 @@
 	is := is.New(t)
 	now := start()
 	k := readyKeeper(is, now)
-	k.Orders(now, orders(k, []string{"a.0.0.0"}, nil))
+	k.Orders(now, orders(now, k, []string{"a.0.0.0"}, nil))
 	c := only[berylexecutor.StartCall](is, k.Calls(now))
 	k.Outcome(now, Outcome{Call: c.Call, Seq: c.Seq, Err: timeoutError()})
 	is.Equal(len(callsOf[berylexecutor.StartCall](k.Calls(now))), 0)
@@ -206,7 +206,7 @@
 	now := start()
 	k := readyKeeper(is, now)
 	before := only[berylexecutor.RenewCall](is, k.Calls(now))
-	k.Orders(now, orders(k, nil, []string{"a.0.0.0"}))
+	k.Orders(now, orders(now, k, nil, []string{"a.0.0.0"}))
 	stop := only[berylexecutor.StopCall](is, k.Calls(now))
 	k.Outcome(now, Outcome{Call: stop.Call, Seq: stop.Seq})
 	k.Outcome(now, Outcome{Call: before.Call, Seq: before.Seq, Listing: berylexecutor.Listing{Clock: 10_000, StartedAt: 5}})
@@ -235,7 +235,7 @@
 			is := is.New(t)
 			now := start()
 			k := readyKeeper(is, now)
-			o := orders(k, []string{"a.0.0.0"}, nil)
+			o := orders(now, k, []string{"a.0.0.0"}, nil)
 			o.Epoch = tt.epoch
 			o.Incarnation.StartedAt = tt.startedAt
 			k.Orders(now, o)
@@ -266,7 +266,7 @@
 	now := start()
 	k := readyKeeper(is, now)
 	k.Heartbeat(now, Heartbeat{Incarnation: berylbook.Incarnation{Instance: "i-1", StartedAt: 5}, Addr: "10.0.0.1:80", Seq: 2, Clock: 10_000, Draining: true})
-	k.Orders(now, orders(k, []string{"a.0.0.0"}, nil))
+	k.Orders(now, orders(now, k, []string{"a.0.0.0"}, nil))
 	is.Equal(len(callsOf[berylexecutor.StartCall](k.Calls(now))), 0)
 	is.Equal(k.Report(now).Absent, []berylreport.Key{key("a.0.0.0")})
 }
--- a/berylkeeper/report.go
+++ b/berylkeeper/report.go
@@ -49,7 +49,7 @@
 func (k *Keeper) Report(now time.Time) berylreport.Report {
 	k.reportSeq++
 	r := berylreport.Report{
-		Node: k.Node, Addr: k.Addr, Seq: k.reportSeq, Boot: k.Boot, Incarnation: k.heartbeat.Incarnation,
+		Node: k.Node, Addr: k.Addr, Seq: k.reportSeq, Boot: k.Boot, Clock: k.BackendClock(now), Incarnation: k.heartbeat.Incarnation,
 		Service: k.heartbeat.Service, Zone: k.heartbeat.Zone, Labels: k.heartbeat.Labels, Capacity: k.heartbeat.Capacity,
 		Draining: k.heartbeat.Draining, Remaining: k.remaining(now),
 		Listed: k.listed, Unresponsive: k.failedCalls >= _unresponsiveAfter || k.down, LeaseExpired: k.leaseExpired(now),
--- a/berylkeeper/start_test.go
+++ b/berylkeeper/start_test.go
@@ -37,7 +37,7 @@
 				Incarnation: berylbook.Incarnation{Instance: "i-1", StartedAt: 5}, Addr: "10.0.0.1:80", Seq: 12, Clock: 10_000, Draining: true,
 			})
 			first := only[berylexecutor.RenewCall](is, k.Calls(now))
-			order := func() { k.Orders(now, orders(k, []string{"a.0.0.0"}, nil)) }
+			order := func() { k.Orders(now, orders(now, k, []string{"a.0.0.0"}, nil)) }
 			if tt.orderFirst {
 				order()
 				is.Equal(len(k.Report(now).Absent), 0)
@@ -84,7 +84,7 @@
 			if !tt.sent {
 				now = now.Add(limits().LeaderTimeout + limits().Lease + time.Second)
 			}
-			k.Orders(now, orders(k, []string{"a.0.0.0"}, nil))
+			k.Orders(now, orders(now, k, []string{"a.0.0.0"}, nil))
 			starts := callsOf[berylexecutor.StartCall](k.Calls(now))
 			is.Equal(len(starts) == 1, tt.sent)
 			if tt.sent {
@@ -99,3 +99,68 @@
 		})
 	}
 }
+
+// Orders wait in the connection to an agent that is cut off, and are delivered after the
+// leader has given up the run and started its task elsewhere. Guards against a start whose
+// validity counts from its delivery.
+func TestStartDeliveredAfterCutIsRefused(t *testing.T) {
+	l := limits()
+	tests := []struct {
+		name string
+		// age is the age of the report on which the orders are based.
+		age  time.Duration
+		want bool
+	}{
+		{name: "at once", want: true},
+		{name: "within the leader timeout", age: l.LeaderTimeout, want: true},
+		{name: "after the leader timeout", age: l.LeaderTimeout + time.Millisecond},
+		{name: "after the lease", age: l.LeaderTimeout + l.Lease + 3*time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			now := start()
+			k := readyKeeper(is, now)
+			o := orders(now, k, []string{"a.0.0.0"}, nil)
+			now = now.Add(tt.age)
+			k.Answer(berylreport.Answer{Epoch: 3, FromLeader: true}, k.Incarnation(), k.BackendClock(now))
+			k.Changed()
+			is.Equal(k.Orders(now, o).Late, !tt.want)
+			starts := callsOf[berylexecutor.StartCall](k.Calls(now))
+			is.Equal(len(starts) == 1, tt.want)
+			// A refusal is reported, so that the leader orders again what it still wants.
+			is.Equal(k.Changed(), !tt.want)
+		})
+	}
+}
+
+// The agent is suspended between the decision to send a start and its delivery. Guards
+// against a backend server that carries out a start later than the leader relies on.
+func TestDeadlineOfStartEndsWithItsBasis(t *testing.T) {
+	is := is.New(t)
+	now := start()
+	k := readyKeeper(is, now)
+	o := orders(now, k, []string{"a.0.0.0"}, nil)
+	until := o.Basis + limits().LeaderTimeout.Milliseconds()
+	now = now.Add(limits().LeaderTimeout - time.Second)
+	k.Answer(berylreport.Answer{Epoch: 3, FromLeader: true}, k.Incarnation(), k.BackendClock(now))
+	k.Orders(now, o)
+	is.Equal(only[berylexecutor.StartCall](is, k.Calls(now)).Call.(berylexecutor.StartCall).Deadline, until)
+}
+
+// A start waits for contact until its report is old, and the leader repeats the order.
+// Guards against a repeated order that is dropped because of the first one.
+func TestRepeatedOrderRenewsStart(t *testing.T) {
+	is := is.New(t)
+	now := start()
+	k := newKeeper(now)
+	first := only[berylexecutor.RenewCall](is, k.Calls(now))
+	k.Outcome(now, Outcome{Call: first.Call, Seq: first.Seq, Listing: berylexecutor.Listing{Clock: 10_000, StartedAt: 5}})
+	old := orders(now, k, []string{"a.0.0.0"}, nil)
+	now = now.Add(limits().LeaderTimeout - 100*time.Millisecond)
+	k.Orders(now, old)
+	k.Orders(now, orders(now, k, []string{"a.0.0.0"}, nil))
+	now = now.Add(time.Second)
+	k.Answer(berylreport.Answer{Epoch: 3, FromLeader: true}, k.Incarnation(), k.BackendClock(now))
+	is.Equal(len(callsOf[berylexecutor.StartCall](k.Calls(now))), 1)
+}
--- a/berylreport/report.go
+++ b/berylreport/report.go
@@ -38,6 +38,9 @@
 	Seq int64 `cbor:"q"`
 	// Boot distinguishes agent processes; a later process has a higher value.
 	Boot int64 `cbor:"b"`
+	// Clock is the clock of the backend server when the report was made, in
+	// milliseconds; zero while it is unknown.
+	Clock int64 `cbor:"c,omitempty"`
 	// Incarnation is that of the backend server; its Instance is empty while no
 	// backend server is known.
 	Incarnation berylbook.Incarnation `cbor:"p"`
@@ -149,8 +152,12 @@
 type Orders struct {
 	Epoch       int64                 `cbor:"e"`
 	Incarnation berylbook.Incarnation `cbor:"p"`
-	Start       []Start               `cbor:"s,omitempty"`
-	Stop        []Key                 `cbor:"x,omitempty"`
+	// Basis is the Clock of the report on which the orders are based. The agent refuses
+	// starts with an old basis: orders may wait in a connection until the leader has
+	// given up the runs.
+	Basis int64   `cbor:"b,omitempty"`
+	Start []Start `cbor:"s,omitempty"`
+	Stop  []Key   `cbor:"x,omitempty"`
 	// Acked is the number up to which ends are recorded durably.
 	Acked int64 `cbor:"n,omitempty"`
 }
@@ -166,4 +173,6 @@
 type Receipt struct {
 	// Epoch is the highest epoch that the agent has seen.
 	Epoch int64 `cbor:"e"`
+	// Late is true if the agent refused the starts of the orders because of their basis.
+	Late bool `cbor:"l,omitempty"`
 }
--- a/berylsidecar/log.go
+++ b/berylsidecar/log.go
@@ -1,6 +1,8 @@
 package berylsidecar
 
 import (
+	"time"
+
 	"berylglade/berylexecutor"
 	"berylglade/berylkeeper"
 	"berylglade/berylreport"
@@ -15,11 +17,12 @@
 	}
 }
 
-func (s *Sidecar) logOrders(o berylreport.Orders, r berylreport.Receipt) {
+func (s *Sidecar) logOrders(now time.Time, o berylreport.Orders, r berylreport.Receipt) {
 	if len(o.Start) == 0 && len(o.Stop) == 0 {
 		return
 	}
-	s.cfg.Log.Info("orders", "epoch", o.Epoch, "seen", r.Epoch, "instance", o.Incarnation.Instance, "start", keys(o.Start), "stop", o.Stop)
+	s.cfg.Log.Info("orders", "epoch", o.Epoch, "seen", r.Epoch, "instance", o.Incarnation.Instance, "basis", o.Basis,
+		"clock", s.keeper.BackendClock(now), "late", r.Late, "start", keys(o.Start), "stop", o.Stop)
 }
 
 func keys(starts []berylreport.Start) []berylreport.Key {
--- a/berylsidecar/sidecar.go
+++ b/berylsidecar/sidecar.go
@@ -194,7 +194,7 @@
 		m.reply(true)
 	case ordersReceived:
 		r := k.Orders(now, m.orders)
-		s.logOrders(m.orders, r)
+		s.logOrders(now, m.orders, r)
 		m.reply(r)
 	case callFinished:
 		s.logOutcome(m.outcome)
