beryldirector: base orders on the last contact

Cause: a start that was placed just before an outage of the store is recorded and ordered right after it, when the last contact with its agent is as old as the outage. The leader gives the run up a moment later, and the agent, which counted the validity of the start from its delivery or from its last report, sends it with its next contact. Change: the basis of orders is the clock in the last report that counted as contact, and no start is placed or ordered when that is older than the leader timeout.

--- a/beryldirector/director.go
+++ b/beryldirector/director.go
@@ -30,6 +30,10 @@
 	// LeaseExpiry is the time since the last contact with a backend server after
 	// which its lease must have expired, so that nothing can run on it.
 	LeaseExpiry time.Duration
+	// LeaderTimeout is how long after a contact an agent acts without another one: it
+	// extends the lease, and sends starts that were ordered since. It is less than
+	// LeaseExpiry.
+	LeaderTimeout time.Duration
 	// Takeover is how long the topic may have no record of the leader before
 	// another entry claims leadership.
 	Takeover time.Duration
--- a/beryldirector/driver_test.go
+++ b/beryldirector/driver_test.go
@@ -17,7 +17,7 @@
 
 func testLimits() Limits {
 	return Limits{
-		LeaseExpiry: 9 * time.Second, Takeover: 2 * time.Second, LeaderLease: 1800 * time.Millisecond,
+		LeaseExpiry: 9 * time.Second, LeaderTimeout: 3 * time.Second, Takeover: 2 * time.Second, LeaderLease: 1800 * time.Millisecond,
 		Retention: 2 * time.Minute,
 	}
 }
@@ -123,7 +123,7 @@
 func (h *harness) report(node string, change func(r *berylreport.Report)) berylreport.Answer {
 	h.seq++
 	r := berylreport.Report{
-		Node: node, Addr: node + ":7000", Seq: h.seq, Boot: 1, Incarnation: incarnation(node), Service: "s", Zone: "z1",
+		Node: node, Addr: node + ":7000", Seq: h.seq, Boot: 1, Clock: h.now.UnixMilli(), Incarnation: incarnation(node), Service: "s", Zone: "z1",
 		Labels: []string{"a", "r1-1"}, Capacity: berylroom.Resources{Millicores: 64000, Megabytes: 128000, Accelerators: 8}, Listed: true,
 	}
 	if change != nil {
--- a/beryldirector/orders.go
+++ b/beryldirector/orders.go
@@ -39,14 +39,14 @@
 		}
 		d.advanceAckedEnd(a)
 		orders[node] = berylreport.Orders{
-			Epoch: d.epoch, Incarnation: a.report.Incarnation, Basis: a.report.Clock, Acked: a.ackedEnd, Stop: slices.Clone(a.unknown),
+			Epoch: d.epoch, Incarnation: a.report.Incarnation, Basis: a.contactClock, Acked: a.ackedEnd, Stop: slices.Clone(a.unknown),
 		}
 	}
-	d.eachActive(func(s activeTask) { d.addOrder(orders, s) })
+	d.eachActive(func(s activeTask) { d.addOrder(now, orders, s) })
 	return d.dropRepeated(now, orders)
 }
 
-func (d *Director) addOrder(orders map[string]berylreport.Orders, s activeTask) {
+func (d *Director) addOrder(now time.Time, orders map[string]berylreport.Orders, s activeTask) {
 	t := s.task
 	o, ok := orders[t.Incarnation.Node]
 	if !ok || o.Incarnation != t.Incarnation || t.Phase == berylbook.Working || !t.Phase.Active() {
@@ -56,7 +56,7 @@
 	switch {
 	case t.Phase == berylbook.Stopping:
 		o.Stop = append(o.Stop, k)
-	case t.Phase == berylbook.Ordered && d.isRecorded(s.job.Work.ID) && !d.agents[t.Incarnation.Node].handled[k]:
+	case t.Phase == berylbook.Ordered && d.isRecorded(s.job.Work.ID) && d.mayStart(now, d.agents[t.Incarnation.Node], k):
 		o.Start = append(o.Start, berylreport.Start{Key: k, Spec: s.job.Work.Spec, Checkpoint: t.Checkpoint})
 	default:
 		return
@@ -64,6 +64,12 @@
 	orders[t.Incarnation.Node] = o
 }
 
+// mayStart reports whether a recorded start is to be sent to the agent: the agent has not
+// received it, and the last contact is not so old that the agent would refuse it.
+func (d *Director) mayStart(now time.Time, a *agentState, k berylreport.Key) bool {
+	return !a.handled[k] && a.contactClock != 0 && now.Sub(a.contactAt) <= d.Limits.LeaderTimeout
+}
+
 // dropRepeated removes orders that were sent before, unless they contain a start or
 // stop and are due to be sent again.
 func (d *Director) dropRepeated(now time.Time, orders map[string]berylreport.Orders) map[string]berylreport.Orders {
--- a/beryldirector/place.go
+++ b/beryldirector/place.go
@@ -60,7 +60,8 @@
 		if d.Policy.OutOfService[r.Zone] || now.Sub(a.reportedAt) > _maxReportAge || len(a.unknown) > 0 || now.Sub(a.refusedAt) < _refusalBackoff {
 			continue
 		}
-		if now.Sub(a.contactAt) > d.maxContactAge() {
+		if now.Sub(a.contactAt) > d.Limits.LeaderTimeout {
+			// The agent reports, but without the leader lease an answer is no contact.
 			continue
 		}
 		hosts = append(hosts, berylfit.Host{
@@ -74,12 +75,6 @@
 	return hosts
 }
 
-// maxContactAge returns the age of the last contact above which no task is started on a
-// backend server, although its agent reports: without the leader lease an answer is no
-// contact. A run is given up when its lease must have expired, and a start may be
-// carried out some seconds after it was ordered, as soon as there is contact again.
-func (d *Director) maxContactAge() time.Duration { return d.Limits.LeaseExpiry / 2 }
-
 // knownHosts returns the backend servers of a service that accept tasks or are
 // likely to accept them again soon, with their total capacity.
 func (d *Director) knownHosts(now time.Time, service string) []berylfit.Host {
--- a/beryldirector/report.go
+++ b/beryldirector/report.go
@@ -19,9 +19,12 @@
 	// lease; such an answer extends the lease of the backend server. It starts as
 	// the end of the leader lease of an earlier leader, which may have extended the
 	// lease until then.
-	contactAt  time.Time
-	reportedAt time.Time
-	rack       string
+	contactAt time.Time
+	// contactClock is the clock of the backend server in the report that was answered at
+	// contactAt; zero if this leader has had no contact with the incarnation.
+	contactClock int64
+	reportedAt   time.Time
+	rack         string
 	// leavesAt is the earliest time at which the backend server leaves, if it is
 	// draining.
 	leavesAt time.Time
@@ -87,6 +90,7 @@
 	if d.hasLease(now) {
 		answer.FromLeader = true
 		a.contactAt = now
+		a.contactClock = r.Clock
 	}
 	d.advanceAckedEnd(a)
 	answer.Acked = a.ackedEnd
@@ -97,7 +101,7 @@
 	if a.report.Incarnation != r.Incarnation {
 		d.note("member", "node", r.Node, "instance", r.Incarnation.Instance, "born", r.Incarnation.StartedAt,
 			"service", r.Service, "zone", r.Zone, "labels", strings.Join(r.Labels, ","), "accelerators", r.Capacity.Accelerators)
-		a.unrecordedEnds, a.ackedEnd, a.faultScore = nil, 0, 0
+		a.unrecordedEnds, a.ackedEnd, a.faultScore, a.contactClock = nil, 0, 0, 0
 	}
 	drainingChanged := a.report.Draining != r.Draining
 	if drainingChanged {
--- a/beryldirector/world_test.go
+++ b/beryldirector/world_test.go
@@ -357,6 +357,14 @@
 	}
 }
 
+// TestWorldOutageRegressions simulates days on which starts that had waited for their record
+// in an outage of the store were given up when it ended, and still carried out.
+func TestWorldOutageRegressions(t *testing.T) {
+	for _, seed := range []int{9, 11, 97, 108, 147, 177, 206, 208} {
+		_ = playWorld(t, seed, func(w *world) { w.outages(3) })
+	}
+}
+
 // playWorlds simulates the seeded days after prepare has added to their events. It
 // returns the number of units that were moved.
 func playWorlds(t *testing.T, prepare func(w *world)) int {
--- a/berylreport/report.go
+++ b/berylreport/report.go
@@ -152,9 +152,10 @@
 type Orders struct {
 	Epoch       int64                 `cbor:"e"`
 	Incarnation berylbook.Incarnation `cbor:"p"`
-	// Basis is the Clock of the report on which the orders are based. The agent refuses
-	// starts with an old basis: orders may wait in a connection until the leader has
-	// given up the runs.
+	// Basis is the Clock of the last report that the leader answered as the leader; zero
+	// if there is none. The agent refuses starts with an old basis: the leader counts
+	// from that answer when it gives up the runs, and orders may wait until then for
+	// their record or in a connection.
 	Basis int64   `cbor:"b,omitempty"`
 	Start []Start `cbor:"s,omitempty"`
 	Stop  []Key   `cbor:"x,omitempty"`
--- a/berylsite/entry.go
+++ b/berylsite/entry.go
@@ -154,8 +154,9 @@
 func directorLimits(s platform.Settings) beryldirector.Limits {
 	k := keeperLimits(s)
 	return beryldirector.Limits{
-		LeaseExpiry: time.Duration(float64(k.LeaderTimeout+k.Lease)*_clockSlack) + _leaseExpiryMargin,
-		Takeover:    _takeover, LeaderLease: _takeover - _leaderLeaseMargin,
+		LeaseExpiry:   time.Duration(float64(k.LeaderTimeout+k.Lease)*_clockSlack) + _leaseExpiryMargin,
+		LeaderTimeout: k.LeaderTimeout,
+		Takeover:      _takeover, LeaderLease: _takeover - _leaderLeaseMargin,
 		Retention: s.Kept + _retentionMargin,
 	}
 }
