berylkeeper: drop pending starts when the lease has expired

Cause: with a report that the lease has expired, or that nothing listens at the address, the leader gives up all runs of the backend server. The agent kept starts that it had not sent, and accepted orders that were still under way, and sent them when the backend server answered again. Evidence: TestExpiredLeaseDropsStarts fails in its three cases without the change. Change: the agent drops all starts without an outcome with that report, and refuses starts whose basis is not later.

--- a/berylkeeper/calls.go
+++ b/berylkeeper/calls.go
@@ -99,10 +99,22 @@
 	}
 }
 
-// dropStart gives up a start that could not be sent in time: the leader may have given
-// up the run meanwhile. A start that may have been sent is stopped.
+// dropStarts gives up all starts that have no outcome, because the leader gives up all
+// runs when it learns that the lease has expired. Orders that are based on an earlier
+// report may contain such starts.
+func (k *Keeper) dropStarts(now time.Time) {
+	k.minBasis = max(k.minBasis, k.BackendClock(now))
+	for _, key := range k.keys() {
+		if r := k.runs[key]; r.phase == starting {
+			k.dropStart(now, r)
+		}
+	}
+}
+
+// dropStart gives up a start: the leader may have given up the run meanwhile. A start that
+// may have been sent is stopped.
 func (k *Keeper) dropStart(now time.Time, r *run) {
-	if r.unconfirmed {
+	if r.unconfirmed || r.inFlight {
 		k.setPhase(now, r, stopping)
 		return
 	}
--- a/berylkeeper/keeper.go
+++ b/berylkeeper/keeper.go
@@ -152,6 +152,9 @@
 	deadline int64
 	// leaderContact is when the last report was sent that the leader answered.
 	leaderContact int64
+	// minBasis is the highest basis with which orders may still contain starts that the
+	// leader has given up since, on the clock of the backend server.
+	minBasis int64
 	// failedCalls counts consecutive calls without a reply.
 	failedCalls int
 	// down is true while no process listens at the address of the backend server.
@@ -224,7 +227,7 @@
 	k.listed = false
 	k.listingSeq = k.lastSeq
 	k.pollSeq = 0
-	k.clock, k.deadline, k.leaderContact = 0, 0, 0
+	k.clock, k.deadline, k.leaderContact, k.minBasis = 0, 0, 0, 0
 	k.failedCalls, k.down = 0, false
 	k.acked = 0
 	k.nextPoll = time.Time{}
@@ -278,7 +281,7 @@
 		return true
 	}
 	until := o.Basis + k.Limits.LeaderTimeout.Milliseconds()
-	if o.Basis == 0 || k.BackendClock(now) > until {
+	if o.Basis <= k.minBasis || k.BackendClock(now) > until {
 		k.changed = true
 		return false
 	}
--- a/berylkeeper/report.go
+++ b/berylkeeper/report.go
@@ -48,11 +48,15 @@
 // Report returns the report to send to the leader.
 func (k *Keeper) Report(now time.Time) berylreport.Report {
 	k.reportSeq++
+	expired := k.leaseExpired(now)
+	if expired {
+		k.dropStarts(now)
+	}
 	r := berylreport.Report{
 		Node: k.Node, Addr: k.Addr, Seq: k.reportSeq, Boot: k.Boot, Clock: k.BackendClock(now), Incarnation: k.heartbeat.Incarnation,
 		Service: k.heartbeat.Service, Zone: k.heartbeat.Zone, Labels: k.heartbeat.Labels, Capacity: k.heartbeat.Capacity,
 		Draining: k.heartbeat.Draining, Remaining: k.remaining(now),
-		Listed: k.listed, Unresponsive: k.failedCalls >= _unresponsiveAfter || k.down, LeaseExpired: k.leaseExpired(now),
+		Listed: k.listed, Unresponsive: k.failedCalls >= _unresponsiveAfter || k.down, LeaseExpired: expired,
 		Runs: k.listing.Runs, Ends: k.unackedEnds(), PastEnds: k.pastEnds,
 	}
 	for _, key := range k.keys() {
--- a/berylkeeper/start_test.go
+++ b/berylkeeper/start_test.go
@@ -164,3 +164,63 @@
 	k.Answer(berylreport.Answer{Epoch: 3, FromLeader: true}, k.Incarnation(), k.BackendClock(now))
 	is.Equal(len(callsOf[berylexecutor.StartCall](k.Calls(now))), 1)
 }
+
+// The agent reports that the lease has expired, so the leader gives up all runs, while a
+// start waits to be sent or is still under way to the agent. Guards against a start that is
+// sent when the backend server answers again: its task may run elsewhere.
+func TestExpiredLeaseDropsStarts(t *testing.T) {
+	tests := []struct {
+		name string
+		// received is true if the order reached the agent before the report.
+		received bool
+		// inFlight is true if a start call has no outcome at the time of the report.
+		inFlight  bool
+		wantStops int
+	}{
+		{name: "order received", received: true},
+		{name: "start call in flight", received: true, inFlight: true, wantStops: 1},
+		{name: "order under way"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			now := start()
+			k := readyKeeper(is, now)
+			o := orders(now, k, []string{"a.0.0.0"}, nil)
+			now = now.Add(10 * time.Millisecond)
+			var started IssuedCall
+			if tt.inFlight {
+				k.Orders(now, o)
+			}
+			calls := k.Calls(now)
+			if tt.inFlight {
+				started = only[berylexecutor.StartCall](is, calls)
+			}
+			poll := only[berylexecutor.RenewCall](is, calls)
+			k.Outcome(now, Outcome{Call: poll.Call, Seq: poll.Seq, Err: berylexecutor.ErrDown})
+			if tt.received {
+				k.Orders(now, o)
+			}
+			is.True(k.Report(now).LeaseExpired)
+			if !tt.received {
+				is.True(k.Orders(now, o).Late)
+			}
+			if tt.inFlight {
+				k.Outcome(now, Outcome{Call: started.Call, Seq: started.Seq, Err: timeoutError()})
+			}
+			now = now.Add(_retryPause)
+			stops := 0
+			for range 2 {
+				calls = k.Calls(now)
+				is.Equal(len(callsOf[berylexecutor.StartCall](calls)), 0)
+				stops += len(callsOf[berylexecutor.StopCall](calls))
+				for _, c := range callsOf[berylexecutor.RenewCall](calls) {
+					k.Outcome(now, Outcome{Call: c.Call, Seq: c.Seq, Listing: berylexecutor.Listing{Clock: k.BackendClock(now), StartedAt: 5}})
+				}
+			}
+			is.Equal(stops, tt.wantStops)
+			is.True(!k.Report(now).LeaseExpired)
+			is.True(!k.Orders(now, orders(now, k, []string{"b.0.0.0"}, nil)).Late)
+		})
+	}
+}
