beryldirector: end runs of an earlier incarnation only when the new one was listed

What callers could see: running work started again elsewhere (TWICE). Cause: a restarted agent knows no incarnation, so a delayed heartbeat of one that is gone sets it; its report made the leader end all runs of the real one. Evidence: TestUnlistedIncarnationEndsNoRun fails without the change. Ruled out: an agent that keeps running, as it refuses heartbeats of earlier incarnations. Change: endPreviousRuns needs a listing of the current incarnation; runs of another one expire from the time at which the agent has named the current one.

--- a/beryldirector/end.go
+++ b/beryldirector/end.go
@@ -239,7 +239,11 @@
 func (d *Director) expireRun(now time.Time, j *berylbook.Job, ref berylwork.Ref, t *berylbook.Task) {
 	a := d.agents[t.Incarnation.Node]
 	contact := d.earlierLeaseEnd
-	if a != nil {
+	switch {
+	case a == nil:
+	case a.report.Incarnation != t.Incarnation:
+		contact = later(contact, a.replacedAt)
+	default:
 		contact = a.contactAt
 	}
 	if now.Sub(contact) > d.Limits.LeaseExpiry {
--- a/beryldirector/report.go
+++ b/beryldirector/report.go
@@ -23,7 +23,10 @@
 	// contactClock is the clock of the backend server in the report that was answered at
 	// contactAt; zero if this leader has had no contact with the incarnation.
 	contactClock int64
-	reportedAt   time.Time
+	// replacedAt is when the agent last named another incarnation of its backend server:
+	// leases of the earlier one were not extended since.
+	replacedAt time.Time
+	reportedAt time.Time
 	rack         string
 	// leavesAt is the earliest time at which the backend server leaves, if it is
 	// draining.
@@ -102,6 +105,7 @@
 		d.note("member", "node", r.Node, "instance", r.Incarnation.Instance, "born", r.Incarnation.StartedAt,
 			"service", r.Service, "zone", r.Zone, "labels", strings.Join(r.Labels, ","), "accelerators", r.Capacity.Accelerators)
 		a.unrecordedEnds, a.ackedEnd, a.faultScore, a.contactClock = nil, 0, 0, 0
+		a.replacedAt = now
 	}
 	drainingChanged := a.report.Draining != r.Draining
 	if drainingChanged {
@@ -119,7 +123,9 @@
 	for _, e := range r.PastEnds.Ends {
 		d.applyEnd(now, a, r.PastEnds.Incarnation, e)
 	}
-	d.endPreviousRuns(now, r)
+	if r.Listed {
+		d.endPreviousRuns(now, r)
+	}
 	for _, e := range r.Ends {
 		d.handleEnd(now, a, e)
 	}
@@ -173,8 +179,9 @@
 	return set
 }
 
-// endPreviousRuns ends the runs of previous incarnations of the node's backend
-// server.
+// endPreviousRuns ends the runs of previous incarnations of the node's backend server. The
+// agent must have listed the current one: a restarted agent may know it only from a
+// delayed heartbeat of a server that is gone, while another one runs tasks.
 func (d *Director) endPreviousRuns(now time.Time, r berylreport.Report) {
 	d.eachActiveOn(r.Node, func(s activeTask) {
 		if s.task.Incarnation != r.Incarnation {
