--- a/beryldirector/orders.go
+++ b/beryldirector/orders.go
@@ -39,7 +39,7 @@
 		}
 		d.advanceAckedEnd(a)
 		orders[node] = berylreport.Orders{
-			Epoch: d.epoch, Incarnation: a.report.Incarnation, Basis: a.contactClock, Acked: a.ackedEnd, Stop: slices.Clone(a.unknown),
+			Epoch: d.epoch, Incarnation: a.report.Incarnation, Basis: a.contactClock, Boot: a.report.Boot, Acked: a.ackedEnd, Stop: slices.Clone(a.unknown),
 		}
 	}
 	d.eachActive(func(s activeTask) { d.addOrder(now, orders, s) })
--- a/berylkeeper/keeper_test.go
+++ b/berylkeeper/keeper_test.go
@@ -56,7 +56,7 @@
 func key(task string) berylreport.Key { return berylreport.Key{Task: task, Run: 1} }
 
 func orders(now time.Time, k *Keeper, starts []string, stops []string) berylreport.Orders {
-	o := berylreport.Orders{Epoch: 3, Incarnation: k.Incarnation(), Basis: k.BackendClock(now)}
+	o := berylreport.Orders{Epoch: 3, Incarnation: k.Incarnation(), Basis: k.BackendClock(now), Boot: k.Boot}
 	for _, s := range starts {
 		o.Start = append(o.Start, berylreport.Start{Key: key(s)})
 	}
--- a/berylkeeper/start_test.go
+++ b/berylkeeper/start_test.go
@@ -224,3 +224,17 @@
 		})
 	}
 }
+
+// A start is called absent by an agent that then restarts, while a repeated order for it is
+// still on its way. Guards against a start that the new process carries out although its
+// task runs elsewhere.
+func TestStartForEarlierProcessIsRefused(t *testing.T) {
+	is := is.New(t)
+	now := start()
+	k := readyKeeper(is, now)
+	o := orders(now, k, []string{"a.0.0.0"}, nil)
+	k.Boot++
+	is.True(k.Orders(now, o).Late)
+	is.Equal(len(callsOf[berylexecutor.StartCall](k.Calls(now))), 0)
+	is.True(!k.Orders(now, orders(now, k, []string{"a.0.0.0"}, nil)).Late)
+}
--- a/berylreport/report.go
+++ b/berylreport/report.go
@@ -156,7 +156,10 @@
 	// if there is none. The agent refuses starts with an old basis: the leader counts
 	// from that answer when it gives up the runs, and orders may wait until then for
 	// their record or in a connection.
-	Basis int64   `cbor:"b,omitempty"`
+	Basis int64 `cbor:"b,omitempty"`
+	// Boot is that of the agent process whose report is the basis. Another process doesn't
+	// know which starts the first one has called absent.
+	Boot  int64   `cbor:"g,omitempty"`
 	Start []Start `cbor:"s,omitempty"`
 	Stop  []Key   `cbor:"x,omitempty"`
 	// Acked is the number up to which ends are recorded durably.
