berylkeeper: raise the fence before the first heartbeat of a new incarnation

Cause: a start call that a backend server holds back is carried out by its next incarnation under the same id. Only a higher fence makes that refuse it, and the agent raised the fence with the first heartbeat, up to 1.5 s after the restart. Change: the fence rises when nothing listens at the address or another incarnation replies, and no lease is granted while nothing listens.

--- a/berylkeeper/calls.go
+++ b/berylkeeper/calls.go
@@ -19,7 +19,8 @@
 // server. It returns zero if the lease must not be extended.
 func (k *Keeper) lease(now time.Time) int64 {
 	clock := k.BackendClock(now)
-	if clock == 0 || k.leaderContact == 0 {
+	if clock == 0 || k.leaderContact == 0 || k.down {
+		// Another incarnation may answer next, and has another clock.
 		return 0
 	}
 	lease := k.Limits.Lease.Milliseconds()
--- a/berylkeeper/keeper.go
+++ b/berylkeeper/keeper.go
@@ -119,10 +119,13 @@
 	// this incarnation.
 	inherited bool
 	fence     int64
-	epoch     int64
-	runs      map[berylreport.Key]*run
-	listing   berylexecutor.Listing
-	listed    bool
+	// otherStartedAt is that of the newest incarnation that has replied before its first
+	// heartbeat arrived; zero if none has.
+	otherStartedAt int64
+	epoch          int64
+	runs           map[berylreport.Key]*run
+	listing        berylexecutor.Listing
+	listed         bool
 	// pastEnds has the unacknowledged ends of the previous incarnation, as the
 	// leader may not have received them.
 	pastEnds berylreport.PastEnds
@@ -221,6 +224,7 @@
 		k.pastEnds = berylreport.PastEnds{Incarnation: k.heartbeat.Incarnation, Ends: k.unackedEnds()}
 	}
 	k.known = true
+	k.otherStartedAt = 0
 	k.unverified = false
 	clear(k.runs)
 	k.listing = berylexecutor.Listing{}
--- a/berylkeeper/outcome.go
+++ b/berylkeeper/outcome.go
@@ -46,6 +46,11 @@
 		k.failedCalls, k.down = 0, false
 		k.lastReply = now
 	case errors.Is(o.Err, berylexecutor.ErrDown):
+		if !k.down {
+			// The next incarnation may have the same name. The first call that it gets
+			// then makes it refuse late starts meant for this one.
+			k.fence++
+		}
 		k.down = true
 		k.unverified = true
 		k.unverifiedSeq = k.lastSeq
@@ -119,7 +124,12 @@
 	}
 	if o.Listing.StartedAt != 0 && o.Listing.StartedAt != k.heartbeat.Incarnation.StartedAt {
 		// A new incarnation with the same name replied before its first heartbeat
-		// arrived.
+		// arrived. It has to refuse late starts meant for the previous one already.
+		if o.Listing.StartedAt != k.otherStartedAt {
+			k.otherStartedAt = o.Listing.StartedAt
+			k.fence++
+			k.relist = true
+		}
 		return
 	}
 	if o.Seq <= k.listingSeq {
--- a/berylkeeper/start_test.go
+++ b/berylkeeper/start_test.go
@@ -238,3 +238,57 @@
 	is.Equal(len(callsOf[berylexecutor.StartCall](k.Calls(now))), 0)
 	is.True(!k.Orders(now, orders(now, k, []string{"a.0.0.0"}, nil)).Late)
 }
+
+// A backend server restarts under its name while a start call is still on its way to it.
+// Guards against a new incarnation that carries out the start until its first heartbeat,
+// while the task runs elsewhere: only a higher fence makes it refuse the call.
+func TestFenceIsRaisedBeforeFirstHeartbeat(t *testing.T) {
+	restarted := berylexecutor.Listing{Clock: 10, StartedAt: 6}
+	tests := []struct {
+		name string
+		give []Outcome
+	}{
+		{name: "no process listens", give: []Outcome{{Err: berylexecutor.ErrDown}}},
+		{name: "another incarnation lists its runs", give: []Outcome{{Listing: restarted}}},
+		{name: "both, and again", give: []Outcome{{Err: berylexecutor.ErrDown}, {Listing: restarted}, {Listing: restarted}}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			now := start()
+			k := readyKeeper(is, now)
+			k.Orders(now, orders(now, k, []string{"a.0.0.0"}, nil))
+			calls := k.Calls(now)
+			held := only[berylexecutor.StartCall](is, calls).Call.(berylexecutor.StartCall)
+			polls := callsOf[berylexecutor.RenewCall](calls)
+			k.Outcome(now, Outcome{Call: held, Err: timeoutError()})
+			for _, o := range tt.give {
+				now = now.Add(limits().Poll)
+				is.True(len(polls) > 0)
+				for _, poll := range polls {
+					o.Call, o.Seq = poll.Call, poll.Seq
+					k.Outcome(now, o)
+				}
+				polls = callsOf[berylexecutor.RenewCall](k.Calls(now.Add(_retryPause)))
+			}
+			is.True(len(polls) > 0)
+			call := polls[0].Call.(berylexecutor.RenewCall)
+			is.True(call.Fence > held.Fence)
+			is.True(call.Fence <= held.Fence+2)
+		})
+	}
+}
+
+// Guards against a lease on the clock of an incarnation that is gone, for one whose clock
+// starts anew.
+func TestNoLeaseWhileServerIsDown(t *testing.T) {
+	is := is.New(t)
+	now := start()
+	k := readyKeeper(is, now)
+	poll := only[berylexecutor.RenewCall](is, k.Calls(now))
+	is.True(poll.Call.(berylexecutor.RenewCall).Deadline > 0)
+	k.Outcome(now, Outcome{Call: poll.Call, Seq: poll.Seq, Err: berylexecutor.ErrDown})
+	now = now.Add(_retryPause)
+	poll = only[berylexecutor.RenewCall](is, k.Calls(now))
+	is.Equal(poll.Call.(berylexecutor.RenewCall).Deadline, int64(0))
+}
