berylwork: keep the terms of the queue with an accepted job

Cause: placement skips jobs whose queue is not in the newest desired state, and takes service, priority and attempts from there alone. Change: a submission's record has the service, priority, attempts and times of its queue, which hold when the desired state has the queue no longer.

--- a/beryldirector/departure.go
+++ b/beryldirector/departure.go
@@ -136,7 +136,7 @@
 // false if the job needs no further run, and for a long-running task, whose run has no
 // end that it could miss.
 func (d *Director) leavingUnitOf(s activeTask, leavesAt time.Time) (leavingUnit, bool) {
-	q, ok := d.Policy.Queue(s.job.Work.Queue)
+	q, ok := d.queueOf(s.job.Work)
 	if !ok || s.job.State.Final() || s.job.CancelledAt != 0 || s.job.Work.Steps[s.ref.Step].LongRunning {
 		return leavingUnit{}, false
 	}
--- a/beryldirector/director_test.go
+++ b/beryldirector/director_test.go
@@ -322,3 +322,27 @@
 	}
 	h.is.Equal(h.phase("j1", 0), berylbook.Idle)
 }
+
+// The operators remove a queue while a job of it is at work. Guards against a job whose next
+// step never starts, and against one with the attempts of no queue.
+func TestJobOfRemovedQueueGoesOn(t *testing.T) {
+	h := newHarness(t)
+	h.report("n1", nil)
+	second := step(1, 1)
+	second.After = []int{0}
+	s := berylbook.Submission{Work: berylwork.Work{
+		ID: "j1", Queue: "urgent", Steps: []berylwork.Step{step(1, 1), second}, Accepted: h.now.UnixMilli(),
+		Terms: berylwork.Terms{Service: "s", Attempts: 1, Stretch: 1.5},
+	}}
+	r, err := s.Record()
+	h.is.NoErr(err)
+	h.append(r)
+	h.settle()
+	policy := testPolicy()
+	policy.Version, policy.Queues = 2, policy.Queues[1:]
+	h.d.Policy = policy
+	h.report("n1", func(r *berylreport.Report) { r.Ends = []berylreport.End{end(1, "j1.0.0.0", 1, berylreport.Done)} })
+	h.is.Equal(h.d.Book.Jobs["j1"].Tasks[0][1][0].Phase, berylbook.Ordered)
+	h.report("n1", func(r *berylreport.Report) { r.Ends = []berylreport.End{end(2, "j1.0.1.0", 1, berylreport.Failed)} })
+	h.is.Equal(h.d.Book.Jobs["j1"].State, berylbook.Failed)
+}
--- a/beryldirector/end.go
+++ b/beryldirector/end.go
@@ -178,7 +178,7 @@
 	if d.Policy == nil {
 		return _defaultAttempts
 	}
-	q, ok := d.Policy.Queue(j.Work.Queue)
+	q, ok := d.queueOf(j.Work)
 	if !ok || q.Attempts <= 0 {
 		return _defaultAttempts
 	}
--- a/beryldirector/preempt.go
+++ b/beryldirector/preempt.go
@@ -15,7 +15,7 @@
 func (d *Director) findVictims(now time.Time) map[string][]berylfit.Victim {
 	victims := map[string][]berylfit.Victim{}
 	d.eachActive(func(s activeTask) {
-		q, ok := d.Policy.Queue(s.job.Work.Queue)
+		q, ok := d.queueOf(s.job.Work)
 		if !ok || q.Priority == 0 || s.job.State.Final() || s.task.Phase == berylbook.Stopping || s.job.Work.Steps[s.ref.Step].LongRunning {
 			return
 		}
@@ -202,7 +202,7 @@
 	}
 	need := 0
 	for _, j := range d.liveJobs() {
-		q, ok := d.Policy.Queue(j.Work.Queue)
+		q, ok := d.queueOf(j.Work)
 		if !ok || q.Priority != 0 || j.State.Final() || j.CancelledAt != 0 || j.Work.Account != u.job.Work.Account {
 			continue
 		}
--- a/beryldirector/progress.go
+++ b/beryldirector/progress.go
@@ -224,7 +224,7 @@
 	}
 	sound := map[string][]berylfit.Host{}
 	for _, j := range d.liveJobs() {
-		q, ok := d.Policy.Queue(j.Work.Queue)
+		q, ok := d.queueOf(j.Work)
 		if !ok || j.State.Final() || j.CancelledAt != 0 {
 			continue
 		}
--- a/beryldirector/unit.go
+++ b/beryldirector/unit.go
@@ -93,7 +93,7 @@
 		if j.State.Final() || j.CancelledAt != 0 {
 			continue
 		}
-		q, ok := d.Policy.Queue(j.Work.Queue)
+		q, ok := d.queueOf(j.Work)
 		if !ok {
 			continue
 		}
@@ -269,6 +269,19 @@
 	return int64((width + wave - 1) / wave)
 }
 
+// queueOf returns the queue of a job: that of the policy, or one with the terms under which
+// the job was accepted if the operators have removed it since.
+func (d *Director) queueOf(w *berylwork.Work) (berylpolicy.Queue, bool) {
+	if q, ok := d.Policy.Queue(w.Queue); ok {
+		return q, true
+	}
+	t := w.Terms
+	return berylpolicy.Queue{
+		Name: w.Queue, Service: t.Service, Priority: t.Priority, Attempts: t.Attempts,
+		Stretch: t.Stretch, Target: time.Duration(t.Target) * time.Millisecond,
+	}, t.Service != ""
+}
+
 // capacity returns the number of accelerators of a service.
 func (d *Director) capacity(service string) int {
 	n := 0
--- a/berylintake/intake.go
+++ b/berylintake/intake.go
@@ -318,6 +318,10 @@
 	r.Work.ID = r.ID
 	r.Work.Queue = r.Queue.Name
 	r.Work.Account = r.Account
+	r.Work.Terms = berylwork.Terms{
+		Service: r.Queue.Service, Priority: r.Queue.Priority, Attempts: r.Queue.Attempts,
+		Stretch: r.Queue.Stretch, Target: r.Queue.Target.Milliseconds(),
+	}
 	s := berylbook.Submission{Work: *r.Work}
 	rec, err := s.Record()
 	if err != nil {
--- a/berylwork/work.go
+++ b/berylwork/work.go
@@ -20,6 +20,8 @@
 	Queue string `cbor:"q"`
 	// Account is the client account that owns the job; empty on a public queue.
 	Account string `cbor:"o,omitempty"`
+	// Terms are those of the queue when the job was accepted.
+	Terms Terms `cbor:"u,omitzero"`
 	// Spec is passed to the backend server without being interpreted.
 	Spec string `cbor:"s,omitempty"`
 	// Steps has at least one element.
@@ -36,6 +38,19 @@
 	Accepted int64 `cbor:"a"`
 }
 
+// Terms are the rules of a queue by which the tasks of a job are run. They hold when the
+// operators remove the queue while the job is not done; until then the policy holds.
+type Terms struct {
+	// Service is the group of backend servers that run the tasks; empty in the record of
+	// a build that kept no terms.
+	Service  string  `cbor:"s"`
+	Priority int     `cbor:"p,omitempty"`
+	Attempts int     `cbor:"a,omitempty"`
+	Stretch  float64 `cbor:"r,omitempty"`
+	// Target is in milliseconds.
+	Target int64 `cbor:"t,omitempty"`
+}
+
 // Step is a group of identical tasks.
 type Step struct {
 	Count    int                 `cbor:"n"`
