beryldirector: reclaim guaranteed capacity from lasting and urgent tasks

Cause: findVictims leaves out tasks that last, whatever their priority, and all tasks of priority 0, also those of an account that is beyond its own guarantee. Change: work within a guarantee for which nothing else frees enough may stop lasting tasks of a less urgent queue, within the number that may be unavailable, and urgent units of accounts beyond their guarantees.

--- a/beryldirector/preempt.go
+++ b/beryldirector/preempt.go
@@ -153,6 +153,13 @@
 		hosts[i].Victims = d.victims[hosts[i].Node]
 	}
 	units, places, ok := demand.Evict(hosts)
+	if !ok && d.guaranteed(u) {
+		reclaimable := d.findReclaimable(now, u.job.Work.Account)
+		for i := range hosts {
+			hosts[i].Victims = slices.Concat(hosts[i].Victims, reclaimable[hosts[i].Node])
+		}
+		units, places, ok = demand.Evict(hosts)
+	}
 	if !ok {
 		d.reservations[u.name()] = reservation{at: now}
 		return false
@@ -231,8 +238,8 @@
 					hosts[i].Releasing = hosts[i].Releasing.Add(v.Resources)
 				}
 			}
-			hosts[i].Victims = slices.DeleteFunc(slices.Clone(hosts[i].Victims), func(v berylfit.Victim) bool { return v.Unit == name })
-			d.victims[hosts[i].Node] = hosts[i].Victims
+			node := hosts[i].Node
+			d.victims[node] = slices.DeleteFunc(slices.Clone(d.victims[node]), func(v berylfit.Victim) bool { return v.Unit == name })
 		}
 	}
 }
--- a/beryldirector/report.go
+++ b/beryldirector/report.go
@@ -27,7 +27,7 @@
 	// leases of the earlier one were not extended since.
 	replacedAt time.Time
 	reportedAt time.Time
-	rack         string
+	rack       string
 	// leavesAt is the earliest time at which the backend server leaves, if it is
 	// draining.
 	leavesAt time.Time
