berylbook: take a job for started when a run of it was listed

Cause: Started was true as soon as a run was recorded, whether or not its start was ever carried out. Change: the leader marks the first listed task of a job, and entries go by that mark or by a done, failed or checkpointed task. The mark is written with the next append and causes none. TestWaitingCountsUnstartedJobs took an ordered run for a started job, which is the fault; it now has a case for each state of a task, and checks the state shown besides.

--- a/berylbook/book_test.go
+++ b/berylbook/book_test.go
@@ -106,8 +106,8 @@
 	is.Equal(b.Jobs["j1"].ClientState(), Pending)
 }
 
-// Guards against counting jobs as waiting that have started, were cancelled or
-// are scheduled.
+// Guards against counting jobs as waiting that have started, were cancelled or are
+// scheduled, and against leaving out those whose starts were ordered and never carried out.
 func TestWaitingCountsUnstartedJobs(t *testing.T) {
 	is := is.New(t)
 	var b Book
@@ -121,10 +121,36 @@
 		b.Apply(r)
 	}
 	is.Equal(b.Waiting("q"), 3)
-	b.Jobs["j1"].Tasks[0][0][0].Run = 1
 	b.Jobs["j2"].CancelledAt = 5
-	is.Equal(b.Waiting("q"), 1)
 	is.Equal(b.Waiting("other"), 0)
+	tests := []struct {
+		name string
+		give Task
+		want int
+	}{
+		{name: "nothing ordered", want: 2},
+		{name: "ordered", give: Task{Run: 1, Phase: Ordered}, want: 2},
+		{name: "refused", give: Task{Run: 4}, want: 2},
+		{name: "listed", give: Task{Run: 1, Phase: Working}, want: 1},
+		{name: "listed before", give: Task{Run: 1, Begun: true}, want: 1},
+		{name: "failed", give: Task{Run: 1, Failures: 1}, want: 1},
+		{name: "done", give: Task{Run: 1, Phase: Done}, want: 1},
+		{name: "checkpoint", give: Task{Run: 1, Checkpoint: "c"}, want: 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			b.Jobs["j1"].Tasks[0][0][0] = tt.give
+			is.Equal(b.Waiting("q"), tt.want)
+			state := Pending
+			if tt.want == 1 {
+				state = Running
+			}
+			if tt.give.Phase != Done {
+				is.Equal(b.Jobs["j1"].ClientState(), state)
+			}
+		})
+	}
 }
 
 // Guards against a record that ends every process that reads it, at each restart again:
--- a/berylbook/changes.go
+++ b/berylbook/changes.go
@@ -22,7 +22,7 @@
 	if j.combined {
 		return &Recorded{}
 	}
-	r := &Recorded{state: j.State, endedAt: j.EndedAt, written: j.Started() || j.State.Final()}
+	r := &Recorded{state: j.State, endedAt: j.EndedAt, written: j.ordered() || j.State.Final()}
 	r.copyTasks(j)
 	return r
 }
--- a/berylbook/job.go
+++ b/berylbook/job.go
@@ -78,6 +78,14 @@
 	Checkpoint string `cbor:"c,omitempty"`
 	// OrderedAt is when the newest run was ordered, in Unix milliseconds.
 	OrderedAt int64 `cbor:"t,omitempty"`
+	// Begun is true on a task of which a backend server has listed a run. It is set on
+	// the first one of a job, as it tells that the job has started.
+	Begun bool `cbor:"b,omitempty"`
+}
+
+// started reports whether a backend server is known to have started a run of the task.
+func (t *Task) started() bool {
+	return t.Begun || t.Phase == Working || t.Phase == Done || t.Failures > 0 || t.Checkpoint != ""
 }
 
 // Stop marks a run that may exist as stopping.
@@ -100,8 +108,8 @@
 	// Tasks is indexed by occurrence, step and index.
 	Tasks [][][]Task
 
-	// quiescent caches a true result of Quiescent.
-	quiescent bool
+	// quiescent and begun cache a true result of Quiescent and Begun.
+	quiescent, begun bool
 	// combined is true if the tasks were in the job's Progress, so that the next
 	// Progress deletes them.
 	combined bool
@@ -168,18 +176,7 @@
 }
 
 // Active reports whether a run of the job may exist.
-func (j *Job) Active() bool {
-	for _, steps := range j.Tasks {
-		for _, tasks := range steps {
-			for i := range tasks {
-				if tasks[i].Phase.Active() {
-					return true
-				}
-			}
-		}
-	}
-	return false
-}
+func (j *Job) Active() bool { return j.any(func(t *Task) bool { return t.Phase.Active() }) }
 
 // Quiescent reports whether the job can no longer change: its state is final
 // and none of its runs may exist.
@@ -190,12 +187,27 @@
 	return j.quiescent
 }
 
-// Started reports whether a run of any task was ever ordered.
-func (j *Job) Started() bool {
+// Started reports whether a run of any task is known to have started. A run that was only
+// ordered may never start.
+func (j *Job) Started() bool { return j.any((*Task).started) }
+
+// Begun reports whether the start of the job was noted on a task.
+func (j *Job) Begun() bool {
+	if !j.begun {
+		j.begun = j.any(func(t *Task) bool { return t.Begun })
+	}
+	return j.begun
+}
+
+// ordered reports whether a run of any task was ever ordered.
+func (j *Job) ordered() bool { return j.any(func(t *Task) bool { return t.Run > 0 }) }
+
+// any reports whether f is true for a task.
+func (j *Job) any(f func(t *Task) bool) bool {
 	for _, steps := range j.Tasks {
 		for _, tasks := range steps {
 			for i := range tasks {
-				if tasks[i].Run > 0 {
+				if f(&tasks[i]) {
 					return true
 				}
 			}
--- a/beryldirector/director_test.go
+++ b/beryldirector/director_test.go
@@ -346,3 +346,26 @@
 	h.report("n1", func(r *berylreport.Report) { r.Ends = []berylreport.End{end(2, "j1.0.1.0", 1, berylreport.Failed)} })
 	h.is.Equal(h.d.Book.Jobs["j1"].State, berylbook.Failed)
 }
+
+// Guards against entries that take a job for started because its start was ordered, and
+// against ones that don't learn that it has started: they know what the leader records.
+func TestStartOfJobIsRecordedWhenListed(t *testing.T) {
+	h := newHarness(t)
+	h.report("n1", nil)
+	h.submit("j1", "routine", step(2, 1))
+	var entry berylbook.Book
+	h.copyTo = &entry
+	h.append(h.submission("j2", "routine", step(2, 1)))
+	h.settle()
+	h.is.Equal(entry.Jobs["j2"].ClientState(), berylbook.Pending)
+	h.report("n1", func(r *berylreport.Report) {
+		r.Absent = []berylreport.Key{{Task: "j2.0.0.0", Run: 1}, {Task: "j2.0.0.1", Run: 1}}
+	})
+	h.advance(time.Second)
+	h.is.True(entry.Jobs["j2"].Tasks[0][0][0].Run > 0)
+	h.is.Equal(entry.Jobs["j2"].ClientState(), berylbook.Pending)
+	run := h.d.Book.Jobs["j2"].Tasks[0][0][1].Run
+	h.report("n1", listRun("j2.0.0.1", run))
+	h.advance(time.Second)
+	h.is.Equal(entry.Jobs["j2"].ClientState(), berylbook.Running)
+}
--- a/beryldirector/driver_test.go
+++ b/beryldirector/driver_test.go
@@ -46,6 +46,8 @@
 	claims   int
 	// holdAppends keeps appends in flight.
 	holdAppends bool
+	// copyTo is another entry's copy of the records that are appended; nil if there is none.
+	copyTo *berylbook.Book
 }
 
 func newHarness(t *testing.T) *harness {
@@ -103,14 +105,23 @@
 
 func (h *harness) append(records ...berylstore.Record) {
 	h.topicEnd += int64(len(records))
+	if h.copyTo != nil {
+		for _, r := range records {
+			h.copyTo.Apply(r)
+		}
+	}
 	h.d.ApplyRecords(h.now, records, h.topicEnd)
 }
 
-func (h *harness) submit(id, queue string, steps ...berylwork.Step) {
+func (h *harness) submission(id, queue string, steps ...berylwork.Step) berylstore.Record {
 	s := berylbook.Submission{Work: berylwork.Work{ID: id, Queue: queue, Steps: steps, Accepted: h.now.UnixMilli()}}
 	r, err := s.Record()
 	h.is.NoErr(err)
-	h.append(r)
+	return r
+}
+
+func (h *harness) submit(id, queue string, steps ...berylwork.Step) {
+	h.append(h.submission(id, queue, steps...))
 	h.settle()
 }
 
--- a/beryldirector/end.go
+++ b/beryldirector/end.go
@@ -62,6 +62,7 @@
 	}
 	d.note("end", "task", e.Task, "run", e.Run, "how", e.Reason.String(), "node", a.report.Node, "n", e.Seq,
 		"ms", now.UnixMilli()-t.OrderedAt)
+	d.noteBegun(j, t)
 	if e.Checkpoint != "" {
 		d.saveCheckpoint(j, ref, e.Checkpoint)
 	}
--- a/beryldirector/report.go
+++ b/beryldirector/report.go
@@ -206,6 +206,7 @@
 		a.unknown = append(a.unknown, run.Key)
 		return
 	}
+	d.noteBegun(j, t)
 	if t.Phase == berylbook.Ordered {
 		t.Phase = berylbook.Working
 		delete(d.orderedAt, runKey{ref, t.Run})
@@ -216,6 +217,15 @@
 	}
 }
 
+// noteBegun notes that a run of the task has started, if that is news for clients. It is
+// recorded with the next renewal of the claim at the latest.
+func (d *Director) noteBegun(j *berylbook.Job, t *berylbook.Task) {
+	if !t.Begun && !j.Begun() {
+		t.Begun = true
+		d.checkpointed[j.Work.ID] = true
+	}
+}
+
 // stopVanished stops runs that were listed before and no longer are. The stop
 // ensures that they do not exist.
 func (d *Director) stopVanished(a *agentState) {
