berylintake: compare the queue of a request without an account

What callers saw: a caller without a key read and cancelled a client account's job through the prefix of a public queue. Cause: on a public queue the account is empty, and such a request owned every job. Change: a request owns the jobs of its account, and those of its own queue if that is public or was when the job was accepted.

--- a/berylintake/intake.go
+++ b/berylintake/intake.go
@@ -120,7 +120,7 @@
 		}
 	}
 	fresh := berylclock.Age(now, f.Job.At) < _maxJobsAge
-	owned := f.Job.Known && (r.Account == "" || f.Job.Account == r.Account)
+	owned := owns(r, f.Job)
 	switch {
 	case r.Verb == Count && !fresh:
 		return reject("this entry has no current state of the jobs")
@@ -157,7 +157,17 @@
 // hasEnded reports whether the request is about a job in a final state, so that
 // stale jobs are sufficient to answer it.
 func hasEnded(r Request, f Facts) bool {
-	return f.Job.Known && f.Job.State.Final() && (r.Account == "" || f.Job.Account == r.Account)
+	return f.Job.State.Final() && owns(r, f.Job)
+}
+
+// owns reports whether the client may see and cancel the job: it has the key of the job's
+// client account, or the request is on the job's own queue, which is public now or was when
+// the job was accepted.
+func owns(r Request, j berylview.Job) bool {
+	if !j.Known {
+		return false
+	}
+	return j.Account == r.Account || (j.Queue == r.Queue.Name && (j.Account == "" || r.Account == ""))
 }
 
 func reject(reason string) Answer {
--- a/berylintake/intake_test.go
+++ b/berylintake/intake_test.go
@@ -109,3 +109,40 @@
 		})
 	}
 }
+
+// Guards against a client without a key that sees or cancels a client account's job through
+// the prefix of a public queue, and against a client that loses its job because its queue
+// has become public or is public no longer.
+func TestOwnerOfJob(t *testing.T) {
+	tests := []struct {
+		name    string
+		account string
+		queue   string
+		job     berylview.Job
+		want    bool
+	}{
+		{name: "same account", account: "a", queue: "q", job: berylview.Job{Account: "a", Queue: "q"}, want: true},
+		{name: "same account, other queue", account: "a", queue: "q", job: berylview.Job{Account: "a", Queue: "r"}, want: true},
+		{name: "other account", account: "a", queue: "q", job: berylview.Job{Account: "b", Queue: "q"}},
+		{name: "public queue", queue: "p", job: berylview.Job{Queue: "p"}, want: true},
+		{name: "job of an account, asked through a public queue", queue: "p", job: berylview.Job{Account: "a", Queue: "q"}},
+		{name: "public job, asked through an account's queue", account: "a", queue: "q", job: berylview.Job{Queue: "p"}},
+		{name: "queue has become public", queue: "q", job: berylview.Job{Account: "a", Queue: "q"}, want: true},
+		{name: "queue is public no longer", account: "a", queue: "q", job: berylview.Job{Queue: "q"}, want: true},
+	}
+	now := time.UnixMilli(1_000_000)
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			tt.job.Known, tt.job.State, tt.job.At = true, berylbook.Running, now
+			r := Request{ID: "j", Account: tt.account, Queue: berylpolicy.Queue{Name: tt.queue}}
+			r.Verb = State
+			a, ok := Decide(now, r, Facts{Job: tt.job, Confirmed: true}).(Answer)
+			is.True(ok)
+			is.Equal(a.Kind == 0, tt.want)
+			r.Verb = Cancel
+			_, records := Decide(now, r, Facts{Job: tt.job, Confirmed: true}).(Record)
+			is.Equal(records, tt.want)
+		})
+	}
+}
