berylintake: refuse a job whose id another client account uses

What callers saw: a job that was accepted and is answered 410 (LOST); after a restart the other account's job was lost, and a task of it ran with a foreign spec (UNASKED). Cause: Decide recorded a job that another account owns, and the store keeps the newest record of a key. Change: 409 from the entry that knows the job, or from the leader before it records it. Two submissions within milliseconds at entries that can't reach the leader are not covered; not shown.

--- a/berylbook/book.go
+++ b/berylbook/book.go
@@ -122,6 +122,25 @@
 	return id
 }
 
+// Conflicts reports whether r is the submission of a job whose id another client account
+// uses. Such a record replaces that of the other job when the topic is read anew.
+func (b *Book) Conflicts(r berylstore.Record) bool {
+	id, ok := strings.CutPrefix(r.Key, _submissionPrefix)
+	if !ok || b.Jobs[id] == nil {
+		return false
+	}
+	var s Submission
+	if !b.decode(r, &s) {
+		return false
+	}
+	old := b.Jobs[id].Work
+	if old.Queue == s.Work.Queue && (old.Account == "" || s.Work.Account == "") {
+		// The queue has become public or is public no longer.
+		return false
+	}
+	return old.Account != s.Work.Account
+}
+
 func (b *Book) deferUpdate(id string) *deferredUpdate {
 	e := b.deferred[id]
 	if e == nil {
--- a/berylbook/book_test.go
+++ b/berylbook/book_test.go
@@ -311,3 +311,38 @@
 	}
 	is.Equal(after.Jobs["j1"].Tasks, b.Jobs["j1"].Tasks)
 }
+
+// Two client accounts submit a job with one id at the same time, at two entries. Guards
+// against a record that replaces that of the other job when the topic is read anew, and
+// against a repeated submission that is taken for another job.
+func TestConflictingSubmission(t *testing.T) {
+	work := func(account, queue string) *Submission {
+		return &Submission{Work: berylwork.Work{ID: "j1", Account: account, Queue: queue, Steps: []berylwork.Step{{Count: 1}}}}
+	}
+	tests := []struct {
+		name        string
+		first, give *Submission
+		want        bool
+	}{
+		{name: "no such job", give: work("a", "q")},
+		{name: "repeated", first: work("a", "q"), give: work("a", "q")},
+		{name: "same account, other queue", first: work("a", "q"), give: work("a", "r")},
+		{name: "other account", first: work("a", "q"), give: work("b", "q"), want: true},
+		{name: "other account, public queue", first: work("a", "q"), give: work("", "p"), want: true},
+		{name: "queue has become public", first: work("a", "q"), give: work("", "q")},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			var b Book
+			if tt.first != nil {
+				r, err := tt.first.Record()
+				is.NoErr(err)
+				b.Apply(r)
+			}
+			r, err := tt.give.Record()
+			is.NoErr(err)
+			is.Equal(b.Conflicts(r), tt.want)
+		})
+	}
+}
--- a/berylgateway/record.go
+++ b/berylgateway/record.go
@@ -40,6 +40,10 @@
 // acceptRecord adds a record to the next append, if this entry leads. It runs in the
 // control actor.
 func (g *Gateway) acceptRecord(now time.Time, m recordReceived) {
+	if g.director.Leading() && g.director.Book.Conflicts(m.record) {
+		m.reply(berylerror.Conflict.Errorf("another client account uses this job id"))
+		return
+	}
 	if !g.director.EnqueueRecord(now, m.record) {
 		m.reply(berylerror.NotRun.Errorf("this entry is not the leader"))
 		return
@@ -74,8 +78,8 @@
 	var leaderErr error
 	if g.cfg.Clock().UnixMilli() >= g.leaderRetryAt.Load() {
 		leaderErr = g.appendViaLeader(ctx, r)
-		if leaderErr == nil {
-			return nil
+		if leaderErr == nil || berylerror.Of(leaderErr) == berylerror.Conflict {
+			return leaderErr
 		}
 		if berylerror.Of(leaderErr) != berylerror.NotRun {
 			g.leaderRetryAt.Store(g.cfg.Clock().Add(_leaderRetryDelay).UnixMilli())
--- a/berylintake/intake.go
+++ b/berylintake/intake.go
@@ -134,6 +134,8 @@
 		return reject("queue requires advice tickets, which are not supported")
 	case r.Verb == Submit && owned:
 		return Answer{Reply{Reason: "job is already known"}}
+	case r.Verb == Submit && f.Job.Known:
+		return Answer{Reply{Kind: berylerror.Conflict, Reason: "another client account uses this job id"}}
 	case r.Verb == Cancel && owned && f.Job.State.Final():
 		return Answer{Reply{Reason: "job has already ended"}}
 	case r.Verb != Submit && !owned && (f.Job.Known || f.Confirmed):
--- a/berylintake/intake_test.go
+++ b/berylintake/intake_test.go
@@ -44,6 +44,7 @@
 		{name: "new job, forwarded", verb: Submit, job: berylview.Job{At: fresh}, noPeers: true, forwarded: true, record: true},
 		{name: "cancel while appends fail, with peers", verb: Cancel, job: known, appendsFailing: time.Second, forward: true},
 		{name: "known job", verb: Submit, job: known},
+		{name: "id of another account's job", verb: Submit, job: berylview.Job{Known: true, Account: "b", Queue: "q", At: fresh}, want: berylerror.Conflict},
 		{name: "new job in a short outage", noPeers: true, verb: Submit, job: berylview.Job{At: fresh}, appendsFailing: 1500 * time.Millisecond, want: berylerror.NotRun, retry: 1500 * time.Millisecond},
 		{name: "new job in a long outage", noPeers: true, verb: Submit, job: berylview.Job{At: stale}, appendsFailing: 9 * time.Second, want: berylerror.NotRun, retry: 4 * time.Second},
 		{name: "known job in an outage", noPeers: true, verb: Submit, job: known, appendsFailing: 9 * time.Second},
