berylkeeper: raise the fence before any heartbeat

What callers could see: a task that runs twice, or again after its end (TWICE). Cause: an agent that starts again together with its backend server knows no instance until the first heartbeat, and calls nobody until then. A late start call of the earlier process is carried out in that time. TestFenceBeforeAnyHeartbeat.

--- a/beryldirector/world_test.go
+++ b/beryldirector/world_test.go
@@ -339,12 +339,14 @@
 }
 
 // TestWorldRegressions simulates days on which a task ran twice: a start was ordered for a
-// backend server without contact, given up at once, and carried out with the next contact.
+// backend server without contact, given up at once, and carried out with the next contact; or
+// (30468) an agent and its backend server started again together, and a late start call came
+// before the first heartbeat.
 func TestWorldRegressions(t *testing.T) {
 	for _, seed := range []int{5102, 5122, 5274, 5386} {
 		_ = playWorld(t, seed, func(*world) {})
 	}
-	for _, seed := range []int{5120, 5224, 5328, 5386, 5394} {
+	for _, seed := range []int{5120, 5224, 5328, 5386, 5394, 30468} {
 		_ = playWorld(t, seed, func(w *world) { w.departures(12) })
 	}
 }
--- a/beryldirector/worldagent_test.go
+++ b/beryldirector/worldagent_test.go
@@ -65,6 +65,7 @@
 	a.keeper = berylkeeper.New(a.name, a.name, a.w.now.UnixMilli(), berylkeeper.Limits{
 		LeaderTimeout: 3 * time.Second, Lease: 5 * time.Second, Poll: 200 * time.Millisecond,
 	})
+	a.keeper.ServerAddr = a.name
 	a.tick(a.keeper)
 }
 
@@ -96,6 +97,17 @@
 			a.drive(k)
 		}
 	}
+	if c, ok := t.Call.(berylexecutor.RenewCall); ok && c.Instance == "" {
+		// This call draws nothing from the seed, so that a day is the same without it.
+		w.after(time.Millisecond, func() {
+			l, err := berylexecutor.Listing{}, error(berylexecutor.ErrDown)
+			if a.server.up {
+				l, err = a.server.apply(c)
+			}
+			answer(l, err)
+		})
+		return
+	}
 	if !s.up {
 		w.after(w.latency(), func() { answer(berylexecutor.Listing{}, berylexecutor.ErrDown) })
 		return
--- a/berylkeeper/calls.go
+++ b/berylkeeper/calls.go
@@ -34,7 +34,7 @@
 // Calls returns the calls to send to the backend server now.
 func (k *Keeper) Calls(now time.Time) []IssuedCall {
 	if k.heartbeat.Incarnation.Instance == "" {
-		return nil
+		return k.fenceCalls(now)
 	}
 	var calls []IssuedCall
 	for _, key := range k.keys() {
@@ -50,6 +50,18 @@
 	return append(calls, k.renewCalls(now)...)
 }
 
+// fenceCalls returns a listing call to whatever incarnation answers at the address of the
+// backend server. Its fence makes that refuse late starts of an earlier process of this
+// agent, which does not know of them.
+func (k *Keeper) fenceCalls(now time.Time) []IssuedCall {
+	if k.ServerAddr == "" || k.pollSeq != 0 || now.Before(k.nextPoll) {
+		return nil
+	}
+	t := k.issueCall(berylexecutor.RenewCall{Target: berylexecutor.Target{Addr: k.ServerAddr, Fence: k.fence}}, _callTimeout)
+	k.pollSeq = t.Seq
+	return []IssuedCall{t}
+}
+
 // keys returns the known runs in a fixed order.
 func (k *Keeper) keys() []berylreport.Key {
 	return slices.SortedFunc(maps.Keys(k.runs), func(a, b berylreport.Key) int {
--- a/berylkeeper/keeper.go
+++ b/berylkeeper/keeper.go
@@ -110,6 +110,9 @@
 	Node   string
 	Addr   string
 	Boot   int64
+	// ServerAddr is the address of the backend server before its first heartbeat; empty
+	// if it is unknown.
+	ServerAddr string
 
 	heartbeat Heartbeat
 	// heartbeatAt is when heartbeat arrived.
--- a/berylkeeper/outcome.go
+++ b/berylkeeper/outcome.go
@@ -25,13 +25,26 @@
 		if o.Seq == k.pollSeq {
 			k.pollSeq = 0
 		}
-		if c.Instance == k.heartbeat.Incarnation.Instance {
+		switch c.Instance {
+		case "":
+			k.fenceOutcome(now, o)
+		case k.heartbeat.Incarnation.Instance:
 			k.observe(now, o)
 			k.renewOutcome(now, o)
 		}
 	}
 }
 
+// fenceOutcome handles the result of a call before the first heartbeat.
+func (k *Keeper) fenceOutcome(now time.Time, o Outcome) {
+	if errors.Is(o.Err, berylexecutor.ErrFenced) {
+		k.fence += _fenceStep
+	}
+	if k.heartbeat.Incarnation.Instance == "" {
+		k.nextPoll = now.Add(_retryPause)
+	}
+}
+
 // observe tracks whether the backend server replies, its clock and the fence.
 func (k *Keeper) observe(now time.Time, o Outcome) {
 	if o.Listing.Clock > 0 {
--- a/berylkeeper/start_test.go
+++ b/berylkeeper/start_test.go
@@ -292,3 +292,30 @@
 	poll = only[berylexecutor.RenewCall](is, k.Calls(now))
 	is.Equal(poll.Call.(berylexecutor.RenewCall).Deadline, int64(0))
 }
+
+// An agent and its backend server start again together, while a start call of the earlier
+// process is still on its way. Guards against a start that is carried out before the first
+// heartbeat, when the agent knows no instance to call.
+func TestFenceBeforeAnyHeartbeat(t *testing.T) {
+	is := is.New(t)
+	now := start()
+	k := New("side-1", "10.0.0.1:7000", 77, limits())
+	is.Equal(len(k.Calls(now)), 0)
+	k.ServerAddr = "10.0.0.1:80"
+	first := only[berylexecutor.RenewCall](is, k.Calls(now))
+	is.Equal(first.Call, berylexecutor.Call(berylexecutor.RenewCall{Target: berylexecutor.Target{Addr: "10.0.0.1:80", Fence: 77}}))
+	is.Equal(len(k.Calls(now)), 0)
+	k.Outcome(now, Outcome{Call: first.Call, Seq: first.Seq, Err: berylexecutor.ErrFenced})
+	now = now.Add(_retryPause)
+	second := only[berylexecutor.RenewCall](is, k.Calls(now))
+	is.True(second.Call.(berylexecutor.RenewCall).Fence > 77)
+	is.True(!k.Reportable())
+	// The heartbeat takes effect while the call is under way.
+	k.Heartbeat(now, Heartbeat{Incarnation: berylbook.Incarnation{Instance: "i-1", StartedAt: 5}, Addr: "10.0.0.1:80", Seq: 1, Clock: 10_000})
+	third := only[berylexecutor.RenewCall](is, k.Calls(now))
+	is.Equal(third.Call.(berylexecutor.RenewCall).Instance, "i-1")
+	k.Outcome(now, Outcome{Call: second.Call, Seq: second.Seq, Listing: berylexecutor.Listing{Clock: 1, StartedAt: 4}})
+	is.True(!k.Report(now).Listed)
+	k.Outcome(now, Outcome{Call: third.Call, Seq: third.Seq, Listing: berylexecutor.Listing{Clock: 10_000, StartedAt: 5}})
+	is.True(k.Report(now).Listed)
+}
--- a/berylsidecar/log.go
+++ b/berylsidecar/log.go
@@ -1,6 +1,7 @@
 package berylsidecar
 
 import (
+	"errors"
 	"time"
 
 	"berylglade/berylexecutor"
@@ -41,6 +42,10 @@
 	case berylexecutor.StopCall:
 		s.cfg.Log.Info("stop sent", "task", c.Task, "run", c.Run, "err", errText(o.Err))
 	case berylexecutor.RenewCall:
+		if c.Instance == "" && errors.Is(o.Err, berylexecutor.ErrDown) {
+			// The backend server has not started yet, which is no news.
+			return
+		}
 		if o.Err != nil {
 			s.cfg.Log.Warn("listing failed", "fence", c.Fence, "err", errText(o.Err))
 		}
--- a/berylsidecar/sidecar.go
+++ b/berylsidecar/sidecar.go
@@ -27,6 +27,9 @@
 	Boot       int64
 	Limits     berylkeeper.Limits
 	Executor   berylexecutor.Executor
+	// ServerAddr is the address of the backend server before its first heartbeat; empty
+	// if it is unknown.
+	ServerAddr string
 	Clock      berylclock.Clock
 	Log        *slog.Logger
 	// Observe is called after each call to the backend server.
@@ -125,9 +128,11 @@
 
 // New returns an agent. Start and Run start it.
 func New(cfg Config) *Sidecar {
+	k := berylkeeper.New(cfg.Node, cfg.Addr, cfg.Boot, cfg.Limits)
+	k.ServerAddr = cfg.ServerAddr
 	return &Sidecar{
 		cfg:     cfg,
-		keeper:  berylkeeper.New(cfg.Node, cfg.Addr, cfg.Boot, cfg.Limits),
+		keeper:  k,
 		client:  berylrpc.NewClosingClient(),
 		entries: cfg.Seeds,
 	}
--- a/berylsite/agent.go
+++ b/berylsite/agent.go
@@ -32,8 +32,8 @@
 	agent := berylsidecar.New(berylsidecar.Config{
 		Node: s.Node, Addr: s.InternalAddr(), Boot: p.boot,
 		Limits:   keeperLimits(s),
-		Executor: platform.NewRunner(),
-		Clock:    berylclock.System(), Log: p.log,
+		Executor: platform.NewRunner(), ServerAddr: s.Runner,
+		Clock: berylclock.System(), Log: p.log,
 		Observe: func(call string, err error, took time.Duration) {
 			result := "ok"
 			if err != nil {
