--- a/beryldirector/worldagent_test.go
+++ b/beryldirector/worldagent_test.go
@@ -100,7 +100,7 @@
 	if c, ok := t.Call.(berylexecutor.RenewCall); ok && c.Instance == "" {
 		// This call draws nothing from the seed, so that a day is the same without it.
 		w.after(time.Millisecond, func() {
-			l, err := berylexecutor.Listing{}, error(berylexecutor.ErrDown)
+			l, err := berylexecutor.Listing{}, berylexecutor.ErrDown
 			if a.server.up {
 				l, err = a.server.apply(c)
 			}
