beryldirector: don't lead with a book that has to be read again

What callers could see: running work stopped, and ends acknowledged that are recorded nowhere (LOST, TWICE), after an event that panicked while a claim was under way. Cause: claimChanged did not look at whether the book was stale. Evidence: TestClaimBeforeReloadDoesNotLead fails without the change.

--- a/beryldirector/election.go
+++ b/beryldirector/election.go
@@ -50,6 +50,9 @@
 	c := d.Book.Claim
 	mine := d.leads(c)
 	switch {
+	case mine && d.stale:
+		// The claim was sent before the Book had to be read again. This entry claims the
+		// next epoch when it has read it.
 	case mine && !c.Resigned && c.Epoch > d.epoch:
 		d.epoch = c.Epoch
 		d.index = nil
