beryldirector: last contact of an incarnation in a function

Cause: expireRun had grown a switch with an empty case; a comment was too wide. Change: no behaviour changes. go test ./beryldirector ./berylkeeper passes.

--- a/beryldirector/end.go
+++ b/beryldirector/end.go
@@ -239,15 +239,7 @@
 
 func (d *Director) expireRun(now time.Time, j *berylbook.Job, ref berylwork.Ref, t *berylbook.Task) {
 	a := d.agents[t.Incarnation.Node]
-	contact := d.earlierLeaseEnd
-	switch {
-	case a == nil:
-	case a.report.Incarnation != t.Incarnation:
-		contact = later(contact, a.replacedAt)
-	default:
-		contact = a.contactAt
-	}
-	if now.Sub(contact) > d.Limits.LeaseExpiry {
+	if now.Sub(d.lastContact(a, t.Incarnation)) > d.Limits.LeaseExpiry {
 		d.endRun(now, j, ref, t, "lease must have expired")
 		return
 	}
@@ -272,3 +264,17 @@
 		d.markDirty(j.Work.ID)
 	}
 }
+
+// lastContact returns the latest time at which the lease of an incarnation of the agent's
+// backend server may have been extended. The agent is nil if it has not reported to this
+// leader.
+func (d *Director) lastContact(a *agentState, incarnation berylbook.Incarnation) time.Time {
+	switch {
+	case a == nil:
+		return d.earlierLeaseEnd
+	case a.report.Incarnation != incarnation:
+		return later(d.earlierLeaseEnd, a.replacedAt)
+	default:
+		return a.contactAt
+	}
+}
--- a/berylkeeper/orders.go
+++ b/berylkeeper/orders.go
@@ -33,8 +33,9 @@
 }
 
 // applyStarts applies the starts of orders, unless the orders were delivered so late that
-// the leader may have given up the runs, or are meant for an earlier process of this agent. Then it returns false, and the leader orders what
-// it still wants again after the next report.
+// the leader may have given up the runs, or are meant for an earlier process of this agent.
+// Then it returns false, and the leader orders what it still wants again after the next
+// report.
 func (k *Keeper) applyStarts(now time.Time, o berylreport.Orders) bool {
 	if len(o.Start) == 0 {
 		return true
