berylkeeper: don't take the agent's own raise of the fence for a higher one

Callers would see a task run twice, or again after its end was acknowledged. Cause: an answer "fence" to a call that was issued before the agent raised its own fence raised it by ten minutes more. The agent's next process starts with the fence of its boot time, which is lower, so that a new incarnation of the backend server, which has seen only that one, carried out late starts of the earlier process. Ruled out: the step is still needed for an earlier process whose clock was ahead. Conclusion: only an answer to the present fence shows a higher one.

--- a/berylkeeper/outcome.go
+++ b/berylkeeper/outcome.go
@@ -13,12 +13,12 @@
 	switch c := o.Call.(type) {
 	case berylexecutor.StartCall:
 		if c.Instance == k.heartbeat.Incarnation.Instance {
-			k.observe(now, o)
+			k.observe(now, c.Target, o)
 			k.startOutcome(now, c, o.Err)
 		}
 	case berylexecutor.StopCall:
 		if c.Instance == k.heartbeat.Incarnation.Instance {
-			k.observe(now, o)
+			k.observe(now, c.Target, o)
 			k.stopOutcome(now, c, o)
 		}
 	case berylexecutor.RenewCall:
@@ -27,32 +27,38 @@
 		}
 		switch c.Instance {
 		case "":
-			k.fenceOutcome(now, o)
+			k.fenceOutcome(now, c.Target, o)
 		case k.heartbeat.Incarnation.Instance:
-			k.observe(now, o)
+			k.observe(now, c.Target, o)
 			k.renewOutcome(now, o)
 		}
 	}
 }
 
 // fenceOutcome handles the result of a call before the first heartbeat.
-func (k *Keeper) fenceOutcome(now time.Time, o Outcome) {
-	if errors.Is(o.Err, berylexecutor.ErrFenced) {
-		k.fence += _fenceStep
-	}
+func (k *Keeper) fenceOutcome(now time.Time, to berylexecutor.Target, o Outcome) {
+	k.noteFence(to, o.Err)
 	if k.heartbeat.Incarnation.Instance == "" {
 		k.nextPoll = now.Add(_retryPause)
 	}
 }
 
+// noteFence raises the fence above that of an earlier process of this agent if it is too
+// low. A call that was issued before this process raised its fence says nothing: a fence that
+// is too high lets a later process of this agent make a new incarnation refuse no late starts
+// of this one.
+func (k *Keeper) noteFence(to berylexecutor.Target, err error) {
+	if errors.Is(err, berylexecutor.ErrFenced) && to.Fence == k.fence {
+		k.fence += _fenceStep
+	}
+}
+
 // observe tracks whether the backend server replies, its clock and the fence.
-func (k *Keeper) observe(now time.Time, o Outcome) {
+func (k *Keeper) observe(now time.Time, to berylexecutor.Target, o Outcome) {
 	if o.Listing.Clock > 0 {
 		k.setClock(now, o.Listing.Clock)
 	}
-	if errors.Is(o.Err, berylexecutor.ErrFenced) {
-		k.fence += _fenceStep
-	}
+	k.noteFence(to, o.Err)
 	was := k.failedCalls >= _unresponsiveAfter || k.down
 	switch {
 	case o.Err == nil || isReply(o.Err):
--- a/berylkeeper/start_test.go
+++ b/berylkeeper/start_test.go
@@ -279,6 +279,28 @@
 	}
 }
 
+// A call is answered "fence" because the agent has raised its fence while the call was in
+// flight. Guards against a fence that is raised beyond that of the agent's next process: a new
+// incarnation of the backend server would not refuse late starts of this one.
+func TestOwnRaiseOfFenceIsNoHigherFence(t *testing.T) {
+	is := is.New(t)
+	now := start()
+	k := readyKeeper(is, now)
+	k.Orders(now, orders(now, k, []string{"a.0.0.0"}, nil))
+	calls := k.Calls(now)
+	started, poll := only[berylexecutor.StartCall](is, calls), only[berylexecutor.RenewCall](is, calls)
+	fence := k.fence
+	k.Outcome(now, Outcome{Call: poll.Call, Seq: poll.Seq, Listing: berylexecutor.Listing{Clock: 10, StartedAt: 6}})
+	is.Equal(k.fence, fence+1)
+	k.Outcome(now, Outcome{Call: started.Call, Seq: started.Seq, Err: berylexecutor.ErrFenced})
+	is.Equal(k.fence, fence+1)
+	// An answer to the present fence means that an earlier process had a higher one.
+	now = now.Add(_retryPause)
+	poll = callsOf[berylexecutor.RenewCall](k.Calls(now))[0]
+	k.Outcome(now, Outcome{Call: poll.Call, Seq: poll.Seq, Err: berylexecutor.ErrFenced})
+	is.Equal(k.fence, fence+1+_fenceStep)
+}
+
 // Guards against a lease on the clock of an incarnation that is gone, for one whose clock
 // starts anew.
 func TestNoLeaseWhileServerIsDown(t *testing.T) {
