beryldirector: count runs and ends of a start carried out after a restart

Cause: a start call that is under way while the backend server restarts under its id may be carried out by the next incarnation, until the agent raises the fence there. The leader knew the run for the previous incarnation only. It gave it up as "backend server restarted" although the report listed it, and it acknowledged the run's end as done without counting it; either way the task got another run. Change: an end of the newest run counts on any incarnation of the node, and ends are applied before the runs of earlier incarnations are given up; a run that the current incarnation lists goes on there.

--- a/beryldirector/end.go
+++ b/beryldirector/end.go
@@ -46,18 +46,19 @@
 	}
 	ref, _ := berylwork.ParseRef(e.Task)
 	a.unrecordedEnds = append(a.unrecordedEnds, pendingEnd{n: e.Seq, job: ref.Job})
-	d.applyEnd(now, a, a.report.Incarnation, e)
+	d.applyEnd(now, a, e)
 }
 
-// applyEnd applies an end if it is that of the newest run of its task, on the given
-// incarnation of the backend server.
-func (d *Director) applyEnd(now time.Time, a *agentState, incarnation berylbook.Incarnation, e berylreport.End) {
+// applyEnd applies an end if it is that of the newest run of its task, on the node of the
+// agent. The incarnation may be later than the one for which the run was ordered, if the
+// start call was carried out after a restart: the end is acknowledged, so it has to count.
+func (d *Director) applyEnd(now time.Time, a *agentState, e berylreport.End) {
 	ref, ok := berylwork.ParseRef(e.Task)
 	if !ok {
 		return
 	}
 	j, t := d.Book.Task(ref)
-	if t == nil || t.Run != e.Run || !t.Phase.Active() || t.Incarnation != incarnation {
+	if t == nil || t.Run != e.Run || !t.Phase.Active() || t.Incarnation.Node != a.report.Node {
 		return
 	}
 	d.note("end", "task", e.Task, "run", e.Run, "how", e.Reason.String(), "node", a.report.Node, "n", e.Seq,
--- a/beryldirector/report.go
+++ b/beryldirector/report.go
@@ -121,14 +121,14 @@
 		return
 	}
 	for _, e := range r.PastEnds.Ends {
-		d.applyEnd(now, a, r.PastEnds.Incarnation, e)
-	}
-	if r.Listed {
-		d.endPreviousRuns(now, r)
+		d.applyEnd(now, a, e)
 	}
 	for _, e := range r.Ends {
 		d.handleEnd(now, a, e)
 	}
+	if r.Listed {
+		d.endPreviousRuns(now, r)
+	}
 	for _, k := range r.Absent {
 		d.handleAbsent(now, a, k)
 	}
@@ -181,10 +181,21 @@
 
 // endPreviousRuns ends the runs of previous incarnations of the node's backend server. The
 // agent must have listed the current one: a restarted agent may know it only from a
-// delayed heartbeat of a server that is gone, while another one runs tasks.
+// delayed heartbeat of a server that is gone, while another one runs tasks. A run that the
+// current one lists goes on: its start call was carried out after the restart.
 func (d *Director) endPreviousRuns(now time.Time, r berylreport.Report) {
+	listed := map[berylreport.Key]bool{}
+	for _, run := range r.Runs {
+		listed[run.Key] = true
+	}
 	d.eachActiveOn(r.Node, func(s activeTask) {
-		if s.task.Incarnation != r.Incarnation {
+		switch {
+		case s.task.Incarnation == r.Incarnation:
+		case listed[berylreport.Key{Task: s.name, Run: s.task.Run}]:
+			d.note("run on next incarnation", "task", s.name, "run", s.task.Run, "node", r.Node)
+			s.task.Incarnation = r.Incarnation
+			d.markDirty(s.job.Work.ID)
+		default:
 			d.endRun(now, s.job, s.ref, s.task, "backend server restarted")
 		}
 	})
--- a/beryldirector/world_test.go
+++ b/beryldirector/world_test.go
@@ -37,6 +37,9 @@
 	// holdOrders is true if orders to a disconnected agent are delivered when it is
 	// connected again, as TCP does. Otherwise they are lost.
 	holdOrders bool
+	// sameName is true if a call that is under way while a backend server restarts reaches
+	// the next incarnation, which has the same name.
+	sameName bool
 
 	entries []*worldEntry
 	agents  []*worldAgent
@@ -239,6 +242,13 @@
 	_ = playWorlds(t, func(w *world) { w.outages(3) })
 }
 
+// TestWorldWithRestarts simulates the same days with more restarts of backend servers, whose
+// next incarnation carries out the calls that are under way. Guards against a task that runs
+// twice because a start was carried out after a restart.
+func TestWorldWithRestarts(t *testing.T) {
+	_ = playWorlds(t, func(w *world) { w.restarts(40) })
+}
+
 // TestWorldRegressions simulates days on which a task ran twice: a start was ordered for a
 // backend server without contact, given up at once, and carried out with the next contact; or
 // (30468) an agent and its backend server started again together, and a late start call came
@@ -252,6 +262,16 @@
 	}
 }
 
+// TestWorldRestartRegressions simulates days on which a task ran twice because a start was
+// carried out by the next incarnation of a backend server: it went on beside the next run, or its
+// end was acknowledged and not counted (15, 16, 41); or the agent had raised its fence beyond
+// that of its next process (17, 31, 51).
+func TestWorldRestartRegressions(t *testing.T) {
+	for _, seed := range []int{15, 16, 17, 31, 41, 51} {
+		_ = playWorld(t, seed, func(w *world) { w.restarts(40) })
+	}
+}
+
 // TestWorldHeldOrderRegressions simulates days on which a start that waited in a connection
 // to an agent during a cut was carried out after it, while the task ran elsewhere.
 func TestWorldHeldOrderRegressions(t *testing.T) {
--- a/beryldirector/worldfault_test.go
+++ b/beryldirector/worldfault_test.go
@@ -100,3 +100,28 @@
 		})
 	}
 }
+
+// restarts schedules n restarts of backend servers, some of them together with their agents,
+// which may be down for longer. Calls may take longer, and those that are under way reach the
+// next incarnation.
+func (w *world) restarts(n int) {
+	w.sameName = true
+	for range n {
+		at := time.Duration(w.r.Int64N(int64(_worldFaultPeriod)))
+		a := w.agents[w.r.IntN(len(w.agents))]
+		both, length := w.r.IntN(2) == 0, time.Duration(w.r.IntN(3000))*time.Millisecond
+		w.after(at, func() {
+			w.note("%s restarts, agent too: %t, for %s", a.name, both, length)
+			a.server.crash()
+			a.startServer()
+			if both {
+				a.up = false
+				w.after(length, func() {
+					if !a.up {
+						a.start()
+					}
+				})
+			}
+		})
+	}
+}
