berylkeeper: keep an end while a call about its run is in flight

Cause: a start call without an answer is repeated. If the first one is carried out late, its run may end, and its end be recorded and acknowledged, while the repeated call is in flight. Before: TestEndIsKeptWhileItsStartIsInFlight fails (2 acknowledged instead of 1). After: it passes.

--- a/berylkeeper/calls.go
+++ b/berylkeeper/calls.go
@@ -160,6 +160,19 @@
 func (k *Keeper) renew(now time.Time, wait time.Duration) IssuedCall {
 	deadline := k.lease(now)
 	k.deadline = max(k.deadline, deadline)
-	call := berylexecutor.RenewCall{Target: k.target(), Deadline: deadline, Acked: k.acked, Wait: wait}
+	call := berylexecutor.RenewCall{Target: k.target(), Deadline: deadline, Acked: k.ackable(), Wait: wait}
 	return k.issueCall(call, wait+_callTimeout)
 }
+
+// ackable returns the number up to which ends may be acknowledged to the backend server. An
+// end is kept while a call about its run is in flight, which may be a repeated start: if the
+// backend server restarts now, the next incarnation may carry out the call.
+func (k *Keeper) ackable() int64 {
+	n := k.acked
+	for _, e := range k.listing.Ends {
+		if r := k.runs[e.Key]; r != nil && r.inFlight {
+			n = min(n, e.Seq-1)
+		}
+	}
+	return n
+}
--- a/berylkeeper/start_test.go
+++ b/berylkeeper/start_test.go
@@ -279,6 +279,43 @@
 	}
 }
 
+// A start call gets no answer and is repeated; the run ends done and the leader records that,
+// while the repeated call is in flight. Guards against an end that is acknowledged before that
+// call has an outcome: a backend server that restarts would carry it out, after the end.
+func TestEndIsKeptWhileItsStartIsInFlight(t *testing.T) {
+	is := is.New(t)
+	now := start()
+	k := readyKeeper(is, now)
+	k.Orders(now, orders(now, k, []string{"a.0.0.0"}, nil))
+	calls := k.Calls(now)
+	first, poll := only[berylexecutor.StartCall](is, calls), only[berylexecutor.RenewCall](is, calls)
+	now = now.Add(_callTimeout)
+	k.Outcome(now, Outcome{Call: first.Call, Seq: first.Seq, Err: timeoutError()})
+	k.Outcome(now, Outcome{Call: poll.Call, Seq: poll.Seq, Listing: berylexecutor.Listing{Clock: k.BackendClock(now), StartedAt: 5}})
+	next := func() []IssuedCall {
+		now = now.Add(_retryPause)
+		return k.Calls(now)
+	}
+	list := func(calls []IssuedCall, ends ...berylreport.End) (acked int64) {
+		for _, c := range callsOf[berylexecutor.RenewCall](calls) {
+			acked = c.Call.(berylexecutor.RenewCall).Acked
+			k.Outcome(now, Outcome{Call: c.Call, Seq: c.Seq, Listing: berylexecutor.Listing{Clock: k.BackendClock(now), StartedAt: 5, Ends: ends}})
+		}
+		return acked
+	}
+	list(next())
+	calls = next()
+	second := only[berylexecutor.StartCall](is, calls)
+	ends := []berylreport.End{
+		{Key: key("b.0.0.0"), Seq: 1, Reason: berylreport.Stopped}, {Key: key("a.0.0.0"), Seq: 2, Reason: berylreport.Done},
+	}
+	list(calls, ends...)
+	k.ack(2)
+	is.Equal(list(next(), ends...), int64(1))
+	k.Outcome(now, Outcome{Call: second.Call, Seq: second.Seq, Err: timeoutError()})
+	is.Equal(list(next(), ends...), int64(2))
+}
+
 // A call is answered "fence" because the agent has raised its fence while the call was in
 // flight. Guards against a fence that is raised beyond that of the agent's next process: a new
 // incarnation of the backend server would not refuse late starts of this one.
