berylquota, beryllistener: a budget for all connections of a listener

Cause: net/http bounds what one request may send, and nothing bounded the sum: a header of 16 KiB in lines of three bytes makes the parser allocate some 0.3 to 1 MB, a body was kept for as long as its client stopped short of its end, and connections were accepted without a limit.

berylquota decides what the connections of a listener may hold in bytes and number, with shares for a connection, an address and an account, and which connections are closed when it runs low. beryllistener executes it around a net.Listener. berylsite uses it for each HTTP listener with limits from the memory and the descriptors in the settings, caps the connections of the internal listener, and sets the memory limit of the Go runtime.

Ruled out: caps for each connection alone; see docs/design/untrusted-clients.md.

--- a/berylrpc/server.go
+++ b/berylrpc/server.go
@@ -35,7 +35,7 @@
 // _idleTimeout is the time without a request after which a connection is closed.
 const _idleTimeout = 5 * time.Minute
 
-// _maxConnections is the maximum number of connections of a server. At the target
+// _maxConnections is the default maximum number of connections of a server. At the target
 // scale a failure domain has 1,571 workers, and the agent of each sends heartbeats
 // to two entries of the domain. Even with only two entries in the domain, an entry
 // needs fewer connections.
@@ -46,6 +46,9 @@
 	// Log receives an error for each call whose function has panicked; slog.Default if
 	// nil.
 	Log *slog.Logger
+	// MaxConnections is the maximum number of connections; further ones wait until one
+	// is closed. Zero means 4096.
+	MaxConnections int
 
 	handlers map[berylmessage.Method]handler
 }
@@ -75,7 +78,11 @@
 	srv := drpcserver.NewWithOptions(s, drpcserver.Options{
 		Manager: managerOptions(_idleTimeout),
 	})
-	return srv.Serve(ctx, netutil.LimitListener(lis, _maxConnections))
+	limit := s.MaxConnections
+	if limit == 0 {
+		limit = _maxConnections
+	}
+	return srv.Serve(ctx, netutil.LimitListener(lis, limit))
 }
 
 // HandleRPC implements drpc.Handler.
--- a/berylsite/agent.go
+++ b/berylsite/agent.go
@@ -54,7 +54,7 @@
 		return err
 	}
 	heartbeats := &platform.Heartbeats{Service: s.Service, OnHeartbeat: agent.Heartbeat, OnDeregister: agent.Deregister}
-	if _, err := p.serve(ctx, s.Control, heartbeats.Handler()); err != nil {
+	if _, err := p.serve(ctx, "control", s.Control, heartbeats.Handler()); err != nil {
 		return err
 	}
 	agent.Run(p.ctx)
--- a/berylsite/entry.go
+++ b/berylsite/entry.go
@@ -103,11 +103,11 @@
 			e.requests.WithLabelValues(verb, strconv.Itoa(status)).Observe(took.Seconds())
 		},
 	}
-	front, err := e.serve(ctx, e.settings.Front, ingress)
+	front, err := e.serve(ctx, _clientListener, e.settings.Front, ingress)
 	if err != nil {
 		return nil, err
 	}
-	if _, err := e.serve(ctx, e.settings.Ready, http.HandlerFunc(e.ready)); err != nil {
+	if _, err := e.serve(ctx, "ready", e.settings.Ready, http.HandlerFunc(e.ready)); err != nil {
 		return nil, err
 	}
 	if e.settings.Control != "" {
@@ -117,7 +117,7 @@
 			OnHeartbeat:  func(berylkeeper.Heartbeat) bool { return false },
 			OnDeregister: func(string) bool { return false },
 		}
-		if _, err := e.serve(ctx, e.settings.Control, heartbeats.Handler()); err != nil {
+		if _, err := e.serve(ctx, "control", e.settings.Control, heartbeats.Handler()); err != nil {
 			return nil, err
 		}
 	}
--- a/berylsite/site.go
+++ b/berylsite/site.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"strconv"
 	"syscall"
 	"time"
@@ -23,6 +24,7 @@
 
 	"berylglade/berylclock"
 	"berylglade/berylerror"
+	"berylglade/beryllistener"
 	"berylglade/berylregistry"
 	"berylglade/berylrpc"
 	"berylglade/berylsink"
@@ -90,6 +92,10 @@
 	// of a process apart.
 	boot     int64
 	registry *prometheus.Registry
+	budgets  budgets
+	// limited counts connections and requests that were closed or refused because of
+	// a budget.
+	limited *prometheus.CounterVec
 	// ctx ends on SIGTERM, SIGINT or a call to stop.
 	ctx  context.Context
 	stop context.CancelFunc
@@ -101,9 +107,14 @@
 		return nil, err
 	}
 	p := &process{settings: s, sink: berylsink.New(os.Stdout), boot: berylclock.System()().UnixMilli(), registry: prometheus.NewRegistry()}
+	p.budgets = newBudgets(s)
+	debug.SetMemoryLimit(p.budgets.heap)
+	p.limited = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "berylglade_connections_limited_total", Help: "Connections and requests that were closed or refused because of a limit.",
+	}, []string{"listener", "action", "reason"})
 	p.log = p.sink.Logger("vm", s.Node, "role", role)
 	p.ctx, p.stop = signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	p.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+	p.registry.MustRegister(p.limited, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "berylglade_log_lines_dropped",
 		Help: "Log lines that were dropped since the last line was written.",
 	}, func() float64 { return float64(p.sink.Dropped()) }))
@@ -144,6 +155,7 @@
 	if err != nil {
 		return err
 	}
+	s.MaxConnections = p.budgets.internalConns
 	go func() {
 		if err := s.Serve(ctx, lis); err != nil && ctx.Err() == nil {
 			p.log.Error("internal listener ended", "err", err)
@@ -153,17 +165,24 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(p.registry, promhttp.HandlerOpts{}))
 	addr := p.settings.IP + ":" + strconv.Itoa(p.settings.FirstPort+_metricsPortOffset)
-	_, err = p.serve(ctx, addr, mux)
+	_, err = p.serve(ctx, "metrics", addr, mux)
 	return err
 }
 
-// serve starts an HTTP server on addr. If it fails later, the process stops.
-func (p *process) serve(ctx context.Context, addr string, h http.Handler) (*http.Server, error) {
-	lis, err := listen(ctx, addr)
+// serve starts an HTTP server on addr; name is the name of the listener in logs and
+// metrics. If it fails later, the process stops.
+func (p *process) serve(ctx context.Context, name, addr string, h http.Handler) (*http.Server, error) {
+	inner, err := listen(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
+	lis := beryllistener.New(inner, beryllistener.Config{
+		Limits: p.budgets.of(name), Clock: berylclock.System(), Log: p.log, Name: name,
+		Count: func(action, reason string) { p.limited.WithLabelValues(name, action, reason).Inc() },
+	})
+	p.registerUsage(name, lis)
 	srv := &http.Server{Handler: h, ReadHeaderTimeout: _headerTimeout, IdleTimeout: _idleTimeout, MaxHeaderBytes: _maxHeader}
+	lis.Guard(srv)
 	go func() {
 		if err := srv.Serve(lis); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			p.log.Error("listener ended", "addr", addr, "err", err)
