berylentry, beryldump: the budget for connections on the own interface

Callers of the own interface aren't trusted either: its listener had 4,096 connections with a header of 16 KiB and a body of 1 MiB each. It gets a budget of a quarter of the VM's memory, a new setting entry.memory, and the dump listener one of 16 MiB. go test ./beryldump ./berylentry ./berylapi ./berylsettings passes.

--- a/berylapi/api.go
+++ b/berylapi/api.go
@@ -39,6 +39,7 @@
 	"berylglade/berylduration"
 	"berylglade/berylerror"
 	"berylglade/beryljob"
+	"berylglade/beryllistener"
 	"berylglade/berylshape"
 )
 
@@ -231,6 +232,7 @@
 			writeError(w, "", berylerror.Denied.Errorf("unknown client account or wrong token"))
 			return
 		}
+		beryllistener.SetAccount(r.Context(), name)
 		h(w, r, name)
 	}
 }
--- a/berylapi/call.go
+++ b/berylapi/call.go
@@ -16,6 +16,7 @@
 	"berylglade/berylcall"
 	"berylglade/berylconfig"
 	"berylglade/berylerror"
+	"berylglade/beryllistener"
 )
 
 func (a *API) call(w http.ResponseWriter, r *http.Request, account string) {
@@ -198,6 +199,10 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, berylerror.Oversize.Errorf("body exceeds the limit of %d bytes", limit)
+	case errors.Is(err, beryllistener.ErrNoRoom):
+		// The rest of the body is not read.
+		w.Header().Set("Connection", "close")
+		return nil, err
 	case err != nil:
 		return nil, berylerror.Invalid.Wrap(err, "read body")
 	default:
--- a/berylcli/process.go
+++ b/berylcli/process.go
@@ -134,6 +134,7 @@
 		Operators: s.Operators,
 		Retention: s.Retention,
 		Drain:     s.Drain,
+		Memory:    s.Memory,
 		Latency:   s.Latency,
 	}, berylclock.System(), berylentry.Dependencies{
 		Leader:     berylleader.New(func() berylleader.Policy { return berylscheduler.New(berylscheduler.Options{}) }),
--- a/beryldump/dump.go
+++ b/beryldump/dump.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"encoding/json"
+	"log/slog"
 	"net"
 	"net/http"
 	"time"
@@ -18,9 +19,11 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/prometheus/procfs"
-	"golang.org/x/net/netutil"
 
+	"berylglade/berylclock"
 	"berylglade/berylerror"
+	"berylglade/beryllistener"
+	"berylglade/berylquota"
 )
 
 const (
@@ -37,6 +40,8 @@
 	_maxHeader = 16 << 10
 	// _maxConnections is enough for several operators and scrapers.
 	_maxConnections = 64
+	// _maxMemory bounds what requests under way hold, in bytes.
+	_maxMemory = 16 << 20
 	// _stopTimeout limits the wait for requests in flight at shutdown.
 	_stopTimeout = time.Second
 )
@@ -114,7 +119,12 @@
 			_ = srv.Close()
 		}
 	})
-	err := srv.Serve(netutil.LimitListener(lis, _maxConnections))
+	guarded := beryllistener.New(lis, beryllistener.Config{
+		Limits: berylquota.NewLimits(_maxMemory, _maxConnections), Clock: berylclock.System(), Log: slog.Default(), Name: "dump",
+		Count: func(string, string) {},
+	})
+	guarded.Guard(srv)
+	err := srv.Serve(guarded)
 	if !stop() {
 		<-stopped
 	}
--- a/berylentry/entry.go
+++ b/berylentry/entry.go
@@ -25,7 +25,9 @@
 package berylentry
 
 import (
+	"cmp"
 	"context"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync"
@@ -35,7 +37,6 @@
 	"github.com/go-faster/errors"
 	"github.com/oklog/ulid/v2"
 	"github.com/prometheus/client_golang/prometheus"
-	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
@@ -45,10 +46,13 @@
 	"berylglade/berylclock"
 	"berylglade/berylcontrol"
 	"berylglade/berylerror"
+	"berylglade/beryllistener"
 	"berylglade/beryllog"
+	"berylglade/berylquota"
 	"berylglade/berylrecord"
 	"berylglade/berylroute"
 	"berylglade/berylrpc"
+	"berylglade/berylsize"
 )
 
 // Intervals and timeouts of the process.
@@ -69,6 +73,10 @@
 	// _maxConnections bounds the connections, and with them the requests that
 	// are in progress or waiting before admission.
 	_maxConnections = 4096
+	// _defaultMemory is the memory of the VM if the settings have none. Connections of
+	// callers hold at most one part in _callerMemoryShare of it.
+	_defaultMemory     = 512 * berylsize.MB
+	_callerMemoryShare = 4
 )
 
 // Entry is one entry process.
@@ -177,6 +185,7 @@
 // returns.
 func (e *Entry) Run(ctx context.Context) error {
 	srv := e.server()
+	lis := e.guard(srv)
 	// The background work continues after ctx has ended until the calls in
 	// progress have finished, as they need the log and the heartbeats.
 	defer e.cancel()
@@ -194,7 +203,7 @@
 		g.Go(func() error { return s.Run(e.workCtx) })
 	}
 	g.Go(func() error {
-		if err := srv.Serve(netutil.LimitListener(e.httpLis, _maxConnections)); !errors.Is(err, http.ErrServerClosed) {
+		if err := srv.Serve(lis); !errors.Is(err, http.ErrServerClosed) {
 			e.cancel()
 			return errors.Wrap(err, "serve callers")
 		}
@@ -226,6 +235,20 @@
 	}
 }
 
+// guard returns the listener for callers, which limits their connections. They may all
+// come from the address of a load balancer.
+func (e *Entry) guard(srv *http.Server) net.Listener {
+	memory := int64(cmp.Or(e.settings.Memory, _defaultMemory))
+	limits := berylquota.NewLimits(memory/_callerMemoryShare, _maxConnections)
+	limits.Address, limits.ConnsPerAddress = limits.Bytes, limits.Conns
+	lis := beryllistener.New(e.httpLis, beryllistener.Config{
+		Limits: limits, Clock: e.clock, Log: slog.Default(), Name: "http",
+		Count: func(action, reason string) { e.metrics.limited.WithLabelValues(action, reason).Inc() },
+	})
+	lis.Guard(srv)
+	return lis
+}
+
 // closeWhileStopping asks callers to close their connections while the entry stops.
 func (e *Entry) closeWhileStopping(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/berylentry/metrics.go
+++ b/berylentry/metrics.go
@@ -20,6 +20,7 @@
 	elections  prometheus.Counter
 	effects    *prometheus.CounterVec
 	outages    prometheus.Counter
+	limited    *prometheus.CounterVec
 }
 
 func newMetrics(r prometheus.Registerer) (*metrics, error) {
@@ -53,12 +54,16 @@
 			Help: "Effects of the leader by type and result.",
 		}, []string{"type", "result"}),
 		outages: counter("berylglade_entry_outage_reports_total", "Unanimous reports that no entry can read the log."),
+		limited: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "berylglade_entry_connections_limited_total",
+			Help: "Connections and requests of callers that were closed or refused because of a limit.",
+		}, []string{"action", "reason"}),
 	}
 	if r == nil {
 		return m, nil
 	}
 	all := []prometheus.Collector{
-		m.calls, m.seconds, m.retries, m.resolved, m.heartbeats, m.reads, m.appends, m.elections, m.effects, m.outages,
+		m.calls, m.seconds, m.retries, m.resolved, m.heartbeats, m.reads, m.appends, m.elections, m.effects, m.outages, m.limited,
 	}
 	for _, c := range all {
 		if err := r.Register(c); err != nil {
--- a/berylentry/settings.go
+++ b/berylentry/settings.go
@@ -3,6 +3,7 @@
 import (
 	"berylglade/berylduration"
 	"berylglade/berylerror"
+	"berylglade/berylsize"
 )
 
 // Settings are the settings of an entry.
@@ -27,6 +28,8 @@
 	// Drain is the longest time that a planned stop waits for calls in
 	// progress. Zero means 30 s.
 	Drain berylduration.Duration `json:"drain,omitempty"`
+	// Memory is the memory of the VM; zero means 512 MB.
+	Memory berylsize.Size `json:"memory,omitempty"`
 	// Latency is the one-way delay to each failure domain.
 	Latency map[string]berylduration.Duration `json:"latency,omitempty"`
 }
@@ -39,6 +42,8 @@
 		return berylerror.Invalid.Errorf("settings: entry %s needs http and peer addresses", s.Name)
 	case s.Retention <= 0:
 		return berylerror.Invalid.Errorf("settings: log retention is missing")
+	case s.Memory < 0:
+		return berylerror.Invalid.Errorf("settings: memory is negative")
 	default:
 		return nil
 	}
--- a/berylsettings/check.go
+++ b/berylsettings/check.go
@@ -9,6 +9,7 @@
 
 	"berylglade/berylduration"
 	"berylglade/berylshape"
+	"berylglade/berylsize"
 )
 
 // keyError says that the value of a key is invalid. The line is added by
@@ -86,6 +87,7 @@
 		checkContains("entry.entries", e.Entries, e.Bind),
 		checkDigests("entry.operators", e.Operators),
 		checkPositive("entry.retention", e.Retention),
+		checkMemory("entry.memory", e.Memory),
 	)
 }
 
@@ -185,6 +187,17 @@
 	return &keyError{key: key, text: `is missing; use a duration above zero such as "24h"`}
 }
 
+// checkMemory accepts zero and sizes in which a process has room.
+func checkMemory(key string, s berylsize.Size) *keyError {
+	if s != 0 && s < _minMemory {
+		return &keyError{key: key, text: "is below 64MB"}
+	}
+	return nil
+}
+
+// _minMemory is the smallest memory of a VM.
+const _minMemory = 64 * berylsize.MB
+
 func checkShape(key string, s berylshape.Shape) *keyError {
 	if err := s.Check(); err != nil {
 		return &keyError{key: key, text: err.Error()}
--- a/berylsettings/settings.go
+++ b/berylsettings/settings.go
@@ -14,6 +14,7 @@
 	"berylglade/berylduration"
 	"berylglade/berylerror"
 	"berylglade/berylshape"
+	"berylglade/berylsize"
 )
 
 // Settings are the settings of one process.
@@ -56,6 +57,9 @@
 	// Drain is the longest time that a graceful stop waits for calls in flight;
 	// zero means 30 s.
 	Drain berylduration.Duration `json:"drain,omitempty"`
+	// Memory is the memory of the VM, of which a quarter is for the connections of
+	// callers; zero means 512 MB.
+	Memory berylsize.Size `json:"memory,omitempty"`
 	// Latency is the one-way delay from this entry to each failure domain.
 	Latency map[string]berylduration.Duration `json:"latency,omitempty"`
 }
--- a/berylsettings/settings_test.go
+++ b/berylsettings/settings_test.go
@@ -101,6 +101,7 @@
 		{name: "no retention", give: _entry, old: `"retention": "24h",`, want: "f:5: entry.retention: is missing"},
 		{name: "duration without unit", give: _entry, old: `"24h"`, with: `"24"`, want: `f:13: entry.retention: duration "24" has no valid unit`},
 		{name: "duration is a number", give: _entry, old: `"24h"`, with: `24`, want: `f:13: entry.retention: needs a duration with a unit such as "1.6s", not 24`},
+		{name: "too little memory", give: _entry, old: `"24h"`, with: `"24h", "memory": "10MB"`, want: "f:13: entry.memory: is below 64MB"},
 		{name: "negative duration", give: _entry, old: `"24h"`, with: `"-1h"`, want: `f:13: entry.retention: duration "-1h" is below zero`},
 		{name: "size without unit", give: _agent, old: `"128GB"`, with: `"128"`, want: `f:10: agent.worker.shape.memory: size "128" has no unit`},
 		{name: "size with binary unit", give: _agent, old: `"128GB"`, with: `"128GiB"`, want: `f:10: agent.worker.shape.memory: size "128GiB" is not`},
