--- a/berylwork/validate.go
+++ b/berylwork/validate.go
@@ -29,7 +29,7 @@
 	}
 	tasks := 0
 	for i := range w.Steps {
-		if err := w.Steps[i].validate(i); err != nil {
+		if err := w.Steps[i].Validate(i); err != nil {
 			return err
 		}
 		tasks += w.Steps[i].Count * w.Occurrences()
@@ -40,8 +40,9 @@
 	return nil
 }
 
-// validate checks the step with the given index.
-func (s *Step) validate(index int) error {
+// Validate returns an error of kind Invalid if the step with the given index can't be
+// scheduled.
+func (s *Step) Validate(index int) error {
 	if s.Count <= 0 || s.Count > _maxStepTasks {
 		return berylerror.Invalid.Errorf("step %d has %d tasks; the allowed range is 1 to %d", index, s.Count, _maxStepTasks)
 	}
