beryllistener: idle connections hold their base only

What was charged for the last read of a header stayed charged on an idle connection, although the server has used up its buffer when it reads an idle connection again. The connection also passes CloseWrite on, as the server needs it to deliver a refusal to a client that still sends.

--- a/beryllistener/conn.go
+++ b/beryllistener/conn.go
@@ -48,6 +48,7 @@
 	c.mu.Unlock()
 	switch {
 	case head:
+		c.releaseBuffered()
 		n, err := c.Conn.Read(p)
 		if n > 0 && !c.readHead(p[:n]) {
 			_ = c.Close()
@@ -63,6 +64,35 @@
 	}
 }
 
+// releaseBuffered gives back what was reserved for bytes that may have belonged to the
+// next request: as an idle connection is read again, the server has used them up.
+func (c *conn) releaseBuffered() {
+	c.mu.Lock()
+	n := c.lastRead
+	if !c.idle {
+		n = 0
+	}
+	c.lastRead -= n
+	c.mu.Unlock()
+	if n == 0 {
+		return
+	}
+	l := c.listener
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.quota.Return(c.id, n)
+	l.notify()
+}
+
+// CloseWrite closes the sending half, so that the client gets a refusal although it
+// still sends.
+func (c *conn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
+
 // readHead reserves memory for bytes of a header.
 func (c *conn) readHead(p []byte) bool {
 	n := _headerFactor*int64(len(p)) + _lineOverhead*int64(bytes.Count(p, []byte{'\n'}))
