berylkeeper: call a backend server that is down every 50 ms

Cause: a late start is carried out by the next incarnation until the first call with the higher fence reaches it. Change: 50 ms, by a timer of its own. That nothing listens is logged once. Ruled out: the same for other failed calls; they have a process that may be busy.

--- a/berylkeeper/keeper.go
+++ b/berylkeeper/keeper.go
@@ -272,6 +272,11 @@
 	k.ack(a.Acked)
 }
 
+// DownPause is the pause between listing calls while no process listens at the address of the
+// backend server. The next incarnation refuses late starts meant for the previous one from the
+// first call that it gets, so the pause is shorter than others.
+const DownPause = 50 * time.Millisecond
+
 const (
 	// _firstHeartbeat is the number of the first heartbeat of an incarnation.
 	_firstHeartbeat = 1
--- a/berylkeeper/outcome.go
+++ b/berylkeeper/outcome.go
@@ -39,10 +39,18 @@
 func (k *Keeper) fenceOutcome(now time.Time, to berylexecutor.Target, o Outcome) {
 	k.noteFence(to, o.Err)
 	if k.heartbeat.Incarnation.Instance == "" {
-		k.nextPoll = now.Add(_retryPause)
+		k.nextPoll = now.Add(pollPause(o.Err))
 	}
 }
 
+// pollPause returns the pause after a listing call that failed.
+func pollPause(err error) time.Duration {
+	if errors.Is(err, berylexecutor.ErrDown) {
+		return DownPause
+	}
+	return _retryPause
+}
+
 // noteFence raises the fence above that of an earlier process of this agent if it is too
 // low. A call that was issued before this process raised its fence says nothing: a fence that
 // is too high lets a later process of this agent make a new incarnation refuse no late starts
@@ -138,7 +146,7 @@
 
 func (k *Keeper) renewOutcome(now time.Time, o Outcome) {
 	if o.Err != nil {
-		k.nextPoll = now.Add(_retryPause)
+		k.nextPoll = now.Add(pollPause(o.Err))
 		return
 	}
 	if o.Listing.StartedAt != 0 && o.Listing.StartedAt != k.heartbeat.Incarnation.StartedAt {
--- a/berylkeeper/start_test.go
+++ b/berylkeeper/start_test.go
@@ -352,6 +352,22 @@
 	is.Equal(poll.Call.(berylexecutor.RenewCall).Deadline, int64(0))
 }
 
+// Guards against a new incarnation that carries out a late start because it gets its first
+// call, with the higher fence, long after its start: with an agent that knows the previous
+// incarnation, and with one that has just started.
+func TestFirstCallSoonAfterRestart(t *testing.T) {
+	fresh := New("side-1", "10.0.0.1:7000", 77, limits())
+	fresh.ServerAddr = "10.0.0.1:80"
+	for _, k := range []*Keeper{readyKeeper(is.New(t), start()), fresh} {
+		is := is.New(t)
+		now := start()
+		poll := only[berylexecutor.RenewCall](is, k.Calls(now))
+		k.Outcome(now, Outcome{Call: poll.Call, Seq: poll.Seq, Err: berylexecutor.ErrDown})
+		now = now.Add(DownPause)
+		is.Equal(len(callsOf[berylexecutor.RenewCall](k.Calls(now))), 1)
+	}
+}
+
 // An agent and its backend server start again together, while a start call of the earlier
 // process is still on its way. Guards against a start that is carried out before the first
 // heartbeat, when the agent knows no instance to call.
--- a/berylsidecar/log.go
+++ b/berylsidecar/log.go
@@ -42,7 +42,9 @@
 	case berylexecutor.StopCall:
 		s.cfg.Log.Info("stop sent", "task", c.Task, "run", c.Run, "err", errText(o.Err))
 	case berylexecutor.RenewCall:
-		if c.Instance == "" && errors.Is(o.Err, berylexecutor.ErrDown) {
+		down, known := errors.Is(o.Err, berylexecutor.ErrDown), s.down
+		s.down = down
+		if down && (known || c.Instance == "") {
 			// The backend server has not started yet, which is no news.
 			return
 		}
--- a/berylsidecar/sidecar.go
+++ b/berylsidecar/sidecar.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"sync"
 	"time"
@@ -77,6 +78,8 @@
 	// lastLookup is when the entries were last read from the store.
 	lastLookup  time.Time
 	incarnation berylbook.Incarnation
+	// down is true if no process listened at the last listing call.
+	down bool
 }
 
 type message interface{ message() }
@@ -204,6 +207,9 @@
 	case callFinished:
 		s.logOutcome(m.outcome)
 		k.Outcome(now, m.outcome)
+		if errors.Is(m.outcome.Err, berylexecutor.ErrDown) {
+			time.AfterFunc(berylkeeper.DownPause, func() { s.loop.Tell(tick{}) })
+		}
 	case reportAnswered:
 		s.applyAnswer(now, m)
 	case entriesListed:
