berylleader: tell the policy when a stray part is gone

Cause: a leader that is suspended between its reservations and its decision leaves reserved parts. The next one stops them, but it had passed them to the policy with the agents' first heartbeats, and told it nothing when they were gone: their cores counted as used for ever. Evidence: in the second occurrence the parts of host-1 and host-3 (40 of 64 cores each) were stopped 2.5 s after the election and nothing was placed there afterwards. Change: the list is passed on again with each heartbeat while it has such a part. Before: TestPolicyLearnsThatStrayIsGone fails. After: it passes.

--- a/berylleader/leader.go
+++ b/berylleader/leader.go
@@ -83,6 +83,9 @@
 	heartbeat     berylmessage.Heartbeat
 	lastHeartbeat time.Time
 	lost          bool
+	// foreign is true if the policy was last told of members on this agent that belong
+	// to no current attempt. It counts their resources as used.
+	foreign bool
 }
 
 // New returns a leader that leads no term yet. Each term gets a new policy.
--- a/berylleader/leader_test.go
+++ b/berylleader/leader_test.go
@@ -361,3 +361,33 @@
 	h.advance(2*time.Second, "a1")
 	is.True(countOf[SendStop](h.takeEffects()) > 0)
 }
+
+// A leader is suspended when it has reserved members for a job but not decided it, and the
+// next one stops them. Guards against a policy that counts their resources as used for ever,
+// so that nothing is placed on these agents.
+func TestPolicyLearnsThatStrayIsGone(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, berylconfig.Class{Idempotent: true}, beryljob.State{Job: beryljob.Job{ID: "j", Class: "c", Tasks: 2}, Phase: beryljob.Queued})
+	gangsOf := func(agent string) (n int) {
+		for _, ev := range h.policy.events {
+			if seen, ok := ev.(berylscheduler.WorkerSeen); ok && seen.Worker.Name == agent {
+				n = len(seen.Worker.Gangs)
+			}
+		}
+		return n
+	}
+	h.reportedPhase = berylmessage.GangReserved
+	h.advance(_settleTime, "a1", "a2")
+	is.Equal(gangsOf("a1"), 1)
+	is.True(slices.ContainsFunc(h.takeEffects(), func(e Effect) bool {
+		stop, ok := e.(SendStop)
+		return ok && stop.Stop.Attempt == 1
+	}))
+	h.reportedPhase = 0
+	h.advance(time.Second, "a1", "a2")
+	is.Equal(gangsOf("a1"), 0)
+	is.Equal(gangsOf("a2"), 0)
+	events := len(h.policy.events)
+	h.advance(time.Second, "a1", "a2")
+	is.Equal(len(h.policy.events), events)
+}
--- a/berylleader/member.go
+++ b/berylleader/member.go
@@ -1,6 +1,7 @@
 package berylleader
 
 import (
+	"slices"
 	"time"
 
 	"berylglade/berylconfig"
@@ -201,15 +202,24 @@
 		}
 		return
 	}
-	l.agents[b.Agent] = &agent{heartbeat: b, lastHeartbeat: now}
-	if before == nil || before.lost || workerChanged(&before.heartbeat, &b) {
+	a := &agent{heartbeat: b, lastHeartbeat: now}
+	l.agents[b.Agent] = a
+	if before == nil || before.lost || before.foreign || workerChanged(&before.heartbeat, &b) {
 		l.reportWorker(now, &b)
+		a.foreign = slices.ContainsFunc(b.Gangs, l.foreign)
 	}
 	for i := range b.Gangs {
 		l.onGangReport(now, &b, &b.Gangs[i])
 	}
 }
 
+// foreign reports whether a gang member that holds resources belongs to no current attempt,
+// such as one that a previous leader has reserved. It is stopped.
+func (l *Leader) foreign(r berylmessage.GangReport) bool {
+	g := l.gangs[r.Job]
+	return holdsResources(r.Phase) && (g == nil || r.Attempt != g.attempt || len(g.members) == 0)
+}
+
 func workerChanged(a, b *berylmessage.Heartbeat) bool {
 	return a.Incarnation != b.Incarnation || a.Addr != b.Addr || a.Domain != b.Domain ||
 		a.Rack != b.Rack || a.Total != b.Total || a.Draining != b.Draining
