--- a/berylscript/control_test.go
+++ b/berylscript/control_test.go
@@ -173,13 +173,30 @@
 		if ctx.Err() != nil {
 			// A problem returned after the limit may only be its effect, so the
 			// previous one is reported.
-			ts.Fatalf("after %v: %s\n%s", limit, last, stateOf(ts).report())
+			ts.Fatalf("after %v: %s\n%s%s", limit, last, stateOf(ts).report(), entryDumps(ctx, ts))
 		}
 		last = problem
 		time.Sleep(_pollInterval)
 	}
 }
 
+// entryDumps returns the dump of each entry: its term, its members and the stages of the
+// jobs that it leads.
+func entryDumps(ctx context.Context, ts *testscript.TestScript) string {
+	var b strings.Builder
+	for i := 1; i <= 3; i++ {
+		name := fmt.Sprintf("entry-%d", i)
+		var dump json.RawMessage
+		err := getJSON(ctx, "http://"+readSettings(ts, name).Dump+"/dump", &dump)
+		if err != nil {
+			// A suspended process does not answer.
+			dump = []byte(err.Error())
+		}
+		fmt.Fprintf(&b, "== dump of %s:\n%s\n", name, dump)
+	}
+	return b.String()
+}
+
 // getJSON reads JSON from a process. Each request has a short timeout, since a
 // frozen process does not answer.
 func getJSON(ctx context.Context, url string, v any) error {
