berylroute: forget a mean service time that is not measured again

Callers saw no fault; a backend server with free capacity got no calls. Cause: one slow call, such as the first one, made a server cost more than the others, and without a call its mean could not fall. Change: a mean that is older than 5 s isn't used and is replaced by the next call. Before: TestSlowCallIsForgotten fails. After: it passes, as do the other tests of the package, among them the simulations of load.

--- a/berylroute/route.go
+++ b/berylroute/route.go
@@ -60,6 +60,10 @@
 // sent their calls to the same servers: the mean time was 198 ms instead of 20 ms.
 const _othersDecay = 0.2
 
+// _meanValidity is how long a mean service time is used without a new measurement. A slow
+// server then gets one call in this time, instead of none, while the others have capacity.
+const _meanValidity = 5 * time.Second
+
 // _noiseRatio is the ratio to the median service time up to which a difference is
 // treated as noise.
 const _noiseRatio = 2
@@ -115,6 +119,8 @@
 	// ownInFlight is the number of this entry's calls in flight.
 	ownInFlight     int
 	meanServiceTime time.Duration
+	// measuredAt is when the last service time was measured.
+	measuredAt time.Time
 	// samples counts the service times measured since the last ejection.
 	samples  int
 	failures int
@@ -174,7 +180,7 @@
 	if len(candidates) == 0 {
 		return Pick{}, berylerror.NotRun.Errorf("no backend server accepts work")
 	}
-	b := r.leastCost(candidates)
+	b := r.leastCost(now, candidates)
 	b.ownInFlight++
 	return b.pick, nil
 }
@@ -200,7 +206,7 @@
 	b.ownInFlight = max(0, b.ownInFlight-1)
 	switch o {
 	case OK:
-		b.recordSuccess(took)
+		b.recordSuccess(now, took)
 		if r.isSlow(b) && r.mayEject(now) {
 			b.eject(now)
 		}
@@ -263,7 +269,7 @@
 // leastCost returns the candidate with the lowest cost. It chooses among equal ones
 // at random, so that entries with the same view of the load do not all choose the
 // first.
-func (r *Router) leastCost(candidates []*backend) *backend {
+func (r *Router) leastCost(now time.Time, candidates []*backend) *backend {
 	if r.Sample > 0 && len(candidates) > r.Sample {
 		rand.Shuffle(len(candidates), func(i, j int) {
 			candidates[i], candidates[j] = candidates[j], candidates[i]
@@ -275,7 +281,7 @@
 	var cost float64
 	same := 0
 	for _, b := range candidates {
-		c := b.cost(median)
+		c := b.cost(now, median)
 		switch {
 		case best == nil || c < cost:
 			best, cost, same = b, c, 1
@@ -305,10 +311,11 @@
 }
 
 // cost returns the expected time of one more call. Mean service times are noisy, so
-// a server's own one is used only if it is far above the median.
-func (b *backend) cost(median time.Duration) float64 {
+// a server's own one is used only if it is far above the median. An old one isn't used: a
+// server that gets no calls because of it would never be measured again.
+func (b *backend) cost(now time.Time, median time.Duration) float64 {
 	service := median
-	if b.meanServiceTime > _noiseRatio*median {
+	if b.meanServiceTime > _noiseRatio*median && now.Sub(b.measuredAt) <= _meanValidity {
 		service = b.meanServiceTime
 	}
 	load := (b.othersInFlight + float64(b.ownInFlight) + 1) / float64(b.slots)
@@ -329,11 +336,13 @@
 	b.othersInFlight += _othersDecay * (others - b.othersInFlight)
 }
 
-func (b *backend) recordSuccess(took time.Duration) {
+func (b *backend) recordSuccess(now time.Time, took time.Duration) {
 	b.failures = 0
 	b.samples++
 	service := max(took-b.roundTrip, 0)
-	if b.meanServiceTime == 0 {
+	old := now.Sub(b.measuredAt) > _meanValidity
+	b.measuredAt = now
+	if b.meanServiceTime == 0 || old {
 		b.meanServiceTime = service
 	} else {
 		b.meanServiceTime += time.Duration(_decay * float64(service-b.meanServiceTime))
--- a/berylroute/route_test.go
+++ b/berylroute/route_test.go
@@ -130,6 +130,37 @@
 	return slices.DeleteFunc([]string{"a1", "a2", "a3"}, func(n string) bool { return n == name })
 }
 
+// TestSlowCallIsForgotten guards against a backend server that never gets a call again because
+// of one slow call, such as the first one after its start: its mean service time could not
+// fall.
+func TestSlowCallIsForgotten(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	var r Router
+	r.Update([]berylmember.Member{member("a1", "d", 0), member("a2", "d", 0), member("a3", "d", 0)}, &berylconfig.Config{})
+	call := func(took func(agent string) time.Duration, exclude ...string) string {
+		p, err := r.Choose(now, exclude)
+		is.NoErr(err)
+		r.Done(now, p, OK, took(p.Agent))
+		return p.Agent
+	}
+	usual := func(string) time.Duration { return 5 * time.Millisecond }
+	calls := func(n int) map[string]int {
+		count := map[string]int{}
+		for range n {
+			count[call(usual)]++
+		}
+		return count
+	}
+	call(usual, "a1", "a2")
+	call(usual, "a1", "a3")
+	call(func(string) time.Duration { return 300 * time.Millisecond }, "a2", "a3")
+	is.Equal(calls(50)["a1"], 0)
+	now = now.Add(_meanValidity + time.Millisecond)
+	is.True(calls(50)["a1"] > 0)
+	is.True(calls(50)["a1"] > 0)
+}
+
 // TestEjectionKeepsHalf guards against ejecting every backend server when the fault
 // is in the requests.
 func TestEjectionKeepsHalf(t *testing.T) {
