berylestimator: learn from the newest runs of each kind

Cause: an estimate by class and account from decayed histograms follows a shift after hours, takes 4 KB a key, and can't hold runs that were stopped.

Runs that were cut are censored observations (Kaplan and Meier). The speed of the backend server is taken out. Keys are bounded to 512, and a record of them can be encoded with a bounded size.

--- a/berylestimator/estimator.go
+++ b/berylestimator/estimator.go
@@ -1,128 +1,156 @@
-// Package berylestimator estimates run times per class and client account.
+// Package berylestimator estimates run times from finished runs.
 //
-// Declared run times are often wrong by a factor of ten, so an [Estimator] returns a
-// high quantile of the observed run times. It uses the observations of the class and
-// account if there are enough, else those of the class, else the declared value.
+// Declared run times are often wrong by a factor of ten. An [Estimator] keeps the newest
+// runs of each service, queue, shape of step, client account and image, and takes the
+// finest of these that has enough ends. From its runs it predicts either the run time
+// itself or the ratio of the run time to the declared one, whichever varies less. Without
+// enough ends the declared value is the estimate.
 package berylestimator
 
 import (
+	"cmp"
 	"time"
-
-	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
 const (
-	// _percentile is high because an estimate that is too short makes a job miss its
-	// target, while one that is too long only makes it start early.
-	_percentile = 90
-	// _halfLife is the time after which the weight of an observation is halved.
-	_halfLife = 6 * time.Hour
-	// _minObservations is the decayed number of observations from which a histogram
-	// is used.
-	_minObservations = 8
-	// _keepObservations is the decayed number of observations below which a histogram
-	// is no longer used.
-	_keepObservations = 2
-	// _observationWeight is the count of a new observation. It is a power of two so
-	// that it can be halved repeatedly without rounding.
-	_observationWeight = 1 << 6
-	// _maxRunTime is the longest run time that histograms distinguish.
-	_maxRunTime = 30 * 24 * time.Hour
 	// _defaultRunTime is the estimate for a job without a declared run time.
 	_defaultRunTime = time.Hour
-	// _significantDigits is the precision of a histogram; one digit keeps it at
-	// about 4 KB.
-	_significantDigits = 1
+	// _maxKeys bounds the keys that are kept, some 300 bytes each.
+	_maxKeys = 512
+	// _maxName is the longest name, in bytes, by which runs are told apart, so that
+	// names that clients choose do not use up memory. A key with a longer one is not kept.
+	_maxName = 96
 )
 
-// Estimator estimates run times from observations. The zero value has none.
-type Estimator struct {
-	// Disabled makes RunTime ignore observations.
-	Disabled bool
+// Task says what is known of a task before it runs. An empty field is not distinguished.
+type Task struct {
+	Service, Queue string
+	Shape          Shape
+	Account, Image string
+	// Declared is the declared run time; zero if there is none.
+	Declared time.Duration
+}
 
-	histories map[key]*history
+// Shape is the shape of a step. Steps of similar shape are often of the same kind.
+type Shape struct {
+	// CountClass is the number of tasks, as the length of its binary representation.
+	CountClass int `json:"countClass"`
+	// Accelerators is the number for each task.
+	Accelerators int `json:"accelerators"`
+	// Step is the position of the step in its job.
+	Step int  `json:"step"`
+	Gang bool `json:"gang"`
 }
 
-type key struct{ class, account string }
+// Run is a run that is over.
+type Run struct {
+	Took time.Duration
+	// Speed is that of the slowest backend server on which the task or its gang ran; one
+	// is nominal. Zero counts as one.
+	Speed float64
+	// Cut is true if the run did not end by itself, so that the run time is known to be
+	// longer than Took, or if it failed, so that the run time is unknown.
+	Cut bool
+}
 
-// history is the decayed histogram of the observations for one key, in milliseconds.
-type history struct {
-	hist *hdrhistogram.Histogram
-	// decayedAt is the time up to which decay has been applied.
-	decayedAt time.Time
-	// learned is set once there are _minObservations and stays set while at least
-	// _keepObservations remain, so that a few hours without jobs do not bring back
-	// the declared values.
-	learned bool
-	// estimate is the quantile, computed at each observation.
-	estimate time.Duration
+// Expectation is an expected run time at nominal speed.
+type Expectation struct {
+	Median, High time.Duration
+	// From names the source: "declared", or the finest key that has enough ends, with
+	// " ratio" if the ratio to the declared run time predicts better.
+	From string
 }
 
-// Observe records the run time of a gang that completed successfully.
-func (e *Estimator) Observe(now time.Time, class, account string, run time.Duration) {
+// Learned reports whether the expectation comes from runs.
+func (x Expectation) Learned() bool { return x.From != _fromDeclared }
+
+// Estimator estimates run times. The zero value has seen no runs. It is not safe for
+// concurrent use.
+type Estimator struct {
+	// Disabled makes the estimates ignore all runs.
+	Disabled bool
+
+	histories map[key]*history
+}
+
+// Add records a run that is over.
+func (e *Estimator) Add(now time.Time, t Task, r Run) {
+	if r.Took <= 0 {
+		return
+	}
 	if e.histories == nil {
 		e.histories = map[key]*history{}
 	}
-	e.observe(now, key{class: class, account: account}, run)
-	e.observe(now, key{class: class}, run)
-}
-
-func (e *Estimator) observe(now time.Time, k key, run time.Duration) {
-	h, ok := e.histories[k]
-	if !ok {
-		h = &history{hist: newHist(), decayedAt: now}
-		e.histories[k] = h
+	s := newSample(t.Declared, r)
+	for l := range _levels {
+		k, ok := t.key(l)
+		if !ok {
+			continue
+		}
+		h, ok := e.histories[k]
+		if !ok {
+			if r.Cut {
+				// Keys that never see an end would only displace others.
+				continue
+			}
+			e.makeRoom()
+			h = &history{}
+			e.histories[k] = h
+		}
+		h.usedAt = now
+		h.add(s)
 	}
-	h.decay(now)
-	ms := min(max(run, time.Millisecond), _maxRunTime).Milliseconds()
-	_ = h.hist.RecordValues(ms, _observationWeight) // ms is within the histogram's range
-	total := h.hist.TotalCount()
-	h.learned = total >= _minObservations*_observationWeight || h.learned && total >= _keepObservations*_observationWeight
-	h.estimate = time.Duration(h.hist.ValueAtQuantile(_percentile)) * time.Millisecond
-}
-
-func newHist() *hdrhistogram.Histogram {
-	return hdrhistogram.New(1, _maxRunTime.Milliseconds(), _significantDigits)
 }
 
-// decay halves all counts once for each half-life that has passed.
-func (h *history) decay(now time.Time) {
-	n := int(now.Sub(h.decayedAt) / _halfLife)
-	if n <= 0 {
+// makeRoom evicts a key if there are too many: of the finest level, as a coarser one
+// covers it, the one that was used least recently. A client account that names an image
+// for each job thus evicts other images only.
+func (e *Estimator) makeRoom() {
+	if len(e.histories) < _maxKeys {
 		return
 	}
-	h.decayedAt = h.decayedAt.Add(time.Duration(n) * _halfLife)
-	old := h.hist
-	h.hist = newHist()
-	for _, b := range old.Distribution() {
-		if c := b.Count >> min(n, 62); c > 0 {
-			_ = h.hist.RecordValues(b.To, c) // the old histogram has the same range
+	var victim key
+	found := false
+	for k, h := range e.histories {
+		if !found || cmp.Or(cmp.Compare(victim.level, k.level), h.usedAt.Compare(e.histories[victim].usedAt), k.compare(victim)) < 0 {
+			victim, found = k, true
 		}
 	}
+	delete(e.histories, victim)
 }
 
-// RunTime returns the estimated run time of a job.
-func (e *Estimator) RunTime(class, account string, declared time.Duration) time.Duration {
-	if h := e.history(class, account); h != nil {
-		return h.estimate
+// Expect returns the expected run time of a task.
+func (e *Estimator) Expect(t Task) Expectation {
+	if !e.Disabled {
+		for l := _levels - 1; l >= 0; l-- {
+			k, ok := t.key(l)
+			if !ok {
+				continue
+			}
+			if h := e.histories[k]; h != nil && h.learned {
+				return h.expect(t.Declared, l)
+			}
+		}
 	}
-	if declared <= 0 {
+	return Expectation{Median: t.Declared, High: t.Declared, From: _fromDeclared}
+}
+
+// Observe records the run time of a gang of a class that completed successfully.
+func (e *Estimator) Observe(now time.Time, class, account string, run time.Duration) {
+	e.Add(now, Task{Queue: class, Account: account}, Run{Took: run})
+}
+
+// RunTime returns a run time of a job of a class that few exceed. An estimate that is too
+// short makes a job miss its target, while one that is too long only makes it start early.
+func (e *Estimator) RunTime(class, account string, declared time.Duration) time.Duration {
+	x := e.Expect(Task{Queue: class, Account: account, Declared: declared})
+	if x.High <= 0 {
 		return _defaultRunTime
 	}
-	return declared
+	return x.High
 }
 
 // Learned reports whether RunTime returns an estimate from observations.
-func (e *Estimator) Learned(class, account string) bool { return e.history(class, account) != nil }
-
-func (e *Estimator) history(class, account string) *history {
-	if e.Disabled {
-		return nil
-	}
-	for _, k := range []key{{class: class, account: account}, {class: class}} {
-		if h, ok := e.histories[k]; ok && h.learned {
-			return h
-		}
-	}
-	return nil
+func (e *Estimator) Learned(class, account string) bool {
+	return e.Expect(Task{Queue: class, Account: account}).Learned()
 }
