--- a/berylbook/book.go
+++ b/berylbook/book.go
@@ -3,7 +3,7 @@
 //
 // Entries append [Submission] and [Cancel] records. The leader appends
 // [Progress] records, each with the state of one job, a record of each [Task]
-// that changes, and [Claim] records. Every entry applies the same records with
+// that changes, [Claim] records, and now and then a [RunTimes] record. Every entry applies the same records with
 // [Book.Apply] and therefore reaches the same state. A process that starts first
 // reads the newest record of each key, which gives the same result as reading the
 // whole log.
@@ -26,6 +26,7 @@
 	_progressPrefix   = "s/"
 	_taskPrefix       = "t/"
 	_leaderKey        = "leader"
+	_runTimesKey      = "e/run-times"
 )
 
 // Book is the state of all jobs. The zero value is empty.
@@ -33,6 +34,8 @@
 	Jobs map[string]*Job
 	// Claim is the newest claim to leadership.
 	Claim Claim
+	// RunTimes is the newest record of what a leader has learned about run times.
+	RunTimes RunTimes
 	// Undecodable counts records that could not be decoded.
 	Undecodable int
 
@@ -61,6 +64,8 @@
 	switch {
 	case r.Key == _leaderKey:
 		b.applyClaim(r)
+	case r.Key == _runTimesKey:
+		b.applyRunTimes(r)
 	case strings.HasPrefix(r.Key, _submissionPrefix):
 		return b.applySubmission(r)
 	case strings.HasPrefix(r.Key, _cancelPrefix):
@@ -89,6 +94,16 @@
 	b.Claim = c
 }
 
+// applyRunTimes applies a record of learned run times. One that can't be decoded is as
+// good as none.
+func (b *Book) applyRunTimes(r berylstore.Record) {
+	var t RunTimes
+	if len(r.Value) > 0 && !b.decode(r, &t) {
+		t = RunTimes{}
+	}
+	b.RunTimes = t
+}
+
 func (b *Book) applySubmission(r berylstore.Record) string {
 	id := strings.TrimPrefix(r.Key, _submissionPrefix)
 	if len(r.Value) == 0 {
--- a/berylbook/record.go
+++ b/berylbook/record.go
@@ -45,6 +45,18 @@
 	Resigned bool `cbor:"x,omitempty"`
 }
 
+// RunTimes records what the leader has learned about run times. It is not needed for any
+// rule; builds that do not know its key ignore it.
+type RunTimes struct {
+	// Epoch is the epoch of the leader that wrote the record.
+	Epoch int64 `cbor:"e"`
+	// Data is encoded by berylestimator.
+	Data []byte `cbor:"d"`
+}
+
+// Record returns the record of the run times.
+func (t *RunTimes) Record() (berylstore.Record, error) { return record(_runTimesKey, t) }
+
 // Record returns the record of the submission.
 func (s *Submission) Record() (berylstore.Record, error) {
 	return record(_submissionPrefix+s.Work.ID, s)
