beryldirector: expect run times as learned from finished runs

Cause: due times, latest starts and the slack before preemption used the declared run times, which are off by up to nine tenths of themselves. The remaining time used a moving average of the ratio by queue.

The leader learns from ends, and from stopped, failed and lost runs as censored ones; not from runs that resumed from a checkpoint or were away from their data. Without 8 ends the declared time is used, as before. What was learned is recorded at most every 5 s, and taken over by the next leader. The start line has the declared and the expected run time, and its source.

place_test calls expectedPaths, which equals criticalPaths of the declared times while nothing is known; the wanted values are unchanged.

--- a/beryldirector/append.go
+++ b/beryldirector/append.go
@@ -32,6 +32,7 @@
 	if len(records) == 0 {
 		return
 	}
+	records = append(records, d.runTimeRecords(now)...)
 	d.appending = true
 	d.appendedAt = now
 	d.effects = append(d.effects, Persist{Epoch: d.epoch, Records: records})
--- a/beryldirector/director.go
+++ b/beryldirector/director.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"berylglade/berylbook"
+	"berylglade/berylestimator"
 	"berylglade/berylfit"
 	"berylglade/berylpolicy"
 	"berylglade/berylstore"
@@ -209,8 +210,13 @@
 	orderedAt map[runKey]time.Time
 	// waiting has the units that are ready to start, by their first task.
 	waiting map[berylwork.Ref]waiting
-	// runTimeRatio is the moving average of real to declared run time, by queue.
-	runTimeRatio map[string]float64
+	// runTimes are learned from finished runs. They are kept when this entry is deposed.
+	runTimes berylestimator.Estimator
+	// unsavedRuns is the number of ends since they were last recorded, at
+	// runTimesSavedAt and under savedEpoch.
+	unsavedRuns     int
+	runTimesSavedAt time.Time
+	savedEpoch      int64
 	// bestRunTime is the shortest run time that a task's rate has projected, and
 	// restarts counts how often a unit was restarted for being slow.
 	bestRunTime map[berylwork.Ref]time.Duration
@@ -230,7 +236,6 @@
 		medianRunTimes: map[stepKey]time.Duration{},
 		orderedAt:      map[runKey]time.Time{},
 		waiting:        map[berylwork.Ref]waiting{},
-		runTimeRatio:   map[string]float64{},
 		bestRunTime:    map[berylwork.Ref]time.Duration{},
 		restarts:       map[berylwork.Ref]int{},
 		reservations:   map[string]reservation{},
--- a/beryldirector/driver_test.go
+++ b/beryldirector/driver_test.go
@@ -48,6 +48,10 @@
 	holdAppends bool
 	// copyTo is another entry's copy of the records that are appended; nil if there is none.
 	copyTo *berylbook.Book
+	// ends is the number of the last end that run has listed.
+	ends int64
+	// onAppend, if set, is called for each record that is appended.
+	onAppend func(r berylstore.Record)
 }
 
 func newHarness(t *testing.T) *harness {
@@ -105,6 +109,11 @@
 
 func (h *harness) append(records ...berylstore.Record) {
 	h.topicEnd += int64(len(records))
+	if h.onAppend != nil {
+		for _, r := range records {
+			h.onAppend(r)
+		}
+	}
 	if h.copyTo != nil {
 		for _, r := range records {
 			h.copyTo.Apply(r)
--- a/beryldirector/election.go
+++ b/beryldirector/election.go
@@ -64,6 +64,7 @@
 		d.note("leading", "epoch", d.epoch, "jobs", len(d.Book.Jobs))
 		d.effects = append(d.effects, Announce{Epoch: d.epoch})
 		d.noteRecorded()
+		d.restoreRunTimes(now)
 		d.resumeJobs(now)
 	case !mine && d.Leading() && c.Epoch > d.epoch:
 		d.Deposed()
@@ -243,9 +244,13 @@
 		return Persist{}, false
 	}
 	epoch := d.epoch
+	records := []berylstore.Record{r}
+	if d.unsavedRuns > 0 {
+		records = append(records, d.saveRunTimes(d.now)...)
+	}
 	d.note("resigned", "epoch", epoch)
 	d.Deposed()
-	return Persist{Epoch: epoch, Records: []berylstore.Record{r}}, true
+	return Persist{Epoch: epoch, Records: records}, true
 }
 
 // hasLease reports whether the leader lease is still valid, so that no other entry
--- a/beryldirector/end.go
+++ b/beryldirector/end.go
@@ -17,6 +17,7 @@
 	p := d.agents[t.Incarnation.Node].progressOf(berylreport.Key{Task: ref.String(), Run: t.Run})
 	d.note("run over", "task", ref.String(), "run", t.Run, "node", t.Incarnation.Node, "why", why,
 		"progress", p.progress, "rate", p.rate, "listed", p.listedAge(now).Milliseconds())
+	d.observeCut(now, j, ref, t)
 	t.Phase = berylbook.Idle
 	delete(d.orderedAt, runKey{ref, t.Run})
 	d.stopGang(j, ref, t.Run)
@@ -70,8 +71,10 @@
 	case berylreport.Done:
 		d.completeTask(now, a, j, ref, t)
 	case berylreport.Failed:
+		d.observeCut(now, j, ref, t)
 		d.failTask(now, a, j, ref, t)
 	default:
+		d.observeCut(now, j, ref, t)
 		t.Phase = berylbook.Idle
 		d.stopGang(j, ref, e.Run)
 	}
@@ -98,7 +101,7 @@
 		return
 	}
 	a.faultScore = max(a.faultScore-_successCredit, 0)
-	d.updateRunTimeRatio(now, j, ref, t)
+	d.observeEnd(now, j, ref, t)
 	t.Phase = berylbook.Done
 	if !j.Work.Steps[ref.Step].Gang {
 		return
@@ -111,21 +114,6 @@
 	}
 }
 
-// updateRunTimeRatio updates the ratio of real to declared run times of the job's
-// queue. A run that was resumed from a checkpoint doesn't count.
-func (d *Director) updateRunTimeRatio(now time.Time, j *berylbook.Job, ref berylwork.Ref, t *berylbook.Task) {
-	estimate := j.Work.Steps[ref.Step].Estimate
-	if estimate <= 0 || t.Checkpoint != "" {
-		return
-	}
-	ratio := float64(now.UnixMilli()-t.OrderedAt) / float64(estimate)
-	old, ok := d.runTimeRatio[j.Work.Queue]
-	if !ok {
-		old = ratio
-	}
-	d.runTimeRatio[j.Work.Queue] = old + (ratio-old)*_newRatioWeight
-}
-
 func (d *Director) failTask(now time.Time, a *agentState, j *berylbook.Job, ref berylwork.Ref, t *berylbook.Task) {
 	step := j.Work.Steps[ref.Step]
 	run := t.Run
--- a/beryldirector/place.go
+++ b/beryldirector/place.go
@@ -166,8 +166,10 @@
 		nodes = append(nodes, h.Node)
 	}
 	d.markDirty(u.job.Work.ID)
+	x := d.expect(u.job.Work, u.step)
 	d.note("start", "unit", u.name(), "run", run, "queue", u.queue.Name, "priority", u.queue.Priority,
-		"waited", u.waited.Milliseconds(), "nodes", nodes, "saved", tasks[u.tasks[0]].Checkpoint != "", "policy", d.Policy.Version)
+		"waited", u.waited.Milliseconds(), "nodes", nodes, "saved", tasks[u.tasks[0]].Checkpoint != "", "policy", d.Policy.Version,
+		"expect", x.Median.Milliseconds(), "from", x.From, "declared", u.stepSpec().Estimate)
 }
 
 const (
--- a/beryldirector/place_test.go
+++ b/beryldirector/place_test.go
@@ -97,7 +97,7 @@
 			w := berylwork.Work{ID: "j1", Queue: "urgent", Account: "a", Steps: []berylwork.Step{tt.step}, Accepted: h.now.UnixMilli()}
 			u := unit{job: berylbook.NewJob(&w), queue: h.d.Policy.Queues[0]}
 			h.d.Book.Jobs = map[string]*berylbook.Job{"j1": u.job}
-			u.setTimes(criticalPaths(&w, 8))
+			u.setTimes(h.d.expectedPaths(&w, 8))
 			h.is.Equal(h.d.preemptAfter(&u), tt.want)
 		})
 	}
--- a/beryldirector/progress.go
+++ b/beryldirector/progress.go
@@ -162,16 +162,6 @@
 	}
 }
 
-// declaredRunTime returns the declared run time, corrected by the ratio of real to
-// declared run times of the queue.
-func (d *Director) declaredRunTime(j *berylbook.Job, step int) time.Duration {
-	ratio, ok := d.runTimeRatio[j.Work.Queue]
-	if !ok {
-		ratio = 1
-	}
-	return time.Duration(float64(j.Work.Steps[step].Estimate)*ratio) * time.Millisecond
-}
-
 // remainingTime returns the expected time until a run ends without being stopped.
 func (d *Director) remainingTime(now time.Time, j *berylbook.Job, ref berylwork.Ref, t *berylbook.Task) time.Duration {
 	a := d.agents[t.Incarnation.Node]
--- a/beryldirector/report.go
+++ b/beryldirector/report.go
@@ -247,8 +247,6 @@
 	_startTimeout = 1500 * time.Millisecond
 	// _resendInterval is the minimum time between two sends of the same orders.
 	_resendInterval = 200 * time.Millisecond
-	// _newRatioWeight is the weight of the newest run time in the moving average.
-	_newRatioWeight = 0.2
 	// Changes of a backend server's fault score. One failed run weighs as much as
 	// two successful ones.
 	_failurePenalty       = 1.0
--- a/beryldirector/unit.go
+++ b/beryldirector/unit.go
@@ -20,7 +20,7 @@
 	// tasks are the indexes of the tasks in the step.
 	tasks []int
 	// due is when the job should be complete, and latestStart when the unit has to
-	// start for that if the declared times are right.
+	// start for that if the expected times are right.
 	due         time.Time
 	latestStart time.Time
 	// preemptedAt is when runs were preempted for the unit. Without a recent
@@ -29,7 +29,7 @@
 	preemptedAt time.Time
 	// startableAt is the earliest time at which the job could have started.
 	startableAt time.Time
-	// criticalPath is the declared time of the job's longest chain of steps in
+	// criticalPath is the expected time of the job's longest chain of steps in
 	// milliseconds.
 	criticalPath int64
 	// waited is for how long the unit has been ready to start.
@@ -100,7 +100,7 @@
 		if _, ok := capacity[q.Service]; !ok {
 			capacity[q.Service] = d.capacity(q.Service)
 		}
-		for _, units := range jobUnits(now, j, q, capacity[q.Service]) {
+		for _, units := range d.jobUnits(now, j, q, capacity[q.Service]) {
 			groups = append(groups, d.noteReady(now, units)...)
 		}
 	}
@@ -158,9 +158,9 @@
 
 // jobUnits returns the units of a job that are ready to start, those of each step as one
 // group.
-func jobUnits(now time.Time, j *berylbook.Job, q berylpolicy.Queue, capacity int) [][]unit {
+func (d *Director) jobUnits(now time.Time, j *berylbook.Job, q berylpolicy.Queue, capacity int) [][]unit {
 	var groups [][]unit
-	paths := criticalPaths(j.Work, capacity)
+	paths := d.expectedPaths(j.Work, capacity)
 	for k := range j.Tasks {
 		if j.Work.Due(k).After(now) {
 			break
@@ -236,21 +236,21 @@
 }
 
 // latestStart returns when a task's step has to start so that the job is complete when
-// it is due, if the declared times are right.
+// it is due, if the expected times are right.
 func (d *Director) latestStart(j *berylbook.Job, q berylpolicy.Queue, ref berylwork.Ref) time.Time {
-	paths := criticalPaths(j.Work, d.capacity(q.Service))
+	paths := d.expectedPaths(j.Work, d.capacity(q.Service))
 	u := unit{job: j, queue: q, occurrence: ref.Occurrence}
 	u.setTimes(paths)
 	return u.latestStartOf(paths, ref.Step)
 }
 
-// criticalPaths returns for each step the declared time of the longest chain of
-// steps that starts with it, in milliseconds. A step that needs more than a quarter
-// of capacity, the accelerators of the service, runs in waves.
-func criticalPaths(w *berylwork.Work, capacity int) []int64 {
+// criticalPaths returns for each step the time of the longest chain of steps that starts
+// with it, in milliseconds. RunTime returns the time of a task of a step. A step that
+// needs more than a quarter of capacity, the accelerators of the service, runs in waves.
+func criticalPaths(w *berylwork.Work, capacity int, runTime func(step int) int64) []int64 {
 	paths := make([]int64, len(w.Steps))
 	for s := len(w.Steps) - 1; s >= 0; s-- {
-		paths[s] += w.Steps[s].Estimate * waves(&w.Steps[s], capacity)
+		paths[s] += runTime(s) * waves(&w.Steps[s], capacity)
 		for _, before := range w.Steps[s].After {
 			if before < s {
 				paths[before] = max(paths[before], paths[s])
