berylsite: show expected run times to operators

A histogram by queue has the ratio of real to expected run times, and berylsite run-times prints what an entry knows of a queue. Both are on the port of the metrics.

--- a/berylgateway/gateway.go
+++ b/berylgateway/gateway.go
@@ -57,6 +57,9 @@
 	// CountDecision increments the counter of the decision with the given log
 	// message.
 	CountDecision func(decision string)
+	// ObserveRunTime, if set, is called for each finished run of the leader with the ratio
+	// of its run time to the expected one.
+	ObserveRunTime func(queue string, ratio float64)
 	// ProducerName identifies this process to the store. It must be unique.
 	ProducerName string
 }
@@ -203,6 +206,8 @@
 		m.reply(d.Epoch())
 	case stepDue:
 		g.stepScheduled = false
+	case runTimesAsked:
+		m.reply(d.RunTimes(now, m.queue))
 	case tick:
 	}
 	d.Step(now)
@@ -269,6 +274,8 @@
 			go g.checkLeader(e)
 		case beryldirector.Announce:
 			go g.announce(e)
+		case beryldirector.RunTimeSeen:
+			g.observeRunTime(e)
 		case beryldirector.Note:
 			g.cfg.CountDecision(e.Text)
 			g.cfg.Log.Info(e.Text, e.Args...)
--- a/berylgateway/message.go
+++ b/berylgateway/message.go
@@ -5,6 +5,7 @@
 	"runtime/debug"
 
 	"berylglade/beryldirector"
+	"berylglade/berylestimator"
 	"berylglade/berylfollower"
 	"berylglade/berylpolicy"
 	"berylglade/berylreport"
@@ -51,6 +52,11 @@
 	leaderUnreachable struct{ epoch int64 }
 	// leadAsked asks under which epoch this entry leads.
 	leadAsked struct{ reply func(int64) }
+	// runTimesAsked asks what is known of the run times of a queue.
+	runTimesAsked struct {
+		queue string
+		reply func([]berylestimator.Known)
+	}
 	// tick is sent periodically.
 	tick struct{}
 	// stepDue triggers the scheduling pass that the director has deferred.
@@ -102,6 +108,7 @@
 func (leaderUnreachable) message() {}
 func (leadAsked) message()         {}
 func (recordReceived) message()    {}
+func (runTimesAsked) message()     {}
 func (tick) message()              {}
 func (stepDue) message()           {}
 func (resignRequested) message()   {}
--- a/berylsite/entry.go
+++ b/berylsite/entry.go
@@ -46,14 +46,15 @@
 	e.registry.MustRegister(decisions)
 	store := platform.NewStore(s.Store)
 	e.gateway = berylgateway.New(berylgateway.Config{
-		Self:          beryldirector.Self{Node: s.Node, Boot: e.boot, Addr: s.InternalAddr(), Cores: s.Cores},
-		Limits:        directorLimits(s),
-		Store:         store,
-		Clock:         clock,
-		Log:           e.log,
-		CountDecision: func(decision string) { decisions.WithLabelValues(decision).Inc() },
-		Policy:        &platform.Policy{},
-		TopicJobs:     platform.TopicJobs, TopicOperator: platform.TopicOperator,
+		Self:           beryldirector.Self{Node: s.Node, Boot: e.boot, Addr: s.InternalAddr(), Cores: s.Cores},
+		Limits:         directorLimits(s),
+		Store:          store,
+		Clock:          clock,
+		Log:            e.log,
+		CountDecision:  func(decision string) { decisions.WithLabelValues(decision).Inc() },
+		ObserveRunTime: e.runTimeRatios(),
+		Policy:         &platform.Policy{},
+		TopicJobs:      platform.TopicJobs, TopicOperator: platform.TopicOperator,
 		Seeds:   s.EntryAddrs(),
 		Entries: e.addressRegistry(store, platform.TopicEntries), Agents: e.addressRegistry(store, platform.TopicAgents),
 		ProducerName: e.producerName(),
@@ -74,6 +75,7 @@
 
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	e.internal.HandleFunc("GET "+_runTimesPath, e.serveRunTimes)
 	var srv berylrpc.Server
 	e.gateway.Register(&srv)
 	if err := e.serveInternal(ctx, &srv); err != nil {
--- a/berylsite/site.go
+++ b/berylsite/site.go
@@ -35,6 +35,8 @@
 	Entry entryCmd `cmd:"" help:"Run an entry, which serves clients and may be the leader."`
 	Agent agentCmd `cmd:"" help:"Run an agent beside a backend server."`
 	Check checkCmd `cmd:"" help:"Check the settings file and print what was read."`
+
+	RunTimes runTimesCmd `cmd:"" help:"Print what the leader has learned about run times."`
 }
 
 const _description = `Scheduler for multi-accelerator jobs on the users' platform.
@@ -90,6 +92,8 @@
 	// of a process apart.
 	boot     int64
 	registry *prometheus.Registry
+	// internal serves the operators, on the port of the metrics.
+	internal *http.ServeMux
 	// ctx ends on SIGTERM, SIGINT or a call to stop.
 	ctx  context.Context
 	stop context.CancelFunc
@@ -100,7 +104,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &process{settings: s, sink: berylsink.New(os.Stdout), boot: berylclock.System()().UnixMilli(), registry: prometheus.NewRegistry()}
+	p := &process{settings: s, sink: berylsink.New(os.Stdout), boot: berylclock.System()().UnixMilli(), registry: prometheus.NewRegistry(), internal: http.NewServeMux()}
 	p.log = p.sink.Logger("vm", s.Node, "role", role)
 	p.ctx, p.stop = signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	p.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
@@ -150,10 +154,9 @@
 			p.stop()
 		}
 	}()
-	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", promhttp.HandlerFor(p.registry, promhttp.HandlerOpts{}))
+	p.internal.Handle("GET /metrics", promhttp.HandlerFor(p.registry, promhttp.HandlerOpts{}))
 	addr := p.settings.IP + ":" + strconv.Itoa(p.settings.FirstPort+_metricsPortOffset)
-	_, err = p.serve(ctx, addr, mux)
+	_, err = p.serve(ctx, addr, p.internal)
 	return err
 }
 
