beryldirector: learn from few tasks of a wide step

The window of a queue held the tasks of one wide job, whose run times are alike. Four tasks of a step count, by index, as the first to end are the fastest.

--- a/beryldirector/runtime.go
+++ b/beryldirector/runtime.go
@@ -53,12 +53,23 @@
 	return d.expect(j.Work, step).Median
 }
 
-// observeEnd learns from the end of a run, which is not applied yet. A run that resumed
-// from a checkpoint had only part of the work to do, and one away from its data took
-// longer than the step would elsewhere.
+// learnsFrom reports whether the time of a run tells about others of its kind. A run that
+// resumed from a checkpoint had only part of the work to do, and one away from its data
+// took longer than the step would elsewhere. The tasks of a step are alike, so that a wide
+// one would displace all others: only the first ones by index count, which are not the
+// fastest ones as the first to end are.
+func (d *Director) learnsFrom(j *berylbook.Job, ref berylwork.Ref, t *berylbook.Task) bool {
+	step := &j.Work.Steps[ref.Step]
+	if step.LongRunning || t.Checkpoint != "" || !step.Gang && ref.Index >= _maxLearnedTasks {
+		return false
+	}
+	return !d.awayFromData(j, ref, t)
+}
+
+// observeEnd learns from the end of a run, which is not applied yet.
 func (d *Director) observeEnd(now time.Time, j *berylbook.Job, ref berylwork.Ref, t *berylbook.Task) {
 	took := time.Duration(now.UnixMilli()-t.OrderedAt) * time.Millisecond
-	if took <= 0 || t.Checkpoint != "" || j.Work.Steps[ref.Step].LongRunning || d.awayFromData(j, ref, t) {
+	if took <= 0 || !d.learnsFrom(j, ref, t) {
 		return
 	}
 	x := d.expect(j.Work, ref.Step)
@@ -70,9 +81,8 @@
 // observeCut learns from a run that is over without a result: it would have taken longer
 // than the time until it was last listed. Only the first member of a gang counts.
 func (d *Director) observeCut(now time.Time, j *berylbook.Job, ref berylwork.Ref, t *berylbook.Task) {
-	step := &j.Work.Steps[ref.Step]
 	a := d.agents[t.Incarnation.Node]
-	if a == nil || t.Checkpoint != "" || step.LongRunning || step.Gang && ref.Index > 0 || d.awayFromData(j, ref, t) {
+	if a == nil || j.Work.Steps[ref.Step].Gang && ref.Index > 0 || !d.learnsFrom(j, ref, t) {
 		return
 	}
 	p := a.progressOf(berylreport.Key{Task: ref.String(), Run: t.Run})
@@ -180,6 +190,9 @@
 	// new leader may miss the newest ends.
 	_saveInterval   = 5 * time.Second
 	_minUnsavedRuns = 16
+	// _maxLearnedTasks is the number of tasks of a step that are learned from: two steps
+	// make a kind known, and the window has those of eight.
+	_maxLearnedTasks = 4
 	// _maxRunTimesSize is the size of the record in bytes, which each entry reads.
 	_maxRunTimesSize = 8 << 10
 )
--- a/beryldirector/runtime_test.go
+++ b/beryldirector/runtime_test.go
@@ -99,19 +99,32 @@
 	}
 }
 
-// Guards against a gang that is learned once for each member.
-func TestGangIsOneRun(t *testing.T) {
-	h := newHarness(t)
-	h.report("n1", nil)
-	h.submit("j1", "routine", gang(3, 1))
-	h.advance(time.Second)
-	h.report("n1", func(r *berylreport.Report) {
-		for i := range 3 {
-			r.Ends = append(r.Ends, end(int64(i+1), "j1.0.0."+strconv.Itoa(i), 1, berylreport.Done))
-		}
-	})
-	for _, k := range h.d.RunTimes(h.now, "routine") {
-		h.is.Equal(k.Ends, 1)
+// Guards against a gang that is learned once for each member, and against one wide step
+// that displaces all that is known of others.
+func TestStepCountsForFewRuns(t *testing.T) {
+	tests := []struct {
+		name string
+		step berylwork.Step
+		want int
+	}{
+		{name: "gang", step: gang(7, 1), want: 1},
+		{name: "wide", step: step(7, 1), want: _maxLearnedTasks},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			h := newHarness(t)
+			h.report("n1", nil)
+			h.submit("j1", "routine", tt.step)
+			h.advance(time.Second)
+			h.report("n1", func(r *berylreport.Report) {
+				for i := range 7 {
+					r.Ends = append(r.Ends, end(int64(i+1), "j1.0.0."+strconv.Itoa(6-i), 1, berylreport.Done))
+				}
+			})
+			for _, k := range h.d.RunTimes(h.now, "routine") {
+				h.is.Equal(k.Ends, tt.want)
+			}
+		})
 	}
 }
 
