--- a/berylsite/site.go
+++ b/berylsite/site.go
@@ -37,6 +37,8 @@
 	Entry entryCmd `cmd:"" help:"Run an entry, which serves clients and may be the leader."`
 	Agent agentCmd `cmd:"" help:"Run an agent beside a backend server."`
 	Check checkCmd `cmd:"" help:"Check the settings file and print what was read."`
+
+	RunTimes runTimesCmd `cmd:"" help:"Print what the leader has learned about run times."`
 }
 
 const _description = `Scheduler for multi-accelerator jobs on the users' platform.
@@ -96,6 +98,8 @@
 	// limited counts connections and requests that were closed or refused because of
 	// a budget.
 	limited *prometheus.CounterVec
+	// internal serves the operators, on the port of the metrics.
+	internal *http.ServeMux
 	// ctx ends on SIGTERM, SIGINT or a call to stop.
 	ctx  context.Context
 	stop context.CancelFunc
@@ -106,7 +110,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &process{settings: s, sink: berylsink.New(os.Stdout), boot: berylclock.System()().UnixMilli(), registry: prometheus.NewRegistry()}
+	p := &process{settings: s, sink: berylsink.New(os.Stdout), boot: berylclock.System()().UnixMilli(), registry: prometheus.NewRegistry(), internal: http.NewServeMux()}
 	p.budgets = newBudgets(s)
 	debug.SetMemoryLimit(p.budgets.heap)
 	p.limited = prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -162,10 +166,9 @@
 			p.stop()
 		}
 	}()
-	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", promhttp.HandlerFor(p.registry, promhttp.HandlerOpts{}))
+	p.internal.Handle("GET /metrics", promhttp.HandlerFor(p.registry, promhttp.HandlerOpts{}))
 	addr := p.settings.IP + ":" + strconv.Itoa(p.settings.FirstPort+_metricsPortOffset)
-	_, err = p.serve(ctx, "metrics", addr, mux)
+	_, err = p.serve(ctx, "metrics", addr, p.internal)
 	return err
 }
 
