beryldirector: bounds from the deployment's settings

The time of a stop (400 ms), of a reclaim (2.9 s), between checkpoints (2 s) and the factor of a spread gang (3) stood as constants of the first deployments. They come from stopTimeoutMs, reclaimMs, gangTimeoutMs, checkpointS, restoreMs and spreadFactor now; a setting that is absent has the former value, so that decisions stay the same there (TestPreemptAfter).

--- a/beryldirector/driver_test.go
+++ b/beryldirector/driver_test.go
@@ -19,6 +19,8 @@
 	return Limits{
 		LeaseExpiry: 9 * time.Second, LeaderTimeout: 3 * time.Second, Takeover: 2 * time.Second, LeaderLease: 1800 * time.Millisecond,
 		Retention: 2 * time.Minute,
+		Stop:      400 * time.Millisecond, Reclaim: 2900 * time.Millisecond, GangTimeout: 3 * time.Second,
+		Checkpoint: 2 * time.Second, Restore: 250 * time.Millisecond, SpreadFactor: 3,
 	}
 }
 
--- a/beryldirector/end.go
+++ b/beryldirector/end.go
@@ -253,7 +253,7 @@
 		d.orderedAt[k] = now
 		return
 	}
-	if now.Sub(since) > _startTimeout {
+	if now.Sub(since) > d.Limits.startTimeout() {
 		d.note("start not confirmed", "task", ref.String(), "run", t.Run, "node", t.Incarnation.Node, "ms", now.Sub(since).Milliseconds())
 		t.Phase = berylbook.Stopping
 		if a != nil {
--- a/beryldirector/place.go
+++ b/beryldirector/place.go
@@ -182,9 +182,6 @@
 	// are often enough released at the same time.
 	_reserveAfter           = time.Second
 	_reserveMinAccelerators = 2
-	// _preemptionWindow covers the stop of runs, 400 ms at most, and the report of
-	// it.
-	_preemptionWindow = time.Second
 	// _maxReservations bounds the units that have a reservation at a time, because
 	// reserved capacity is idle.
 	_maxReservations = 3
@@ -204,20 +201,11 @@
 	// enough capacity.
 	_minRackWait = 2 * time.Second
 	_maxRackWait = 8 * time.Second
-	// _preemptionTime covers the stop of a run, 400 ms at most, and the start of
-	// another one.
-	_preemptionTime = 700 * time.Millisecond
 	// _slackShare is the share of a job's slack by its declared times that is used,
 	// because declared times are up to half too long.
 	_slackShare = 0.7
-	// _guaranteeWait is the longest wait of guaranteed work before preemption. It
-	// leaves time to stop and start runs within the 2.9 s in which such work has
-	// to start.
-	_guaranteeWait = 1300 * time.Millisecond
 	// _waveDivisor is the capacity divided by the width of one wave of a step.
 	_waveDivisor = 4
-	// _checkpointInterval is how often tasks save their progress.
-	_checkpointInterval = 2 * time.Second
 	// _coresPerAccelerator is the users' price of an accelerator in CPU cores.
 	_coresPerAccelerator = 8.0
 	// _minFaultScore is the score from which a host is avoided: one failed run of
--- a/beryldirector/place_test.go
+++ b/beryldirector/place_test.go
@@ -86,7 +86,7 @@
 		{name: "narrow", step: step(1, 2), want: 0},
 		{name: "two waves", step: step(4, 1), want: 700 * time.Millisecond},
 		{name: "long", step: berylwork.Step{Count: 1, Need: berylroom.Resources{Accelerators: 1}, Estimate: 10_000}, want: 2800 * time.Millisecond},
-		{name: "long and guaranteed", step: berylwork.Step{Count: 1, Need: berylroom.Resources{Accelerators: 1}, Estimate: 10_000}, guaranteed: 8, want: _guaranteeWait},
+		{name: "long and guaranteed", step: berylwork.Step{Count: 1, Need: berylroom.Resources{Accelerators: 1}, Estimate: 10_000}, guaranteed: 8, want: 1300 * time.Millisecond},
 		{name: "short", step: berylwork.Step{Count: 1, Need: berylroom.Resources{Accelerators: 1}, Estimate: 500}},
 	}
 	for _, tt := range tests {
--- a/beryldirector/preempt.go
+++ b/beryldirector/preempt.go
@@ -29,7 +29,7 @@
 	step := &j.Work.Steps[ref.Step]
 	lostSeconds := float64(now.UnixMilli()-t.OrderedAt) / 1000
 	if step.Checkpoints {
-		lostSeconds = min(lostSeconds, _checkpointInterval.Seconds())
+		lostSeconds = min(lostSeconds, d.Limits.Checkpoint.Seconds())
 	}
 	weight := float64(step.Need.Millicores)/1000 + _coresPerAccelerator*float64(step.Need.Accelerators)
 	if step.Gang {
@@ -182,21 +182,21 @@
 // a bounded time.
 func (d *Director) preemptAfter(u *unit) time.Duration {
 	latest := u.due.Add(-time.Duration(u.criticalPath) * time.Millisecond)
-	slack := time.Duration(float64(latest.Sub(u.startableAt))*_slackShare) - _preemptionTime
+	slack := time.Duration(float64(latest.Sub(u.startableAt))*_slackShare) - d.Limits.preemptionTime()
 	if d.guaranteed(u) {
-		slack = min(slack, _guaranteeWait)
+		slack = min(slack, d.Limits.guaranteeWait())
 	}
 	return max(slack, 0)
 }
 
 // rackWait returns how long a gang waits for one rack with enough capacity. A gang
-// that is spread over racks runs three times as long, so that waiting for up to twice
-// its run time pays off. Guaranteed work has to start sooner.
+// that is spread over racks runs longer by the spread factor, so that waiting for the
+// difference pays off. Guaranteed work has to start sooner.
 func (d *Director) rackWait(u *unit) time.Duration {
 	if u.queue.Priority == 0 && d.guaranteed(u) {
 		return _minRackWait
 	}
-	extra := 2 * time.Duration(u.stepSpec().Estimate) * time.Millisecond
+	extra := time.Duration((d.Limits.SpreadFactor - 1) * float64(u.stepSpec().Estimate) * float64(time.Millisecond))
 	return min(max(extra, _minRackWait), _maxRackWait)
 }
 
--- a/beryldirector/progress.go
+++ b/beryldirector/progress.go
@@ -287,7 +287,7 @@
 	if t.Checkpoint != "" {
 		// The checkpoint has all work but that of the last interval.
 		p := d.agents[t.Incarnation.Node].progressOf(berylreport.Key{Task: ref.String(), Run: t.Run})
-		newRun = time.Duration((_complete-p.progress)/_complete*float64(newRun)) + _checkpointInterval
+		newRun = time.Duration((_complete-p.progress)/_complete*float64(newRun)) + d.Limits.Checkpoint
 	}
 	if left < time.Duration(_restartGain*float64(newRun))+_restartCost {
 		return
--- a/beryldirector/report.go
+++ b/beryldirector/report.go
@@ -242,9 +242,6 @@
 const (
 	// _defaultAttempts applies while the policy does not have the queue.
 	_defaultAttempts = 3
-	// _startTimeout is how long a start may remain unconfirmed. It is less than the
-	// time for which the members of a gang wait for each other.
-	_startTimeout = 1500 * time.Millisecond
 	// _resendInterval is the minimum time between two sends of the same orders.
 	_resendInterval = 200 * time.Millisecond
 	// _newRatioWeight is the weight of the newest run time in the moving average.
--- a/beryldirector/unit.go
+++ b/beryldirector/unit.go
@@ -142,7 +142,7 @@
 		u.waited = now.Sub(w.since)
 		u.preemptedAt = now
 		if len(d.preemptedFor) > 0 {
-			if at := d.preemptedFor[u.name()]; now.Sub(at) < _preemptionWindow {
+			if at := d.preemptedFor[u.name()]; now.Sub(at) < d.Limits.preemptionWindow() {
 				u.preemptedAt = at
 				groups = append(groups, units[i:i+1])
 				continue
--- a/berylgateway/gateway_test.go
+++ b/berylgateway/gateway_test.go
@@ -60,6 +60,7 @@
 			Self: beryldirector.Self{Node: string(rune('a' + i)), Boot: 1, Addr: addrs[i]},
 			Limits: beryldirector.Limits{
 				LeaseExpiry: 9 * time.Second, Takeover: 2 * time.Second, LeaderLease: 1800 * time.Millisecond, Retention: time.Minute,
+				Stop: 400 * time.Millisecond, Reclaim: 2900 * time.Millisecond, GangTimeout: 3 * time.Second, Checkpoint: 2 * time.Second, SpreadFactor: 3,
 			},
 			Store: store, Clock: berylclock.System(), Log: slog.New(slog.DiscardHandler), Policy: emptyPolicy{},
 			TopicJobs: "jobs", TopicOperator: "op", Seeds: addrs, Entries: registry, Agents: registry,
--- a/berylsite/entry.go
+++ b/berylsite/entry.go
@@ -158,6 +158,8 @@
 		LeaderTimeout: k.LeaderTimeout,
 		Takeover:      _takeover, LeaderLease: _takeover - _leaderLeaseMargin,
 		Retention: s.Kept + _retentionMargin,
+		Stop:      s.StopTimeout, Reclaim: s.Reclaim, GangTimeout: s.GangTimeout,
+		Checkpoint: s.Checkpoint, Restore: s.Restore, SpreadFactor: s.SpreadFactor,
 	}
 }
 
