berylvictim, beryldirector: loss of a victim by what it saves when it stops

A task that checkpoints saves its progress at a stop, and was counted with up to two seconds of lost work, so that tasks that save nothing were stopped in its place. The loss is now the work that a new run repeats, the time in which the capacity is vacant, and the unit's work if the stop makes its job late.

--- a/beryldirector/preempt.go
+++ b/beryldirector/preempt.go
@@ -7,6 +7,7 @@
 
 	"berylglade/berylbook"
 	"berylglade/berylfit"
+	"berylglade/berylvictim"
 	"berylglade/berylwork"
 )
 
@@ -27,19 +28,35 @@
 
 func (d *Director) victimOf(now time.Time, j *berylbook.Job, ref berylwork.Ref, t *berylbook.Task) berylfit.Victim {
 	step := &j.Work.Steps[ref.Step]
-	lostSeconds := float64(now.UnixMilli()-t.OrderedAt) / 1000
-	if step.Checkpoints {
-		lostSeconds = min(lostSeconds, d.Limits.Checkpoint.Seconds())
-	}
-	weight := float64(step.Need.Millicores)/1000 + _coresPerAccelerator*float64(step.Need.Accelerators)
+	cores := float64(step.Need.Millicores)/1000 + _coresPerAccelerator*float64(step.Need.Accelerators)
 	if step.Gang {
-		weight *= float64(step.Count)
+		cores *= float64(step.Count)
+	}
+	v := berylvictim.Victim{
+		Cores:     cores,
+		Ran:       time.Duration(now.UnixMilli()-t.OrderedAt) * time.Millisecond,
+		Remaining: d.remainingTime(now, j, ref, t),
+		// A run that has not begun has nothing to save.
+		Checkpoints: step.Checkpoints && t.Phase == berylbook.Working,
+		Restore:     d.Limits.Restore,
+		Vacant:      d.Limits.preemptionTime(),
+		Slack:       d.slackOf(now, j, ref),
 	}
 	return berylfit.Victim{
 		Unit:      unitName(j, ref.Occurrence, ref.Step, ref.Index),
 		Resources: step.Resources(),
-		Loss:      lostSeconds * weight,
+		Loss:      v.Loss(),
+	}
+}
+
+// slackOf returns how much later than now a task may end and its job still be on time.
+func (d *Director) slackOf(now time.Time, j *berylbook.Job, ref berylwork.Ref) time.Duration {
+	q, ok := d.queueOf(j.Work)
+	if !ok {
+		return 0
 	}
+	estimate := time.Duration(j.Work.Steps[ref.Step].Estimate) * time.Millisecond
+	return d.latestStart(j, q, ref).Add(estimate).Sub(now)
 }
 
 // reserve reserves the capacity that is expected to be free soonest for a gang, or
