berylpreemption, beryldirector: preempt only where it pays

An urgent unit preempted others as soon as its patience was over, also when its job was late anyway and when the capacity that it needed was about to come free. It is decided by its slack now and by the expected ends of running work; work within a guarantee is started in time at any cost. Reservations hold the capacity that is expected to be free first, instead of that with the least remaining time in total.

TestCapacityFreedByPreemptionIsReserved: its jobs could not be on time with a preemption, so the queue has a target latency of 0.5 s now.

--- a/beryldirector/place.go
+++ b/beryldirector/place.go
@@ -204,6 +204,10 @@
 	// _slackShare is the share of a job's slack by its declared times that is used,
 	// because declared times are up to half too long.
 	_slackShare = 0.7
+	// _pathUncertainty is the share of a job's longest chain by which its slack may be
+	// too small: the due time grows with the chain, and declared times of urgent work
+	// are some 20 % off.
+	_pathUncertainty = 0.1
 	// _waveDivisor is the capacity divided by the width of one wave of a step.
 	_waveDivisor = 4
 	// _coresPerAccelerator is the users' price of an accelerator in CPU cores.
--- a/beryldirector/place_test.go
+++ b/beryldirector/place_test.go
@@ -245,10 +245,12 @@
 		h.report(node, func(r *berylreport.Report) { r.Labels = []string{"r1-" + strconv.Itoa(i%3)} })
 		h.submit("j"+strconv.Itoa(i), "routine", step(1, 8))
 	}
+	// Both jobs can still be on time if runs are preempted for them.
+	h.d.Policy.Queues[0].Target = 500 * time.Millisecond
 	long := gang(3, 8)
 	long.OneRack, long.Estimate = true, 1600
 	h.submit("long", "urgent", long)
-	h.advance(200 * time.Millisecond)
+	h.advance(300 * time.Millisecond)
 	h.is.Equal(stops(), 3)
 	short := gang(4, 8)
 	short.Estimate = 500
@@ -260,6 +262,46 @@
 	}
 }
 
+// An urgent gang is late whatever is stopped for it, or finds capacity that comes free in
+// time, while routine work fills the host. Guards against work that is thrown away although
+// it makes no job on time, and against a guarantee that isn't kept.
+func TestNoPreemptionWithoutGain(t *testing.T) {
+	tests := []struct {
+		name       string
+		estimate   int64
+		progress   float64
+		guaranteed int
+		want       berylbook.Phase
+	}{
+		{name: "pays", estimate: 2500, progress: 10, want: berylbook.Stopping},
+		{name: "late anyway", estimate: 500, progress: 10, want: berylbook.Working},
+		{name: "late anyway within the guarantee", estimate: 500, progress: 10, guaranteed: 8, want: berylbook.Stopping},
+		{name: "free in time", estimate: 2500, progress: 97, want: berylbook.Working},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			h := newHarness(t)
+			h.d.Policy.Accounts = []berylpolicy.Account{{Name: "a", Guaranteed: tt.guaranteed}}
+			h.report("n1", nil)
+			routine := step(1, 8)
+			routine.Estimate = 10_000
+			h.submit("j1", "routine", routine)
+			list := func(r *berylreport.Report) {
+				r.Runs = []berylreport.Run{{Key: berylreport.Key{Task: "j1.0.0.0", Run: 1}, Progress: tt.progress}}
+			}
+			h.report("n1", list)
+			urgent := gang(2, 4)
+			urgent.Estimate = tt.estimate
+			h.submitFor("a", "j2", "urgent", urgent)
+			for range 8 {
+				h.advance(200 * time.Millisecond)
+				h.report("n1", list)
+			}
+			h.is.Equal(h.phase("j1", 0), tt.want)
+		})
+	}
+}
+
 // Guards against a long job that is late because shorter ones with more slack are
 // placed first.
 func TestLeastSlackFirst(t *testing.T) {
--- a/beryldirector/preempt.go
+++ b/beryldirector/preempt.go
@@ -7,6 +7,7 @@
 
 	"berylglade/berylbook"
 	"berylglade/berylfit"
+	"berylglade/berylpreemption"
 	"berylglade/berylvictim"
 	"berylglade/berylwork"
 )
@@ -71,24 +72,23 @@
 	if d.reuseReservation(now, u, hosts, demand) || d.searchedInVain(now, u) {
 		return
 	}
-	if d.endingRuns == nil {
-		d.endingRuns = d.findEndingRuns(now)
-	}
 	later := slices.Clone(hosts)
 	for i := range later {
-		later[i].Victims = d.endingRuns[later[i].Node]
+		later[i].Victims = d.currentEndingRuns(now)[later[i].Node]
 	}
-	_, places, ok := demand.Evict(later)
+	_, places, ok := demand.Earliest(later)
 	if !ok {
 		d.reservations[u.name()] = reservation{at: now}
 		return
 	}
-	d.addReservation(now, u, hosts, places, demand)
+	d.addReservation(reservation{at: now}, u, hosts, places, demand)
 }
 
 // reservation is the capacity that is reserved for a unit.
 type reservation struct {
 	at time.Time
+	// reason is why nothing was preempted for an urgent unit; empty if that was not due.
+	reason string
 	// nodes is empty if no capacity was found.
 	nodes []string
 }
@@ -100,8 +100,7 @@
 }
 
 // addReservation reserves capacity at places for a unit until the next search.
-func (d *Director) addReservation(now time.Time, u *unit, hosts []berylfit.Host, places []int, demand *berylfit.Demand) {
-	r := reservation{at: now}
+func (d *Director) addReservation(r reservation, u *unit, hosts []berylfit.Host, places []int, demand *berylfit.Demand) {
 	for _, i := range places {
 		r.nodes = append(r.nodes, hosts[i].Node)
 	}
@@ -134,35 +133,87 @@
 	return true
 }
 
-// findEndingRuns returns all runs by node. The loss of each is the time until its
-// end, multiplied by its accelerators.
+// findEndingRuns returns all runs by node. The loss of each is the time until its end in
+// seconds.
 func (d *Director) findEndingRuns(now time.Time) map[string][]berylfit.Victim {
 	ending := map[string][]berylfit.Victim{}
 	d.eachActive(func(s activeTask) {
 		if s.task.Phase == berylbook.Stopping {
 			return
 		}
-		resources := s.job.Work.Steps[s.ref.Step].Resources()
 		node := s.task.Incarnation.Node
 		ending[node] = append(ending[node], berylfit.Victim{
-			Unit: s.name, Resources: resources,
-			Loss: d.remainingTime(now, s.job, s.ref, s.task).Seconds() * float64(max(resources.Accelerators, 1)),
+			Unit: s.name, Resources: s.job.Work.Steps[s.ref.Step].Resources(),
+			Loss: d.remainingTime(now, s.job, s.ref, s.task).Seconds(),
 		})
 	})
 	return ending
 }
 
-// reserveOrPreempt reserves the capacity that an urgent unit needs, and preempts the
-// runs that hold it once the unit can't wait any longer. It returns false if
-// preemption can't free enough capacity.
+// reserveOrPreempt reserves the capacity that is expected to be free soonest for an urgent
+// unit, or preempts runs if that pays. It returns false if no capacity was found.
 func (d *Director) reserveOrPreempt(now time.Time, u *unit, hosts []berylfit.Host, demand *berylfit.Demand) bool {
-	preempt := u.waited >= d.preemptAfter(u) && !d.justElected(now)
-	if !preempt && d.reuseReservation(now, u, hosts, demand) {
+	c := d.preemptionCase(u)
+	due := (c.Waited >= c.Patience || c.GuaranteeDue()) && !d.justElected(now)
+	decided := d.reservations[u.name()].reason != "" && !c.GuaranteeDue()
+	if (!due || decided) && d.reuseReservation(now, u, hosts, demand) {
 		return true
 	}
 	if d.searchedInVain(now, u) {
 		return false
 	}
+	for i := range hosts {
+		hosts[i].Victims = d.currentEndingRuns(now)[hosts[i].Node]
+	}
+	freeIn, places, ok := demand.Earliest(hosts)
+	c.FreeIn, c.Known = time.Duration(freeIn*float64(time.Second)), ok
+	r := reservation{at: now}
+	if due {
+		preempt, reason := c.Decide()
+		if preempt && d.tryPreempt(now, u, hosts, demand, c, reason) {
+			return true
+		}
+		d.noteNoPreemption(u, c, reason, preempt)
+		r.reason = reason
+	}
+	if !ok {
+		d.reservations[u.name()] = r
+		return false
+	}
+	d.addReservation(r, u, hosts, places, demand)
+	return true
+}
+
+// preemptionCase returns what is known of an urgent unit for the decision whether to
+// preempt runs for it, except for the time at which capacity comes free.
+func (d *Director) preemptionCase(u *unit) berylpreemption.Case {
+	path := time.Duration(u.criticalPath) * time.Millisecond
+	return berylpreemption.Case{
+		Waited:         u.waited,
+		Patience:       d.preemptAfter(u),
+		Slack:          u.latestStart.Sub(d.now),
+		Uncertainty:    time.Duration(_pathUncertainty * float64(path)),
+		Guaranteed:     d.guaranteed(u),
+		GuaranteeWait:  d.Limits.guaranteeWait(),
+		PreemptionTime: d.Limits.preemptionTime(),
+	}
+}
+
+// noteNoPreemption logs why nothing is preempted for an urgent unit, once for each reason.
+func (d *Director) noteNoPreemption(u *unit, c berylpreemption.Case, reason string, wanted bool) {
+	if wanted {
+		reason = "no victims"
+	}
+	if d.reservations[u.name()].reason == reason {
+		return
+	}
+	d.note("preemption refused", "unit", u.name(), "reason", reason, "waited", c.Waited.Milliseconds(), "slack", c.Slack.Milliseconds(),
+		"freeIn", c.FreeIn.Milliseconds(), "known", c.Known, "guaranteed", c.Guaranteed)
+}
+
+// tryPreempt preempts the runs with the least loss that make enough capacity free for an
+// urgent unit. It returns false if there are none.
+func (d *Director) tryPreempt(now time.Time, u *unit, hosts []berylfit.Host, demand *berylfit.Demand, c berylpreemption.Case, reason string) bool {
 	if d.victims == nil {
 		d.victims = d.findVictims(now)
 	}
@@ -170,7 +221,7 @@
 		hosts[i].Victims = d.victims[hosts[i].Node]
 	}
 	units, places, ok := demand.Evict(hosts)
-	if !ok && d.guaranteed(u) {
+	if !ok && c.Guaranteed {
 		reclaimable := d.findReclaimable(now, u.job.Work.Account)
 		for i := range hosts {
 			hosts[i].Victims = slices.Concat(hosts[i].Victims, reclaimable[hosts[i].Node])
@@ -178,13 +229,10 @@
 		units, places, ok = demand.Evict(hosts)
 	}
 	if !ok {
-		d.reservations[u.name()] = reservation{at: now}
 		return false
 	}
-	if !preempt {
-		d.addReservation(now, u, hosts, places, demand)
-		return true
-	}
+	d.note("preemption granted", "unit", u.name(), "reason", reason, "victims", len(units), "waited", c.Waited.Milliseconds(),
+		"slack", c.Slack.Milliseconds(), "freeIn", c.FreeIn.Milliseconds(), "known", c.Known, "guaranteed", c.Guaranteed)
 	d.preempt(u, hosts, units)
 	if !u.preemptedAt.Before(now) {
 		d.preemptedFor[u.name()] = now
@@ -193,6 +241,14 @@
 	return true
 }
 
+// currentEndingRuns returns the running units by node, as of the current placement pass.
+func (d *Director) currentEndingRuns(now time.Time) map[string][]berylfit.Victim {
+	if d.endingRuns == nil {
+		d.endingRuns = d.findEndingRuns(now)
+	}
+	return d.endingRuns
+}
+
 // preemptAfter returns how long an urgent unit waits for capacity that is released
 // without preemption. Preempted work is lost, so the unit waits as long as its job
 // can still meet its due time. Work within the client account's guarantee waits for
--- a/berylfit/fit.go
+++ b/berylfit/fit.go
@@ -41,8 +41,8 @@
 	Unit      string
 	Resources berylroom.Resources
 	// Loss is the cost of stopping the whole unit: the work that preemption
-	// discards, in core-seconds. A search for the capacity that is free soonest
-	// uses the time until the unit ends, times its accelerators, instead.
+	// discards, in core-seconds. [Demand.Earliest] takes the time until the unit
+	// ends, in seconds, instead.
 	Loss float64
 }
 
@@ -261,6 +261,26 @@
 	return units, places, ok
 }
 
+// Earliest returns the time in seconds after which the tasks are expected to fit, and a
+// host for each task then. The Loss of each victim is the time until it ends. It returns
+// false if they don't fit when all victims have ended.
+func (d *Demand) Earliest(hosts []Host) (after float64, places []int, ok bool) {
+	after = math.Inf(1)
+	var ended []string
+	for _, among := range d.groups(hosts) {
+		subset, ends, order := d.unitsByLoss(hosts, among)
+		n := d.shortestPrefix(subset, order)
+		if n < len(order) && ends[order[n]] < after {
+			after, ended, ok = ends[order[n]], order[:n+1], true
+		}
+	}
+	if !ok {
+		return 0, nil, false
+	}
+	places, ok = d.placeWithout(hosts, ended)
+	return after, places, ok
+}
+
 // groups returns the sets of hosts that may take all tasks: each host for a
 // single task, each rack for tasks that need one rack, otherwise all hosts.
 func (d *Demand) groups(hosts []Host) [][]int {
@@ -291,38 +311,50 @@
 
 // evictAmong chooses units on the given hosts only.
 func (d *Demand) evictAmong(hosts []Host, among []int) (units []string, totalLoss float64, ok bool) {
-	loss := map[string]float64{}
-	subset := make([]Host, 0, len(among))
+	subset, loss, order := d.unitsByLoss(hosts, among)
+	n := d.shortestPrefix(subset, order)
+	if n == len(order) {
+		return nil, 0, false
+	}
+	units = d.prune(subset, order[:n+1])
+	for _, u := range units {
+		totalLoss += loss[u]
+	}
+	return units, totalLoss, true
+}
+
+// unitsByLoss returns the given hosts, and the units that may be preempted there with
+// their losses, the least first.
+func (d *Demand) unitsByLoss(hosts []Host, among []int) (subset []Host, loss map[string]float64, order []string) {
+	loss = map[string]float64{}
+	subset = make([]Host, 0, len(among))
 	for _, i := range among {
 		subset = append(subset, hosts[i])
 		if !d.Eligible(&hosts[i]) {
 			continue
 		}
 		for _, v := range hosts[i].Victims {
-			loss[v.Unit] = v.Loss
+			loss[v.Unit] = max(loss[v.Unit], v.Loss)
 		}
 	}
-	order := make([]string, 0, len(loss))
+	order = make([]string, 0, len(loss))
 	for u := range loss {
 		order = append(order, u)
 	}
 	slices.SortFunc(order, func(a, b string) int {
 		return cmp.Or(cmp.Compare(loss[a], loss[b]), cmp.Compare(a, b))
 	})
-	// More capacity never makes the tasks fit worse, so a binary search finds the
-	// shortest prefix that is enough.
-	n := sort.Search(len(order), func(i int) bool {
-		_, fits := d.placeWithout(subset, order[:i+1])
+	return subset, loss, order
+}
+
+// shortestPrefix returns the index of the last unit of the shortest prefix of order without
+// which the tasks fit; len(order) if they don't fit without all. More capacity never makes
+// the tasks fit worse, so that a binary search finds it.
+func (d *Demand) shortestPrefix(hosts []Host, order []string) int {
+	return sort.Search(len(order), func(i int) bool {
+		_, fits := d.placeWithout(hosts, order[:i+1])
 		return fits
 	})
-	if n == len(order) {
-		return nil, 0, false
-	}
-	units = d.prune(subset, order[:n+1])
-	for _, u := range units {
-		totalLoss += loss[u]
-	}
-	return units, totalLoss, true
 }
 
 // placeWithout places the tasks as if the units and the runs that are being stopped
--- a/berylfit/fit_test.go
+++ b/berylfit/fit_test.go
@@ -130,3 +130,34 @@
 	_, ok = d.PlaceAfterStops(hosts)
 	is.True(!ok)
 }
+
+// Routine runs of all ages fill two racks when a gang arrives. Guards against a reservation
+// of hosts that come free late because few accelerators have to be released there.
+func TestEarliest(t *testing.T) {
+	hosts := []Host{
+		host("n1", "r1", 6, victim("a", 2, 9)),
+		host("n2", "r1", 0, victim("b", 4, 1), victim("c", 4, 1)),
+		host("n3", "r2", 0, victim("d", 8, 3)),
+		host("n4", "r2", 0, victim("e", 4, 2), victim("f", 4, 4)),
+	}
+	tests := []struct {
+		name  string
+		give  Demand
+		after float64
+		want  []string
+	}{
+		{name: "one task", give: Demand{Count: 1, Resources: resources(8)}, after: 1, want: []string{"n2"}},
+		{name: "one rack", give: Demand{Count: 2, Resources: resources(8), OneRack: true}, after: 4, want: []string{"n3", "n4"}},
+		{name: "any rack", give: Demand{Count: 2, Resources: resources(8)}, after: 3, want: []string{"n2", "n3"}},
+		{name: "too large", give: Demand{Count: 5, Resources: resources(8)}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			after, places, ok := tt.give.Earliest(hosts)
+			is.Equal(ok, tt.want != nil)
+			is.Equal(after, tt.after)
+			is.Equal(names(hosts, places), tt.want)
+		})
+	}
+}
