berylrank, beryldirector: jobs that can be on time before late ones

With the earliest latest start first, an overload of urgent jobs places those that are late already before those that can still be on time, and makes them late too. A late job goes first again before its result is of no use, and work within a guarantee keeps its place.

--- a/beryldirector/director.go
+++ b/beryldirector/director.go
@@ -245,6 +245,9 @@
 	// placement pass, on first use.
 	victims    map[string][]berylfit.Victim
 	endingRuns map[string][]berylfit.Victim
+	// urgentNeed is how many accelerators the urgent jobs of each client account need, as
+	// of the current placement pass. It is computed on first use.
+	urgentNeed map[string]int
 	// now is the time of the event that is being handled.
 	now time.Time
 	// orderedAt is when the confirmation timeout of each start began.
--- a/beryldirector/place.go
+++ b/beryldirector/place.go
@@ -16,6 +16,7 @@
 	if d.Policy == nil || (d.appending && now.Sub(d.appendedAt) > _maxAppendTime) {
 		return
 	}
+	d.urgentNeed = nil
 	units := d.pendingUnits(now)
 	if len(units) == 0 {
 		return
@@ -208,6 +209,9 @@
 	// too small: the due time grows with the chain, and declared times of urgent work
 	// are some 20 % off.
 	_pathUncertainty = 0.1
+	// _lateFactor is the time, as a multiple of the time until a job is due, after which
+	// its result is of no use to the client.
+	_lateFactor = 3
 	// _waveDivisor is the capacity divided by the width of one wave of a step.
 	_waveDivisor = 4
 	// _coresPerAccelerator is the users' price of an accelerator in CPU cores.
--- a/beryldirector/preempt.go
+++ b/beryldirector/preempt.go
@@ -187,12 +187,11 @@
 // preemptionCase returns what is known of an urgent unit for the decision whether to
 // preempt runs for it, except for the time at which capacity comes free.
 func (d *Director) preemptionCase(u *unit) berylpreemption.Case {
-	path := time.Duration(u.criticalPath) * time.Millisecond
 	return berylpreemption.Case{
 		Waited:         u.waited,
 		Patience:       d.preemptAfter(u),
 		Slack:          u.latestStart.Sub(d.now),
-		Uncertainty:    time.Duration(_pathUncertainty * float64(path)),
+		Uncertainty:    u.uncertainty(),
 		Guaranteed:     d.guaranteed(u),
 		GuaranteeWait:  d.Limits.guaranteeWait(),
 		PreemptionTime: d.Limits.preemptionTime(),
@@ -276,19 +275,28 @@
 // guaranteed reports whether all urgent jobs of the unit's client account together
 // fit into its guarantee.
 func (d *Director) guaranteed(u *unit) bool {
-	limit := d.Policy.Guaranteed(u.job.Work.Account)
+	account := u.job.Work.Account
+	limit := d.Policy.Guaranteed(account)
 	if limit == 0 {
 		return false
 	}
-	need := 0
+	if d.urgentNeed == nil {
+		d.urgentNeed = d.findUrgentNeed()
+	}
+	return d.urgentNeed[account] <= limit
+}
+
+// findUrgentNeed returns how many accelerators the urgent jobs of each client account need.
+func (d *Director) findUrgentNeed() map[string]int {
+	need := map[string]int{}
 	for _, j := range d.liveJobs() {
 		q, ok := d.queueOf(j.Work)
-		if !ok || q.Priority != 0 || j.State.Final() || j.CancelledAt != 0 || j.Work.Account != u.job.Work.Account {
+		if !ok || q.Priority != 0 || j.State.Final() || j.CancelledAt != 0 {
 			continue
 		}
-		need += peakAccelerators(j.Work)
+		need[j.Work.Account] += peakAccelerators(j.Work)
 	}
-	return need <= limit
+	return need
 }
 
 // peakAccelerators returns the accelerators of the job's largest step.
--- a/beryldirector/unit.go
+++ b/beryldirector/unit.go
@@ -8,6 +8,7 @@
 	"berylglade/berylbook"
 	"berylglade/berylfit"
 	"berylglade/berylpolicy"
+	"berylglade/berylrank"
 	"berylglade/berylwork"
 )
 
@@ -23,6 +24,8 @@
 	// start for that if the declared times are right.
 	due         time.Time
 	latestStart time.Time
+	// rank is the unit's place in the order of placement.
+	rank berylrank.Rank
 	// preemptedAt is when runs were preempted for the unit. Without a recent
 	// preemption it is the time of the placement pass, which is later than any
 	// recent preemption, so that the unit sorts after those that have one.
@@ -75,7 +78,7 @@
 		return cmp.Or(
 			cmp.Compare(a.queue.Priority, b.queue.Priority),
 			a.preemptedAt.Compare(b.preemptedAt),
-			a.latestStart.Compare(b.latestStart),
+			a.rank.Compare(now, b.rank),
 			cmp.Compare(a.job.Work.ID, b.job.Work.ID),
 			cmp.Compare(a.occurrence, b.occurrence),
 			cmp.Compare(a.step, b.step),
@@ -101,6 +104,7 @@
 			capacity[q.Service] = d.capacity(q.Service)
 		}
 		for _, units := range jobUnits(now, j, q, capacity[q.Service]) {
+			d.setRanks(units)
 			groups = append(groups, d.noteReady(now, units)...)
 		}
 	}
@@ -113,6 +117,27 @@
 	return groups
 }
 
+// setRanks sets the rank of the units of a step.
+func (d *Director) setRanks(units []unit) {
+	u := &units[0]
+	// A late job earns until it has taken _lateFactor times its time.
+	lastUseful := u.latestStart.Add(time.Duration((_lateFactor - 1) * float64(u.due.Sub(u.startableAt))))
+	r := berylrank.Rank{
+		Priority: u.queue.Priority, LatestStart: u.latestStart, LastUsefulStart: lastUseful, Uncertainty: u.uncertainty(),
+	}
+	if u.queue.Priority == 0 && d.guaranteed(u) {
+		r.ClaimedStart = u.startableAt.Add(d.Limits.Reclaim - d.Limits.preemptionTime())
+	}
+	for i := range units {
+		units[i].rank = r
+	}
+}
+
+// uncertainty returns by how much the unit's latest start may be too early.
+func (u *unit) uncertainty() time.Duration {
+	return time.Duration(_pathUncertainty * float64(u.criticalPath) * float64(time.Millisecond))
+}
+
 // forgetUnit deletes what is kept for a unit that waits.
 func (d *Director) forgetUnit(name string) {
 	delete(d.reservations, name)
