berylcooldown, beryldirector: pause and protect preempted units

A unit pauses after a preemption as long as its job can still be on time, longer each time, and is preempted only for guaranteed work after three.

--- a/beryldirector/director.go
+++ b/beryldirector/director.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"berylglade/berylbook"
+	"berylglade/berylcooldown"
 	"berylglade/berylfit"
 	"berylglade/berylpolicy"
 	"berylglade/berylstore"
@@ -241,6 +242,8 @@
 	failedOn map[string]map[string]bool
 	// preemptedFor is when runs were last preempted for each unit.
 	preemptedFor map[string]time.Time
+	// cooldown has the preemptions of each unit.
+	cooldown berylcooldown.Cooldown
 	// victims and endingRuns are by node. They are computed at most once in a
 	// placement pass, on first use.
 	victims    map[string][]berylfit.Victim
@@ -322,6 +325,7 @@
 	clear(d.bestRunTime)
 	clear(d.restarts)
 	clear(d.failedOn)
+	d.cooldown = berylcooldown.Cooldown{}
 	clear(d.agents)
 	d.effects = append(d.effects, Reload{})
 }
--- a/beryldirector/end.go
+++ b/beryldirector/end.go
@@ -168,8 +168,9 @@
 	d.failedOn[unit][a.report.Node] = true
 }
 
-// clearFailures deletes the hosts on which runs of a job failed.
+// clearFailures deletes the hosts on which runs of a job failed, and its preemptions.
 func (d *Director) clearFailures(j *berylbook.Job) {
+	d.cooldown.Forget(j.Work.ID + ".")
 	maps.DeleteFunc(d.failedOn, func(unit string, _ map[string]bool) bool {
 		return strings.HasPrefix(unit, j.Work.ID+".")
 	})
--- a/beryldirector/place.go
+++ b/beryldirector/place.go
@@ -105,6 +105,9 @@
 // placeUnit starts a unit, or reserves capacity for it. It returns false if no
 // further tasks of the unit's step need be tried in this pass.
 func (d *Director) placeUnit(now time.Time, u *unit, hosts, known []berylfit.Host) bool {
+	if d.mayPostpone(u) && d.cooldown.Pausing(now, u.name()) {
+		return true
+	}
 	demand := demandOf(u.job, u.occurrence, u.step, len(u.tasks))
 	demand.Avoid = d.failedOn[u.name()]
 	demand.Exclude = len(demand.Avoid) > 0 && u.waited < _maxAvoidWait
@@ -130,6 +133,15 @@
 	return d.reserveOrPreempt(now, u, hosts, &demand) || demand.Exclude
 }
 
+// mayPostpone reports whether the unit can still be on time if it starts as much later as
+// it runs. It may then leave capacity to urgent work.
+func (d *Director) mayPostpone(u *unit) bool {
+	if u.queue.Priority == 0 || u.stepSpec().LongRunning {
+		return false
+	}
+	return u.latestStart.Sub(d.now) > d.declaredRunTime(u.job, u.step)
+}
+
 // justElected reports whether agents may not have reported to this leader yet.
 // Their free capacity is unknown, so nothing is preempted and no gang is spread over
 // racks for lack of capacity in one rack.
--- a/beryldirector/place_test.go
+++ b/beryldirector/place_test.go
@@ -388,3 +388,25 @@
 	h.advance(200 * time.Millisecond)
 	h.is.Equal(h.d.Book.Jobs["j1"].Tasks[0][0][0].Run, 1)
 }
+
+// An urgent job ends soon after routine work was preempted for it. Guards against routine
+// work that starts again at once and is preempted for the next urgent job.
+func TestPreemptedUnitPauses(t *testing.T) {
+	h := newHarness(t)
+	h.report("n1", nil)
+	routine := step(1, 8)
+	routine.Estimate = 5000
+	h.submit("j1", "routine", routine)
+	h.report("n1", listRun("j1.0.0.0", 1))
+	h.d.cooldown.Add(h.now, "j1.0.0.0")
+	h.d.stopUnit("j1.0.0.0")
+	h.report("n1", func(r *berylreport.Report) {
+		r.Ends = []berylreport.End{end(1, "j1.0.0.0", 1, berylreport.Stopped)}
+	})
+	h.advance(300 * time.Millisecond)
+	h.report("n1", nil)
+	h.is.Equal(h.phase("j1", 0), berylbook.Idle)
+	h.advance(300 * time.Millisecond)
+	h.report("n1", nil)
+	h.is.Equal(h.phase("j1", 0), berylbook.Ordered)
+}
--- a/beryldirector/preempt.go
+++ b/beryldirector/preempt.go
@@ -13,14 +13,17 @@
 )
 
 // findVictims returns the units that may be preempted for work of priority zero, by
-// node.
-func (d *Director) findVictims(now time.Time) map[string][]berylfit.Victim {
+// node: those that were not preempted too often, or only those that were.
+func (d *Director) findVictims(now time.Time, protected bool) map[string][]berylfit.Victim {
 	victims := map[string][]berylfit.Victim{}
 	d.eachActive(func(s activeTask) {
 		q, ok := d.queueOf(s.job.Work)
 		if !ok || q.Priority == 0 || s.job.State.Final() || s.task.Phase == berylbook.Stopping || s.job.Work.Steps[s.ref.Step].LongRunning {
 			return
 		}
+		if d.cooldown.Protected(unitName(s.job, s.ref.Occurrence, s.ref.Step, s.ref.Index)) != protected {
+			return
+		}
 		node := s.task.Incarnation.Node
 		victims[node] = append(victims[node], d.victimOf(now, s.job, s.ref, s.task))
 	})
@@ -214,16 +217,18 @@
 // urgent unit. It returns false if there are none.
 func (d *Director) tryPreempt(now time.Time, u *unit, hosts []berylfit.Host, demand *berylfit.Demand, c berylpreemption.Case, reason string) bool {
 	if d.victims == nil {
-		d.victims = d.findVictims(now)
+		d.victims = d.findVictims(now, false)
 	}
 	for i := range hosts {
 		hosts[i].Victims = d.victims[hosts[i].Node]
 	}
 	units, places, ok := demand.Evict(hosts)
 	if !ok && c.Guaranteed {
+		protected := d.findVictims(now, true)
 		reclaimable := d.findReclaimable(now, u.job.Work.Account)
 		for i := range hosts {
-			hosts[i].Victims = slices.Concat(hosts[i].Victims, reclaimable[hosts[i].Node])
+			node := hosts[i].Node
+			hosts[i].Victims = slices.Concat(hosts[i].Victims, protected[node], reclaimable[node])
 		}
 		units, places, ok = demand.Evict(hosts)
 	}
@@ -312,6 +317,7 @@
 func (d *Director) preempt(u *unit, hosts []berylfit.Host, units []string) {
 	for _, name := range units {
 		d.note("preempt", "unit", name, "for", u.name(), "waited", u.waited.Milliseconds())
+		d.cooldown.Add(d.now, name)
 		d.stopUnit(name)
 		for i := range hosts {
 			for _, v := range hosts[i].Victims {
