berylheadroom, beryldirector: leave room for the urgent work that is about to come

Routine work that started in the room between two urgent jobs was stopped for the next one, and the urgent job waited for the stop. The capacity that urgent work uses on average (its learned rate of arrival times size times run time) and that is not in use now is left free, up to a quarter of the hosts, by routine work that can be on time later.

--- a/beryldirector/director.go
+++ b/beryldirector/director.go
@@ -21,6 +21,7 @@
 	"berylglade/berylbook"
 	"berylglade/berylcooldown"
 	"berylglade/berylfit"
+	"berylglade/berylheadroom"
 	"berylglade/berylpolicy"
 	"berylglade/berylstore"
 	"berylglade/berylwork"
@@ -242,6 +243,11 @@
 	failedOn map[string]map[string]bool
 	// preemptedFor is when runs were last preempted for each unit.
 	preemptedFor map[string]time.Time
+	// headrooms has the learned demand of urgent work, by service. Spare is how many hosts
+	// are free beyond it, and pendingUrgent how many the urgent units need that found no
+	// capacity, both as of the current placement pass.
+	headrooms            map[string]*berylheadroom.Headroom
+	spare, pendingUrgent map[string]float64
 	// cooldown has the preemptions of each unit.
 	cooldown berylcooldown.Cooldown
 	// victims and endingRuns are by node. They are computed at most once in a
@@ -284,6 +290,9 @@
 		reservations:   map[string]reservation{},
 		preemptedFor:   map[string]time.Time{},
 		failedOn:       map[string]map[string]bool{},
+		headrooms:      map[string]*berylheadroom.Headroom{},
+		spare:          map[string]float64{},
+		pendingUrgent:  map[string]float64{},
 	}
 }
 
--- a/beryldirector/place.go
+++ b/beryldirector/place.go
@@ -26,6 +26,8 @@
 	full := map[stepKey]bool{}
 	d.reservedUnits = 0
 	d.victims, d.endingRuns = nil, nil
+	clear(d.spare)
+	clear(d.pendingUrgent)
 	for i := range units {
 		u := &units[i]
 		step := stepKey{u.job, u.occurrence, u.step}
@@ -118,9 +120,15 @@
 		demand.Spread = u.waited > d.rackWait(u) || (!d.justElected(now) && !demand.FitsOneRack(known))
 	}
 	if places, ok := demand.Place(hosts); ok {
+		if d.postpones(now, u, hosts) {
+			return false
+		}
 		d.start(now, u, hosts, places)
 		return true
 	}
+	if u.queue.Priority == 0 {
+		d.pendingUrgent[u.queue.Service] += u.share(d.hostSize(u.queue.Service))
+	}
 	if places, ok := demand.PlaceAfterStops(hosts); ok {
 		deductResources(hosts, places, &demand)
 		return true
--- a/beryldirector/place_test.go
+++ b/beryldirector/place_test.go
@@ -410,3 +410,50 @@
 	h.report("n1", nil)
 	h.is.Equal(h.phase("j1", 0), berylbook.Ordered)
 }
+
+// Urgent jobs have arrived one after the other when routine work finds four free hosts.
+// Guards against routine work that takes all capacity and is preempted for the next urgent
+// job, against capacity that stays idle when no urgent work comes any more, and against
+// routine work that waits until it is late.
+func TestHeadroomForUrgentWork(t *testing.T) {
+	tests := []struct {
+		name     string
+		quiet    time.Duration
+		estimate int64
+		want     int
+	}{
+		{name: "urgent work is about to come", estimate: 8000, want: 3},
+		{name: "urgent work has ceased", quiet: 20 * time.Second, estimate: 8000, want: 4},
+		{name: "routine work can't wait", estimate: 0, want: 4},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			h := newHarness(t)
+			nodes := []string{"n1", "n2", "n3", "n4"}
+			for _, node := range nodes {
+				h.report(node, func(r *berylreport.Report) { r.Draining = true })
+			}
+			for i := range 5 {
+				name := "u" + strconv.Itoa(i)
+				urgent := gang(2, 8)
+				urgent.Estimate = 2000
+				h.submit(name, "urgent", urgent)
+				h.d.Book.Jobs[name].State = berylbook.Completed
+			}
+			h.advance(tt.quiet + 100*time.Millisecond)
+			routine := step(4, 8)
+			routine.Estimate = tt.estimate
+			h.submit("j1", "routine", routine)
+			for _, node := range nodes {
+				h.report(node, nil)
+			}
+			started := 0
+			for i := range 4 {
+				if h.phase("j1", i) == berylbook.Ordered {
+					started++
+				}
+			}
+			h.is.Equal(started, tt.want)
+		})
+	}
+}
--- a/beryldirector/unit.go
+++ b/beryldirector/unit.go
@@ -149,6 +149,8 @@
 	since time.Time
 	// checkedAt is the last placement pass in which the unit was ready.
 	checkedAt time.Time
+	// postponed is true once the unit has left capacity to urgent work.
+	postponed bool
 }
 
 // noteReady sets for how long the units of a step have been ready, and returns them in
@@ -161,6 +163,7 @@
 		w := d.waiting[u.ref()]
 		if w.since.IsZero() {
 			w.since = now
+			d.noteArrival(now, u)
 		}
 		w.checkedAt = now
 		d.waiting[u.ref()] = w
--- a/berylroom/room.go
+++ b/berylroom/room.go
@@ -44,6 +44,30 @@
 	return r.Millicores <= o.Millicores && r.Megabytes <= o.Megabytes && r.Accelerators <= o.Accelerators
 }
 
+// MaxShare returns how much of total r is, by the resource of which it is most.
+func (r Resources) MaxShare(total Resources) float64 {
+	return max(share(r.Millicores, total.Millicores), share(r.Megabytes, total.Megabytes), share(r.Accelerators, total.Accelerators))
+}
+
+// MinShare returns how much of total r is, by the resource of which it is least; zero if an
+// amount of r is negative. Resources that total has none of don't count.
+func (r Resources) MinShare(total Resources) float64 {
+	least := 1.0
+	for _, s := range [][2]int{{r.Millicores, total.Millicores}, {r.Megabytes, total.Megabytes}, {r.Accelerators, total.Accelerators}} {
+		if s[1] > 0 {
+			least = min(least, share(s[0], s[1]))
+		}
+	}
+	return max(least, 0)
+}
+
+func share(part, total int) float64 {
+	if total <= 0 {
+		return 0
+	}
+	return float64(part) / float64(total)
+}
+
 // Count returns how many times r fits into o, at most limit.
 func (r Resources) Count(o Resources, limit int) int {
 	n := limit
