--- a/beryldirector/worldentry_test.go
+++ b/beryldirector/worldentry_test.go
@@ -17,9 +17,12 @@
 	boot         int64
 	up           bool
 	disconnected bool
-	nextRecord   int
-	seq          int64
-	asked        bool
+	// loaded is true once this process has read the topic from its start. Like the
+	// follower of an entry, it applies no records before.
+	loaded     bool
+	nextRecord int
+	seq        int64
+	asked      bool
 }
 
 func (e *worldEntry) reachesStore() bool { return e.up && !e.disconnected && e.w.storeUp }
@@ -28,6 +31,7 @@
 	e.boot++
 	e.up = true
 	e.asked = false
+	e.loaded = false
 	e.d = New(Self{Node: e.name, Boot: e.boot, Addr: e.name}, testLimits())
 	e.d.Policy = testPolicy()
 	e.load(e.d)
@@ -47,6 +51,7 @@
 	for _, r := range e.w.topic {
 		book.Apply(r)
 	}
+	e.loaded = true
 	e.nextRecord = len(e.w.topic)
 	d.Restore(e.w.now, book, int64(e.nextRecord))
 }
@@ -57,7 +62,7 @@
 	if e.d != d || !e.up {
 		return
 	}
-	if e.reachesStore() {
+	if e.loaded && e.reachesStore() {
 		records := e.w.topic[e.nextRecord:]
 		e.nextRecord = len(e.w.topic)
 		d.ApplyRecords(e.w.now, records, int64(e.nextRecord))
