beryldirector: a gang ends when its slowest member does

The expected end of running work was that of each member of a gang by itself. Log lines of starts have the slack and the declared time.

--- a/beryldirector/place.go
+++ b/beryldirector/place.go
@@ -188,7 +188,7 @@
 	}
 	d.markDirty(u.job.Work.ID)
 	d.note("start", "unit", u.name(), "run", run, "queue", u.queue.Name, "priority", u.queue.Priority,
-		"waited", u.waited.Milliseconds(), "nodes", nodes, "saved", tasks[u.tasks[0]].Checkpoint != "", "policy", d.Policy.Version)
+		"waited", u.waited.Milliseconds(), "slack", u.latestStart.Sub(now).Milliseconds(), "estimate", u.stepSpec().Estimate, "nodes", nodes, "saved", tasks[u.tasks[0]].Checkpoint != "", "policy", d.Policy.Version)
 }
 
 const (
--- a/beryldirector/preempt.go
+++ b/beryldirector/preempt.go
@@ -136,20 +136,25 @@
 	return true
 }
 
-// findEndingRuns returns all runs by node. The loss of each is the time until its end in
-// seconds.
+// findEndingRuns returns all running units by node. The loss of each is the time until its
+// end in seconds: that of its slowest member for a gang, as all members end together.
 func (d *Director) findEndingRuns(now time.Time) map[string][]berylfit.Victim {
 	ending := map[string][]berylfit.Victim{}
+	left := map[string]float64{}
 	d.eachActive(func(s activeTask) {
 		if s.task.Phase == berylbook.Stopping {
 			return
 		}
 		node := s.task.Incarnation.Node
-		ending[node] = append(ending[node], berylfit.Victim{
-			Unit: s.name, Resources: s.job.Work.Steps[s.ref.Step].Resources(),
-			Loss: d.remainingTime(now, s.job, s.ref, s.task).Seconds(),
-		})
+		unit := unitName(s.job, s.ref.Occurrence, s.ref.Step, s.ref.Index)
+		ending[node] = append(ending[node], berylfit.Victim{Unit: unit, Resources: s.job.Work.Steps[s.ref.Step].Resources()})
+		left[unit] = max(left[unit], d.remainingTime(now, s.job, s.ref, s.task).Seconds())
 	})
+	for _, units := range ending {
+		for i := range units {
+			units[i].Loss = left[units[i].Unit]
+		}
+	}
 	return ending
 }
 
