--- a/beryldirector/unit.go
+++ b/beryldirector/unit.go
@@ -124,6 +124,8 @@
 	lastUseful := u.latestStart.Add(time.Duration((_lateFactor - 1) * float64(u.due.Sub(u.startableAt))))
 	r := berylrank.Rank{
 		Priority: u.queue.Priority, LatestStart: u.latestStart, LastUsefulStart: lastUseful, Uncertainty: u.uncertainty(),
+		// Declared times of routine work are wrong by a factor of up to ten.
+		Exact: u.queue.Priority == 0,
 	}
 	if u.queue.Priority == 0 && d.guaranteed(u) {
 		r.ClaimedStart = u.startableAt.Add(d.Limits.Reclaim - d.Limits.preemptionTime())
--- a/berylrank/rank.go
+++ b/berylrank/rank.go
@@ -17,7 +17,9 @@
 	// LatestStart is when the unit has to start for its job to be on time, and
 	// LastUsefulStart the same for the time after which the result is of no use.
 	LatestStart, LastUsefulStart time.Time
-	// Uncertainty is by how much LatestStart may be too early.
+	// Exact means that the run time is known well enough to tell that a job is late.
+	Exact bool
+	// Uncertainty is by how much an exact LatestStart may be too early.
 	Uncertainty time.Duration
 	// ClaimedStart is when the unit has to start within the guarantee of its client
 	// account, whether its job is late or not; zero if it is in none.
@@ -38,7 +40,7 @@
 	switch {
 	case !r.ClaimedStart.IsZero():
 		return _onTime, earlier(r.LatestStart, r.ClaimedStart)
-	case !now.After(r.LatestStart.Add(r.Uncertainty)):
+	case !r.Exact || !now.After(r.LatestStart.Add(r.Uncertainty)):
 		return _onTime, r.LatestStart
 	case !now.Before(r.LastUsefulStart.Add(-_rescueTime)):
 		// The wait of late units is bounded: they are placed before they are of no use.
