berylfit: open whole hosts in the fullest rack

Hosts were filled by free accelerators, and equal ones by name, so that routine tasks opened hosts in all racks and gangs that need one rack found none with enough capacity. What is available of a host counts by its scarcest resource now, and among equal hosts the one in the fullest rack is taken.

--- a/berylfit/fit.go
+++ b/berylfit/fit.go
@@ -156,11 +156,10 @@
 // available capacity, so that whole racks stay free for larger gangs.
 func (d *Demand) inOneRack(hosts []Host, among []int, capacity resourcesFunc) ([]int, bool) {
 	racks := map[string][]int{}
-	available := map[string]int{}
 	for _, i := range among {
 		racks[hosts[i].Rack] = append(racks[hosts[i].Rack], i)
-		available[hosts[i].Rack] += capacity(&hosts[i]).Accelerators
 	}
+	available := rackShares(hosts, among, capacity)
 	names := make([]string, 0, len(racks))
 	for name := range racks {
 		names = append(names, name)
@@ -190,14 +189,16 @@
 // candidate is a host with capacity for some of the tasks.
 type candidate struct {
 	index, count int
-	// accelerators are the available ones.
-	accelerators    int
-	avoid, sameRack bool
+	// share is the share of the host that is available, by its scarcest resource, and
+	// rackShare the sum of the shares of its rack.
+	share, rackShare float64
+	avoid, sameRack  bool
 }
 
 // pack fills one host after the other. It prefers hosts with a lower fault score,
 // then hosts that need not be avoided, then those in the rack of the data, and then
-// those with the fewest available accelerators.
+// those of which the least is available. Among equal ones it takes those in the fullest
+// rack, so that whole racks stay free for gangs.
 func (d *Demand) pack(hosts []Host, among []int, capacity resourcesFunc) ([]int, bool) {
 	candidates, total := d.candidates(hosts, among, capacity)
 	if total < d.Count {
@@ -209,7 +210,8 @@
 			cmp.Compare(x.FaultScore, y.FaultScore),
 			cmp.Compare(boolToInt(a.avoid), boolToInt(b.avoid)),
 			-cmp.Compare(boolToInt(a.sameRack), boolToInt(b.sameRack)),
-			cmp.Compare(a.accelerators, b.accelerators),
+			cmp.Compare(a.share, b.share),
+			cmp.Compare(a.rackShare, b.rackShare),
 			cmp.Compare(x.Node, y.Node),
 		)
 	})
@@ -228,6 +230,7 @@
 func (d *Demand) candidates(hosts []Host, among []int, capacity resourcesFunc) ([]candidate, int) {
 	var list []candidate
 	total := 0
+	racks := rackShares(hosts, among, capacity)
 	for _, i := range among {
 		h := &hosts[i]
 		available := capacity(h)
@@ -237,12 +240,21 @@
 		}
 		total += n
 		list = append(list, candidate{
-			index: i, count: n, accelerators: available.Accelerators, avoid: d.Avoid[h.Node], sameRack: h.Rack == d.Rack,
+			index: i, count: n, share: available.MinShare(h.Total), rackShare: racks[h.Rack], avoid: d.Avoid[h.Node], sameRack: h.Rack == d.Rack,
 		})
 	}
 	return list, total
 }
 
+// rackShares returns how many hosts' worth of capacity is available in each rack.
+func rackShares(hosts []Host, among []int, capacity resourcesFunc) map[string]float64 {
+	shares := map[string]float64{}
+	for _, i := range among {
+		shares[hosts[i].Rack] += capacity(&hosts[i]).MinShare(hosts[i].Total)
+	}
+	return shares
+}
+
 // Evict returns the units to preempt so that the tasks fit, with the least loss
 // found, and a host for each task. It returns false if no choice of units frees
 // enough capacity.
