--- a/beryldirector/end.go
+++ b/beryldirector/end.go
@@ -157,8 +157,9 @@
 	d.failedOn[unit][a.report.Node] = true
 }
 
-// clearFailures deletes the hosts on which runs of a job failed.
+// clearFailures deletes the hosts on which runs of a job failed, and its preemptions.
 func (d *Director) clearFailures(j *berylbook.Job) {
+	d.cooldown.Forget(j.Work.ID + ".")
 	maps.DeleteFunc(d.failedOn, func(unit string, _ map[string]bool) bool {
 		return strings.HasPrefix(unit, j.Work.ID+".")
 	})
@@ -242,7 +243,7 @@
 		d.orderedAt[k] = now
 		return
 	}
-	if now.Sub(since) > _startTimeout {
+	if now.Sub(since) > d.Limits.startTimeout() {
 		d.note("start not confirmed", "task", ref.String(), "run", t.Run, "node", t.Incarnation.Node, "ms", now.Sub(since).Milliseconds())
 		t.Phase = berylbook.Stopping
 		if a != nil {
--- a/beryldirector/place.go
+++ b/beryldirector/place.go
@@ -16,6 +16,7 @@
 	if d.Policy == nil || (d.appending && now.Sub(d.appendedAt) > _maxAppendTime) {
 		return
 	}
+	d.urgentNeed = nil
 	units := d.pendingUnits(now)
 	if len(units) == 0 {
 		return
@@ -25,6 +26,8 @@
 	full := map[stepKey]bool{}
 	d.reservedUnits = 0
 	d.victims, d.endingRuns = nil, nil
+	clear(d.spare)
+	clear(d.pendingUrgent)
 	for i := range units {
 		u := &units[i]
 		step := stepKey{u.job, u.occurrence, u.step}
@@ -104,6 +107,9 @@
 // placeUnit starts a unit, or reserves capacity for it. It returns false if no
 // further tasks of the unit's step need be tried in this pass.
 func (d *Director) placeUnit(now time.Time, u *unit, hosts, known []berylfit.Host) bool {
+	if d.mayPostpone(u) && d.cooldown.Pausing(now, u.name()) {
+		return true
+	}
 	demand := demandOf(u.job, u.occurrence, u.step, len(u.tasks))
 	demand.Avoid = d.failedOn[u.name()]
 	demand.Exclude = len(demand.Avoid) > 0 && u.waited < _maxAvoidWait
@@ -114,9 +120,15 @@
 		demand.Spread = u.waited > d.rackWait(u) || (!d.justElected(now) && !demand.FitsOneRack(known))
 	}
 	if places, ok := demand.Place(hosts); ok {
+		if d.postpones(now, u, hosts) {
+			return false
+		}
 		d.start(now, u, hosts, places)
 		return true
 	}
+	if u.queue.Priority == 0 {
+		d.pendingUrgent[u.queue.Service] += u.share(d.hostSize(u.queue.Service))
+	}
 	if places, ok := demand.PlaceAfterStops(hosts); ok {
 		deductResources(hosts, places, &demand)
 		return true
@@ -129,6 +141,15 @@
 	return d.reserveOrPreempt(now, u, hosts, &demand) || demand.Exclude
 }
 
+// mayPostpone reports whether the unit can still be on time if it starts as much later as
+// it runs. It may then leave capacity to urgent work.
+func (d *Director) mayPostpone(u *unit) bool {
+	if u.queue.Priority == 0 || u.stepSpec().LongRunning {
+		return false
+	}
+	return u.latestStart.Sub(d.now) > d.declaredRunTime(u.job, u.step)
+}
+
 // justElected reports whether agents may not have reported to this leader yet.
 // Their free capacity is unknown, so nothing is preempted and no gang is spread over
 // racks for lack of capacity in one rack.
@@ -168,7 +189,7 @@
 	d.markDirty(u.job.Work.ID)
 	x := d.expect(u.job.Work, u.step)
 	d.note("start", "unit", u.name(), "run", run, "queue", u.queue.Name, "priority", u.queue.Priority,
-		"waited", u.waited.Milliseconds(), "nodes", nodes, "saved", tasks[u.tasks[0]].Checkpoint != "", "policy", d.Policy.Version,
+		"waited", u.waited.Milliseconds(), "slack", u.latestStart.Sub(now).Milliseconds(), "nodes", nodes, "saved", tasks[u.tasks[0]].Checkpoint != "", "policy", d.Policy.Version,
 		"expect", x.Median.Milliseconds(), "from", x.From, "declared", u.stepSpec().Estimate)
 }
 
@@ -184,9 +205,6 @@
 	// are often enough released at the same time.
 	_reserveAfter           = time.Second
 	_reserveMinAccelerators = 2
-	// _preemptionWindow covers the stop of runs, 400 ms at most, and the report of
-	// it.
-	_preemptionWindow = time.Second
 	// _maxReservations bounds the units that have a reservation at a time, because
 	// reserved capacity is idle.
 	_maxReservations = 3
@@ -206,20 +224,18 @@
 	// enough capacity.
 	_minRackWait = 2 * time.Second
 	_maxRackWait = 8 * time.Second
-	// _preemptionTime covers the stop of a run, 400 ms at most, and the start of
-	// another one.
-	_preemptionTime = 700 * time.Millisecond
 	// _slackShare is the share of a job's slack by its declared times that is used,
 	// because declared times are up to half too long.
 	_slackShare = 0.7
-	// _guaranteeWait is the longest wait of guaranteed work before preemption. It
-	// leaves time to stop and start runs within the 2.9 s in which such work has
-	// to start.
-	_guaranteeWait = 1300 * time.Millisecond
+	// _pathUncertainty is the share of a job's longest chain by which its slack may be
+	// too small: the due time grows with the chain, and declared times of urgent work
+	// are some 20 % off.
+	_pathUncertainty = 0.1
+	// _lateFactor is the time, as a multiple of the time until a job is due, after which
+	// its result is of no use to the client.
+	_lateFactor = 3
 	// _waveDivisor is the capacity divided by the width of one wave of a step.
 	_waveDivisor = 4
-	// _checkpointInterval is how often tasks save their progress.
-	_checkpointInterval = 2 * time.Second
 	// _coresPerAccelerator is the users' price of an accelerator in CPU cores.
 	_coresPerAccelerator = 8.0
 	// _minFaultScore is the score from which a host is avoided: one failed run of
--- a/beryldirector/preempt.go
+++ b/beryldirector/preempt.go
@@ -7,18 +7,23 @@
 
 	"berylglade/berylbook"
 	"berylglade/berylfit"
+	"berylglade/berylpreemption"
+	"berylglade/berylvictim"
 	"berylglade/berylwork"
 )
 
 // findVictims returns the units that may be preempted for work of priority zero, by
-// node.
-func (d *Director) findVictims(now time.Time) map[string][]berylfit.Victim {
+// node: those that were not preempted too often, or only those that were.
+func (d *Director) findVictims(now time.Time, protected bool) map[string][]berylfit.Victim {
 	victims := map[string][]berylfit.Victim{}
 	d.eachActive(func(s activeTask) {
 		q, ok := d.queueOf(s.job.Work)
 		if !ok || q.Priority == 0 || s.job.State.Final() || s.task.Phase == berylbook.Stopping || s.job.Work.Steps[s.ref.Step].LongRunning {
 			return
 		}
+		if d.cooldown.Protected(unitName(s.job, s.ref.Occurrence, s.ref.Step, s.ref.Index)) != protected {
+			return
+		}
 		node := s.task.Incarnation.Node
 		victims[node] = append(victims[node], d.victimOf(now, s.job, s.ref, s.task))
 	})
@@ -27,19 +32,35 @@
 
 func (d *Director) victimOf(now time.Time, j *berylbook.Job, ref berylwork.Ref, t *berylbook.Task) berylfit.Victim {
 	step := &j.Work.Steps[ref.Step]
-	lostSeconds := float64(now.UnixMilli()-t.OrderedAt) / 1000
-	if step.Checkpoints {
-		lostSeconds = min(lostSeconds, _checkpointInterval.Seconds())
-	}
-	weight := float64(step.Need.Millicores)/1000 + _coresPerAccelerator*float64(step.Need.Accelerators)
+	cores := float64(step.Need.Millicores)/1000 + _coresPerAccelerator*float64(step.Need.Accelerators)
 	if step.Gang {
-		weight *= float64(step.Count)
+		cores *= float64(step.Count)
+	}
+	v := berylvictim.Victim{
+		Cores:     cores,
+		Ran:       time.Duration(now.UnixMilli()-t.OrderedAt) * time.Millisecond,
+		Remaining: d.remainingTime(now, j, ref, t),
+		// A run that has not begun has nothing to save.
+		Checkpoints: step.Checkpoints && t.Phase == berylbook.Working,
+		Restore:     d.Limits.Restore,
+		Vacant:      d.Limits.preemptionTime(),
+		Slack:       d.slackOf(now, j, ref),
 	}
 	return berylfit.Victim{
 		Unit:      unitName(j, ref.Occurrence, ref.Step, ref.Index),
 		Resources: step.Resources(),
-		Loss:      lostSeconds * weight,
+		Loss:      v.Loss(),
+	}
+}
+
+// slackOf returns how much later than now a task may end and its job still be on time.
+func (d *Director) slackOf(now time.Time, j *berylbook.Job, ref berylwork.Ref) time.Duration {
+	q, ok := d.queueOf(j.Work)
+	if !ok {
+		return 0
 	}
+	estimate := time.Duration(j.Work.Steps[ref.Step].Estimate) * time.Millisecond
+	return d.latestStart(j, q, ref).Add(estimate).Sub(now)
 }
 
 // reserve reserves the capacity that is expected to be free soonest for a gang, or
@@ -54,24 +75,23 @@
 	if d.reuseReservation(now, u, hosts, demand) || d.searchedInVain(now, u) {
 		return
 	}
-	if d.endingRuns == nil {
-		d.endingRuns = d.findEndingRuns(now)
-	}
 	later := slices.Clone(hosts)
 	for i := range later {
-		later[i].Victims = d.endingRuns[later[i].Node]
+		later[i].Victims = d.currentEndingRuns(now)[later[i].Node]
 	}
-	_, places, ok := demand.Evict(later)
+	_, places, ok := demand.Earliest(later)
 	if !ok {
 		d.reservations[u.name()] = reservation{at: now}
 		return
 	}
-	d.addReservation(now, u, hosts, places, demand)
+	d.addReservation(reservation{at: now}, u, hosts, places, demand)
 }
 
 // reservation is the capacity that is reserved for a unit.
 type reservation struct {
 	at time.Time
+	// reason is why nothing was preempted for an urgent unit; empty if that was not due.
+	reason string
 	// nodes is empty if no capacity was found.
 	nodes []string
 }
@@ -83,8 +103,7 @@
 }
 
 // addReservation reserves capacity at places for a unit until the next search.
-func (d *Director) addReservation(now time.Time, u *unit, hosts []berylfit.Host, places []int, demand *berylfit.Demand) {
-	r := reservation{at: now}
+func (d *Director) addReservation(r reservation, u *unit, hosts []berylfit.Host, places []int, demand *berylfit.Demand) {
 	for _, i := range places {
 		r.nodes = append(r.nodes, hosts[i].Node)
 	}
@@ -117,57 +136,112 @@
 	return true
 }
 
-// findEndingRuns returns all runs by node. The loss of each is the time until its
-// end, multiplied by its accelerators.
+// findEndingRuns returns all running units by node. The loss of each is the time until its
+// end in seconds: that of its slowest member for a gang, as all members end together.
 func (d *Director) findEndingRuns(now time.Time) map[string][]berylfit.Victim {
 	ending := map[string][]berylfit.Victim{}
+	left := map[string]float64{}
 	d.eachActive(func(s activeTask) {
 		if s.task.Phase == berylbook.Stopping {
 			return
 		}
-		resources := s.job.Work.Steps[s.ref.Step].Resources()
 		node := s.task.Incarnation.Node
-		ending[node] = append(ending[node], berylfit.Victim{
-			Unit: s.name, Resources: resources,
-			Loss: d.remainingTime(now, s.job, s.ref, s.task).Seconds() * float64(max(resources.Accelerators, 1)),
-		})
+		unit := unitName(s.job, s.ref.Occurrence, s.ref.Step, s.ref.Index)
+		ending[node] = append(ending[node], berylfit.Victim{Unit: unit, Resources: s.job.Work.Steps[s.ref.Step].Resources()})
+		left[unit] = max(left[unit], d.remainingTime(now, s.job, s.ref, s.task).Seconds())
 	})
+	for _, units := range ending {
+		for i := range units {
+			units[i].Loss = left[units[i].Unit]
+		}
+	}
 	return ending
 }
 
-// reserveOrPreempt reserves the capacity that an urgent unit needs, and preempts the
-// runs that hold it once the unit can't wait any longer. It returns false if
-// preemption can't free enough capacity.
+// reserveOrPreempt reserves the capacity that is expected to be free soonest for an urgent
+// unit, or preempts runs if that pays. It returns false if no capacity was found.
 func (d *Director) reserveOrPreempt(now time.Time, u *unit, hosts []berylfit.Host, demand *berylfit.Demand) bool {
-	preempt := u.waited >= d.preemptAfter(u) && !d.justElected(now)
-	if !preempt && d.reuseReservation(now, u, hosts, demand) {
+	c := d.preemptionCase(u)
+	due := (c.Waited >= c.Patience || c.GuaranteeDue()) && !d.justElected(now)
+	decided := d.reservations[u.name()].reason != "" && !c.GuaranteeDue()
+	if (!due || decided) && d.reuseReservation(now, u, hosts, demand) {
 		return true
 	}
 	if d.searchedInVain(now, u) {
 		return false
 	}
+	for i := range hosts {
+		hosts[i].Victims = d.currentEndingRuns(now)[hosts[i].Node]
+	}
+	freeIn, places, ok := demand.Earliest(hosts)
+	c.FreeIn, c.Known = time.Duration(freeIn*float64(time.Second)), ok
+	r := reservation{at: now}
+	if due {
+		preempt, reason := c.Decide()
+		if preempt && d.tryPreempt(now, u, hosts, demand, c, reason) {
+			return true
+		}
+		d.noteNoPreemption(u, c, reason, preempt)
+		r.reason = reason
+	}
+	if !ok {
+		d.reservations[u.name()] = r
+		return false
+	}
+	d.addReservation(r, u, hosts, places, demand)
+	return true
+}
+
+// preemptionCase returns what is known of an urgent unit for the decision whether to
+// preempt runs for it, except for the time at which capacity comes free.
+func (d *Director) preemptionCase(u *unit) berylpreemption.Case {
+	return berylpreemption.Case{
+		Waited:         u.waited,
+		Patience:       d.preemptAfter(u),
+		Slack:          u.latestStart.Sub(d.now),
+		Uncertainty:    u.uncertainty(),
+		Guaranteed:     d.guaranteed(u),
+		GuaranteeWait:  d.Limits.guaranteeWait(),
+		PreemptionTime: d.Limits.preemptionTime(),
+	}
+}
+
+// noteNoPreemption logs why nothing is preempted for an urgent unit, once for each reason.
+func (d *Director) noteNoPreemption(u *unit, c berylpreemption.Case, reason string, wanted bool) {
+	if wanted {
+		reason = "no victims"
+	}
+	if d.reservations[u.name()].reason == reason {
+		return
+	}
+	d.note("preemption refused", "unit", u.name(), "reason", reason, "waited", c.Waited.Milliseconds(), "slack", c.Slack.Milliseconds(),
+		"freeIn", c.FreeIn.Milliseconds(), "known", c.Known, "guaranteed", c.Guaranteed)
+}
+
+// tryPreempt preempts the runs with the least loss that make enough capacity free for an
+// urgent unit. It returns false if there are none.
+func (d *Director) tryPreempt(now time.Time, u *unit, hosts []berylfit.Host, demand *berylfit.Demand, c berylpreemption.Case, reason string) bool {
 	if d.victims == nil {
-		d.victims = d.findVictims(now)
+		d.victims = d.findVictims(now, false)
 	}
 	for i := range hosts {
 		hosts[i].Victims = d.victims[hosts[i].Node]
 	}
 	units, places, ok := demand.Evict(hosts)
-	if !ok && d.guaranteed(u) {
+	if !ok && c.Guaranteed {
+		protected := d.findVictims(now, true)
 		reclaimable := d.findReclaimable(now, u.job.Work.Account)
 		for i := range hosts {
-			hosts[i].Victims = slices.Concat(hosts[i].Victims, reclaimable[hosts[i].Node])
+			node := hosts[i].Node
+			hosts[i].Victims = slices.Concat(hosts[i].Victims, protected[node], reclaimable[node])
 		}
 		units, places, ok = demand.Evict(hosts)
 	}
 	if !ok {
-		d.reservations[u.name()] = reservation{at: now}
 		return false
 	}
-	if !preempt {
-		d.addReservation(now, u, hosts, places, demand)
-		return true
-	}
+	d.note("preemption granted", "unit", u.name(), "reason", reason, "victims", len(units), "waited", c.Waited.Milliseconds(),
+		"slack", c.Slack.Milliseconds(), "freeIn", c.FreeIn.Milliseconds(), "known", c.Known, "guaranteed", c.Guaranteed)
 	d.preempt(u, hosts, units)
 	if !u.preemptedAt.Before(now) {
 		d.preemptedFor[u.name()] = now
@@ -176,46 +250,63 @@
 	return true
 }
 
+// currentEndingRuns returns the running units by node, as of the current placement pass.
+func (d *Director) currentEndingRuns(now time.Time) map[string][]berylfit.Victim {
+	if d.endingRuns == nil {
+		d.endingRuns = d.findEndingRuns(now)
+	}
+	return d.endingRuns
+}
+
 // preemptAfter returns how long an urgent unit waits for capacity that is released
 // without preemption. Preempted work is lost, so the unit waits as long as its job
 // can still meet its due time. Work within the client account's guarantee waits for
 // a bounded time.
 func (d *Director) preemptAfter(u *unit) time.Duration {
 	latest := u.due.Add(-time.Duration(u.criticalPath) * time.Millisecond)
-	slack := time.Duration(float64(latest.Sub(u.startableAt))*_slackShare) - _preemptionTime
+	slack := time.Duration(float64(latest.Sub(u.startableAt))*_slackShare) - d.Limits.preemptionTime()
 	if d.guaranteed(u) {
-		slack = min(slack, _guaranteeWait)
+		slack = min(slack, d.Limits.guaranteeWait())
 	}
 	return max(slack, 0)
 }
 
 // rackWait returns how long a gang waits for one rack with enough capacity. A gang
-// that is spread over racks runs three times as long, so that waiting for up to twice
-// its run time pays off. Guaranteed work has to start sooner.
+// that is spread over racks runs longer by the spread factor, so that waiting for the
+// difference pays off. Guaranteed work has to start sooner.
 func (d *Director) rackWait(u *unit) time.Duration {
 	if u.queue.Priority == 0 && d.guaranteed(u) {
 		return _minRackWait
 	}
-	extra := 2 * time.Duration(u.stepSpec().Estimate) * time.Millisecond
+	extra := time.Duration((d.Limits.SpreadFactor - 1) * float64(u.stepSpec().Estimate) * float64(time.Millisecond))
 	return min(max(extra, _minRackWait), _maxRackWait)
 }
 
 // guaranteed reports whether all urgent jobs of the unit's client account together
 // fit into its guarantee.
 func (d *Director) guaranteed(u *unit) bool {
-	limit := d.Policy.Guaranteed(u.job.Work.Account)
+	account := u.job.Work.Account
+	limit := d.Policy.Guaranteed(account)
 	if limit == 0 {
 		return false
 	}
-	need := 0
+	if d.urgentNeed == nil {
+		d.urgentNeed = d.findUrgentNeed()
+	}
+	return d.urgentNeed[account] <= limit
+}
+
+// findUrgentNeed returns how many accelerators the urgent jobs of each client account need.
+func (d *Director) findUrgentNeed() map[string]int {
+	need := map[string]int{}
 	for _, j := range d.liveJobs() {
 		q, ok := d.queueOf(j.Work)
-		if !ok || q.Priority != 0 || j.State.Final() || j.CancelledAt != 0 || j.Work.Account != u.job.Work.Account {
+		if !ok || q.Priority != 0 || j.State.Final() || j.CancelledAt != 0 {
 			continue
 		}
-		need += peakAccelerators(j.Work)
+		need[j.Work.Account] += peakAccelerators(j.Work)
 	}
-	return need <= limit
+	return need
 }
 
 // peakAccelerators returns the accelerators of the job's largest step.
@@ -231,6 +322,7 @@
 func (d *Director) preempt(u *unit, hosts []berylfit.Host, units []string) {
 	for _, name := range units {
 		d.note("preempt", "unit", name, "for", u.name(), "waited", u.waited.Milliseconds())
+		d.cooldown.Add(d.now, name)
 		d.stopUnit(name)
 		for i := range hosts {
 			for _, v := range hosts[i].Victims {
--- a/berylfit/fit.go
+++ b/berylfit/fit.go
@@ -41,8 +41,8 @@
 	Unit      string
 	Resources berylroom.Resources
 	// Loss is the cost of stopping the whole unit: the work that preemption
-	// discards, in core-seconds. A search for the capacity that is free soonest
-	// uses the time until the unit ends, times its accelerators, instead.
+	// discards, in core-seconds. [Demand.Earliest] takes the time until the unit
+	// ends, in seconds, instead.
 	Loss float64
 }
 
@@ -156,11 +156,10 @@
 // available capacity, so that whole racks stay free for larger gangs.
 func (d *Demand) inOneRack(hosts []Host, among []int, capacity resourcesFunc) ([]int, bool) {
 	racks := map[string][]int{}
-	available := map[string]int{}
 	for _, i := range among {
 		racks[hosts[i].Rack] = append(racks[hosts[i].Rack], i)
-		available[hosts[i].Rack] += capacity(&hosts[i]).Accelerators
 	}
+	available := rackShares(hosts, among, capacity)
 	names := make([]string, 0, len(racks))
 	for name := range racks {
 		names = append(names, name)
@@ -190,14 +189,16 @@
 // candidate is a host with capacity for some of the tasks.
 type candidate struct {
 	index, count int
-	// accelerators are the available ones.
-	accelerators    int
-	avoid, sameRack bool
+	// share is the share of the host that is available, by its scarcest resource, and
+	// rackShare the sum of the shares of its rack.
+	share, rackShare float64
+	avoid, sameRack  bool
 }
 
 // pack fills one host after the other. It prefers hosts with a lower fault score,
 // then hosts that need not be avoided, then those in the rack of the data, and then
-// those with the fewest available accelerators.
+// those of which the least is available. Among equal ones it takes those in the fullest
+// rack, so that whole racks stay free for gangs.
 func (d *Demand) pack(hosts []Host, among []int, capacity resourcesFunc) ([]int, bool) {
 	candidates, total := d.candidates(hosts, among, capacity)
 	if total < d.Count {
@@ -209,7 +210,8 @@
 			cmp.Compare(x.FaultScore, y.FaultScore),
 			cmp.Compare(boolToInt(a.avoid), boolToInt(b.avoid)),
 			-cmp.Compare(boolToInt(a.sameRack), boolToInt(b.sameRack)),
-			cmp.Compare(a.accelerators, b.accelerators),
+			cmp.Compare(a.share, b.share),
+			cmp.Compare(a.rackShare, b.rackShare),
 			cmp.Compare(x.Node, y.Node),
 		)
 	})
@@ -228,6 +230,7 @@
 func (d *Demand) candidates(hosts []Host, among []int, capacity resourcesFunc) ([]candidate, int) {
 	var list []candidate
 	total := 0
+	racks := rackShares(hosts, among, capacity)
 	for _, i := range among {
 		h := &hosts[i]
 		available := capacity(h)
@@ -237,12 +240,21 @@
 		}
 		total += n
 		list = append(list, candidate{
-			index: i, count: n, accelerators: available.Accelerators, avoid: d.Avoid[h.Node], sameRack: h.Rack == d.Rack,
+			index: i, count: n, share: available.MinShare(h.Total), rackShare: racks[h.Rack], avoid: d.Avoid[h.Node], sameRack: h.Rack == d.Rack,
 		})
 	}
 	return list, total
 }
 
+// rackShares returns how many hosts' worth of capacity is available in each rack.
+func rackShares(hosts []Host, among []int, capacity resourcesFunc) map[string]float64 {
+	shares := map[string]float64{}
+	for _, i := range among {
+		shares[hosts[i].Rack] += capacity(&hosts[i]).MinShare(hosts[i].Total)
+	}
+	return shares
+}
+
 // Evict returns the units to preempt so that the tasks fit, with the least loss
 // found, and a host for each task. It returns false if no choice of units frees
 // enough capacity.
@@ -261,6 +273,26 @@
 	return units, places, ok
 }
 
+// Earliest returns the time in seconds after which the tasks are expected to fit, and a
+// host for each task then. The Loss of each victim is the time until it ends. It returns
+// false if they don't fit when all victims have ended.
+func (d *Demand) Earliest(hosts []Host) (after float64, places []int, ok bool) {
+	after = math.Inf(1)
+	var ended []string
+	for _, among := range d.groups(hosts) {
+		subset, ends, order := d.unitsByLoss(hosts, among)
+		n := d.shortestPrefix(subset, order)
+		if n < len(order) && ends[order[n]] < after {
+			after, ended, ok = ends[order[n]], order[:n+1], true
+		}
+	}
+	if !ok {
+		return 0, nil, false
+	}
+	places, ok = d.placeWithout(hosts, ended)
+	return after, places, ok
+}
+
 // groups returns the sets of hosts that may take all tasks: each host for a
 // single task, each rack for tasks that need one rack, otherwise all hosts.
 func (d *Demand) groups(hosts []Host) [][]int {
@@ -291,38 +323,50 @@
 
 // evictAmong chooses units on the given hosts only.
 func (d *Demand) evictAmong(hosts []Host, among []int) (units []string, totalLoss float64, ok bool) {
-	loss := map[string]float64{}
-	subset := make([]Host, 0, len(among))
+	subset, loss, order := d.unitsByLoss(hosts, among)
+	n := d.shortestPrefix(subset, order)
+	if n == len(order) {
+		return nil, 0, false
+	}
+	units = d.prune(subset, order[:n+1])
+	for _, u := range units {
+		totalLoss += loss[u]
+	}
+	return units, totalLoss, true
+}
+
+// unitsByLoss returns the given hosts, and the units that may be preempted there with
+// their losses, the least first.
+func (d *Demand) unitsByLoss(hosts []Host, among []int) (subset []Host, loss map[string]float64, order []string) {
+	loss = map[string]float64{}
+	subset = make([]Host, 0, len(among))
 	for _, i := range among {
 		subset = append(subset, hosts[i])
 		if !d.Eligible(&hosts[i]) {
 			continue
 		}
 		for _, v := range hosts[i].Victims {
-			loss[v.Unit] = v.Loss
+			loss[v.Unit] = max(loss[v.Unit], v.Loss)
 		}
 	}
-	order := make([]string, 0, len(loss))
+	order = make([]string, 0, len(loss))
 	for u := range loss {
 		order = append(order, u)
 	}
 	slices.SortFunc(order, func(a, b string) int {
 		return cmp.Or(cmp.Compare(loss[a], loss[b]), cmp.Compare(a, b))
 	})
-	// More capacity never makes the tasks fit worse, so a binary search finds the
-	// shortest prefix that is enough.
-	n := sort.Search(len(order), func(i int) bool {
-		_, fits := d.placeWithout(subset, order[:i+1])
+	return subset, loss, order
+}
+
+// shortestPrefix returns the index of the last unit of the shortest prefix of order without
+// which the tasks fit; len(order) if they don't fit without all. More capacity never makes
+// the tasks fit worse, so that a binary search finds it.
+func (d *Demand) shortestPrefix(hosts []Host, order []string) int {
+	return sort.Search(len(order), func(i int) bool {
+		_, fits := d.placeWithout(hosts, order[:i+1])
 		return fits
 	})
-	if n == len(order) {
-		return nil, 0, false
-	}
-	units = d.prune(subset, order[:n+1])
-	for _, u := range units {
-		totalLoss += loss[u]
-	}
-	return units, totalLoss, true
 }
 
 // placeWithout places the tasks as if the units and the runs that are being stopped
