berylspeed: learn how fast each backend server runs tasks

Backend servers of one service differ in speed by up to 2.7 times on a deployment of ours, and the leader took them for equal: expected ends were wrong, gangs mixed fast and slow ones, urgent gangs got slow ones.

The rates of a step's tasks that run at the same time are compared; the median of few runs by VM gives the speed, on a scale whose median server is 1. Urgent gangs prefer fast servers, work that has time slow ones, and gangs get equals. Expected ends, the ratio of real to declared run times and the check for slow runs take the speed out. A rate three times below the speed is a fault, which the existing mark covers, and isn't learned.

--- a/beryldirector/director.go
+++ b/beryldirector/director.go
@@ -21,6 +21,7 @@
 	"berylglade/berylbook"
 	"berylglade/berylfit"
 	"berylglade/berylpolicy"
+	"berylglade/berylspeed"
 	"berylglade/berylstore"
 	"berylglade/berylwork"
 )
@@ -209,6 +210,8 @@
 	orderedAt map[runKey]time.Time
 	// waiting has the units that are ready to start, by their first task.
 	waiting map[berylwork.Ref]waiting
+	// speeds has the speeds of the backend servers. It is kept when the leadership ends.
+	speeds berylspeed.Table
 	// runTimeRatio is the moving average of real to declared run time, by queue.
 	runTimeRatio map[string]float64
 	// bestRunTime is the shortest run time that a task's rate has projected, and
@@ -315,6 +318,7 @@
 	d.moveFromLeaving(now)
 	if now.Sub(d.slowCheckedAt) >= _slowCheckInterval {
 		d.slowCheckedAt = now
+		d.learnSpeeds(now)
 		d.markSlowServers(now)
 		d.restartSlowUnits(now)
 	}
--- a/beryldirector/end.go
+++ b/beryldirector/end.go
@@ -118,7 +118,7 @@
 	if estimate <= 0 || t.Checkpoint != "" {
 		return
 	}
-	ratio := float64(now.UnixMilli()-t.OrderedAt) / float64(estimate)
+	ratio := float64(now.UnixMilli()-t.OrderedAt) * d.unitSpeed(now, j, ref) / float64(estimate)
 	old, ok := d.runTimeRatio[j.Work.Queue]
 	if !ok {
 		old = ratio
--- a/beryldirector/place.go
+++ b/beryldirector/place.go
@@ -69,6 +69,7 @@
 			Free:       r.Capacity.Sub(used[node]),
 			Releasing:  releasing[node],
 			FaultScore: d.faultScore(now, a),
+			Speed:      d.speeds.Speed(now, node),
 		})
 	}
 	slices.SortFunc(hosts, func(a, b berylfit.Host) int { return cmp.Compare(a.Node, b.Node) })
@@ -105,6 +106,7 @@
 // further tasks of the unit's step need be tried in this pass.
 func (d *Director) placeUnit(now time.Time, u *unit, hosts, known []berylfit.Host) bool {
 	demand := demandOf(u.job, u.occurrence, u.step, len(u.tasks))
+	demand.Prefer = preferredSpeed(now, u, hosts)
 	demand.Avoid = d.failedOn[u.name()]
 	demand.Exclude = len(demand.Avoid) > 0 && u.waited < _maxAvoidWait
 	if demand.Exclude && !demand.FitsOneRack(known) {
@@ -167,7 +169,8 @@
 	}
 	d.markDirty(u.job.Work.ID)
 	d.note("start", "unit", u.name(), "run", run, "queue", u.queue.Name, "priority", u.queue.Priority,
-		"waited", u.waited.Milliseconds(), "nodes", nodes, "saved", tasks[u.tasks[0]].Checkpoint != "", "policy", d.Policy.Version)
+		"waited", u.waited.Milliseconds(), "nodes", nodes,
+		"speed", round(placesSpeed(hosts, places)), "saved", tasks[u.tasks[0]].Checkpoint != "", "policy", d.Policy.Version)
 }
 
 const (
--- a/beryldirector/progress.go
+++ b/beryldirector/progress.go
@@ -18,6 +18,8 @@
 	// advancedAt is when the progress last increased, to progress.
 	advancedAt time.Time
 	progress   float64
+	// firstProgress is the progress at firstListed.
+	firstProgress float64
 	// rate is the progress in percent per second, measured over spans of about a
 	// second; zero while unknown.
 	rate float64
@@ -32,7 +34,7 @@
 	t.lastListed = now
 	if t.firstListed.IsZero() {
 		t.firstListed, t.rateFrom, t.advancedAt = now, now, now
-		t.rateBase, t.progress = progress, progress
+		t.rateBase, t.progress, t.firstProgress = progress, progress, progress
 		return
 	}
 	if progress > t.progress {
@@ -110,8 +112,8 @@
 	a.progress = progress
 }
 
-// expectedRunTime returns the run time of a task on a healthy backend server: the
-// median of its running siblings, or the best of the task itself. It returns false
+// expectedRunTime returns the run time of a task on a healthy backend server of the usual
+// speed: the median of its running siblings, or the best of the task itself. It returns false
 // if neither is known. Declared times can be wrong by a factor of ten.
 func (d *Director) expectedRunTime(j *berylbook.Job, ref berylwork.Ref) (time.Duration, bool) {
 	step := stepKey{j, ref.Occurrence, ref.Step}
@@ -140,7 +142,7 @@
 		sibling.Index = i
 		p := a.progressOf(berylreport.Key{Task: sibling.String(), Run: t.Run})
 		if total := p.runTime(); total > 0 && p.stalledFor(d.now) < _stallTimeout {
-			totals = append(totals, total)
+			totals = append(totals, atUsualSpeed(total, d.unitSpeed(d.now, j, sibling)))
 		}
 	}
 	if len(totals) < _minSiblings {
@@ -151,9 +153,9 @@
 }
 
 // updateBestRunTime updates the shortest projected run time of a task over all of
-// its runs.
-func (d *Director) updateBestRunTime(ref berylwork.Ref, p *runProgress) {
-	total := p.runTime()
+// its runs, on a backend server of the usual speed. Speed is that of the present run.
+func (d *Director) updateBestRunTime(ref berylwork.Ref, p *runProgress, speed float64) {
+	total := atUsualSpeed(p.runTime(), speed)
 	if total <= 0 {
 		return
 	}
@@ -183,7 +185,7 @@
 	if !ok {
 		total = d.declaredRunTime(j, ref.Step)
 	}
-	return p.remaining(now, total)
+	return p.remaining(now, atSpeed(total, d.unitSpeed(now, j, ref)))
 }
 
 // markSlowServers marks the backend servers that have a run which is stalled or far
@@ -208,9 +210,10 @@
 	if p.stalledFor(now) > _stallTimeout {
 		return true
 	}
-	d.updateBestRunTime(ref, p)
+	speed := d.unitSpeed(now, j, ref)
+	d.updateBestRunTime(ref, p, speed)
 	expected, ok := d.expectedRunTime(j, ref)
-	return ok && p.runTime().Seconds() > _slowFactor*expected.Seconds()
+	return ok && p.runTime().Seconds() > _slowFactor*atSpeed(expected, speed).Seconds()
 }
 
 // restartSlowUnits restarts units on slow backend servers that would end sooner
@@ -289,14 +292,16 @@
 		p := d.agents[t.Incarnation.Node].progressOf(berylreport.Key{Task: ref.String(), Run: t.Run})
 		newRun = time.Duration((_complete-p.progress)/_complete*float64(newRun)) + _checkpointInterval
 	}
-	if left < time.Duration(_restartGain*float64(newRun))+_restartCost {
-		return
-	}
 	demand := demandOf(j, ref.Occurrence, ref.Step, count)
+	demand.Prefer = berylfit.PreferFast
 	places, ok := demand.Place(sound)
 	if !ok {
 		return
 	}
+	newRun = atSpeed(newRun, placesSpeed(sound, places))
+	if left < time.Duration(_restartGain*float64(newRun))+_restartCost {
+		return
+	}
 	deductResources(sound, places, &demand)
 	name := unitName(j, ref.Occurrence, ref.Step, ref.Index)
 	d.note("rescue", "unit", name, "node", t.Incarnation.Node, "left", left.Milliseconds(), "fresh", newRun.Milliseconds(), "saved", t.Checkpoint != "")
--- a/beryldirector/unit.go
+++ b/beryldirector/unit.go
@@ -298,7 +298,7 @@
 	spec := &j.Work.Steps[step]
 	return berylfit.Demand{
 		Count: count, Resources: spec.Resources(), Label: spec.Label, Rack: spec.Rack,
-		OneRack: spec.OneRack, MaxPerHost: spec.MaxPerHost, Present: tasksPerNode(j.Tasks[occurrence][step]),
+		OneRack: spec.OneRack, Together: spec.Gang, MaxPerHost: spec.MaxPerHost, Present: tasksPerNode(j.Tasks[occurrence][step]),
 	}
 }
 
--- a/berylfit/fit.go
+++ b/berylfit/fit.go
@@ -32,6 +32,8 @@
 	// FaultScore is higher for hosts that are slow or where tasks have failed; zero
 	// for a healthy host.
 	FaultScore float64
+	// Speed is the speed of the host relative to the usual one; zero if it is unknown.
+	Speed float64
 }
 
 // Victim is the part on one host of a unit that can be preempted: a task, or
@@ -67,6 +69,10 @@
 	Avoid map[string]bool
 	// Exclude means that the hosts to avoid are not tried at all.
 	Exclude bool
+	// Prefer chooses among hosts of different speeds.
+	Prefer SpeedPreference
+	// Together means that the tasks end with the slowest of them.
+	Together bool
 }
 
 // Eligible reports whether the host has the required label and is not excluded.
@@ -116,6 +122,9 @@
 // gang that failed because of one host could return to the same rack while
 // another rack has free capacity.
 func (d *Demand) search(hosts []Host, capacity resourcesFunc) ([]int, bool) {
+	if places, ok := d.searchEqual(hosts, capacity); ok {
+		return places, true
+	}
 	if d.OneRack && d.Count > 1 {
 		trusted := d.trusted(hosts)
 		places, ok := d.inOneRack(hosts, trusted, capacity)
@@ -196,8 +205,8 @@
 }
 
 // pack fills one host after the other. It prefers hosts with a lower fault score,
-// then hosts that need not be avoided, then those in the rack of the data, and then
-// those with the fewest available accelerators.
+// then hosts that need not be avoided, then those in the rack of the data, then those of
+// the preferred speed, and then those with the fewest available accelerators.
 func (d *Demand) pack(hosts []Host, among []int, capacity resourcesFunc) ([]int, bool) {
 	candidates, total := d.candidates(hosts, among, capacity)
 	if total < d.Count {
@@ -209,6 +218,7 @@
 			cmp.Compare(x.FaultScore, y.FaultScore),
 			cmp.Compare(boolToInt(a.avoid), boolToInt(b.avoid)),
 			-cmp.Compare(boolToInt(a.sameRack), boolToInt(b.sameRack)),
+			d.compareSpeed(x, y),
 			cmp.Compare(a.accelerators, b.accelerators),
 			cmp.Compare(x.Node, y.Node),
 		)
