beryloutlook: reject what is known not to be servable

A job that can't be of use any more because of everything ahead of it was accepted and kept until its client gave up, as was a job of a shape that no backend server has.

The leader sums up the room and the work ahead every 0.5 s, and sends the summary with its reply to each record. An entry rejects a job as not run if it exceeds three times its objective although the work ahead takes only half of the expected time, or if it fits nowhere while all backend servers are known. Jobs within a guarantee, scheduled and long-running ones are accepted, and so is everything without a summary of the present leader that is younger than 3 s.

Before a rejection the entry reads the topic, so that a job which another entry has accepted is known, and it never rejects a job of which an earlier submission had no outcome. Rejected clients are told to return one after the other.

--- a/beryldirector/director.go
+++ b/beryldirector/director.go
@@ -20,6 +20,7 @@
 
 	"berylglade/berylbook"
 	"berylglade/berylfit"
+	"berylglade/beryloutlook"
 	"berylglade/berylpolicy"
 	"berylglade/berylspeed"
 	"berylglade/berylstore"
@@ -212,6 +213,9 @@
 	waiting map[berylwork.Ref]waiting
 	// speeds has the speeds of the backend servers. It is kept when the leadership ends.
 	speeds berylspeed.Table
+	// outlook is the newest summary of the load, which was made at outlookAt.
+	outlook   *beryloutlook.Outlook
+	outlookAt time.Time
 	// runTimeRatio is the moving average of real to declared run time, by queue.
 	runTimeRatio map[string]float64
 	// bestRunTime is the shortest run time that a task's rate has projected, and
--- a/berylgateway/gateway.go
+++ b/berylgateway/gateway.go
@@ -77,6 +77,8 @@
 	// peers holds the addresses of the entries; nextPeer selects them round-robin.
 	peers    atomic.Pointer[[]string]
 	nextPeer atomic.Uint32
+	// outlook is the newest summary of the load that this entry has made or received.
+	outlook atomic.Pointer[datedOutlook]
 	// leaderRetryAt is the time, in Unix milliseconds, before which no record is
 	// sent to the leader, because it did not answer.
 	leaderRetryAt atomic.Int64
@@ -110,6 +112,7 @@
 	g.Intake = &berylintake.Intake{
 		View: g.View, Producer: g.producer, Clock: cfg.Clock, Log: cfg.Log,
 		Refresh: func() { g.jobs.Refresh() }, Append: g.appendRecord, Forward: g.forward,
+		Outlook: g.currentOutlook, Entries: func() int { return len(*g.peers.Load()) }, CountDecision: cfg.CountDecision,
 	}
 	g.ctx, g.stop = context.WithCancel(context.Background())
 	g.jobs = &berylfollower.Follower{
@@ -275,6 +278,9 @@
 		}
 	}
 	g.leading.Store(g.director.Leading())
+	if o, madeAt := g.director.Outlook(now); o != nil {
+		g.outlook.Store(&datedOutlook{outlook: o, madeAt: madeAt})
+	}
 	for node, o := range g.director.Orders(now) {
 		addr, via := g.director.Addr(node)
 		go g.sendOrders(addr, via, node, o)
--- a/berylgateway/record.go
+++ b/berylgateway/record.go
@@ -54,8 +54,9 @@
 // serveRecord registers the method with which other entries send records to the
 // leader.
 func (g *Gateway) serveRecord(s *berylrpc.Server) {
-	berylrpc.Handle(s, methodRecord, func(ctx context.Context, r *berylstore.Record) (*empty, error) {
-		return &empty{}, g.appendAsLeader(ctx, *r)
+	berylrpc.Handle(s, methodRecord, func(ctx context.Context, r *berylstore.Record) (*recorded, error) {
+		err := g.appendAsLeader(ctx, *r)
+		return g.recordedReply(g.cfg.Clock()), err
 	})
 }
 
@@ -105,7 +106,10 @@
 	if c.Addr == "" || c.Resigned {
 		return berylerror.NotRun.Errorf("no leader is known")
 	}
-	_, err := berylrpc.Call[berylstore.Record, empty](ctx, g.client, c.Addr, methodRecord, &r)
+	reply, err := berylrpc.Call[berylstore.Record, recorded](ctx, g.client, c.Addr, methodRecord, &r)
+	if err == nil {
+		g.noteRecorded(g.cfg.Clock(), reply)
+	}
 	return err
 }
 
--- /dev/null
+++ b/berylintake/admit.go
@@ -0,0 +1,119 @@
+package berylintake
+
+import (
+	"context"
+	"time"
+
+	"berylglade/beryloutlook"
+)
+
+// admission is what an entry remembers of the submissions that it has answered. It is not
+// safe for concurrent use.
+type admission struct {
+	// unknown has the jobs with a submission of unknown outcome, and since when.
+	unknown map[string]time.Time
+	// returnsAt is when the room is free for the next client that is told to return.
+	returnsAt time.Time
+}
+
+// noteUnknown notes that the submission of a job may have been recorded.
+func (a *admission) noteUnknown(now time.Time, job string) {
+	if a.unknown == nil {
+		a.unknown = map[string]time.Time{}
+	}
+	for id, at := range a.unknown {
+		if now.Sub(at) > _unknownTTL {
+			delete(a.unknown, id)
+		}
+	}
+	a.unknown[job] = now
+}
+
+// mayReject reports whether a submission of the job can be called not run: no earlier one
+// may have been recorded unnoticed.
+func (a *admission) mayReject(now time.Time, job string) bool {
+	at, ok := a.unknown[job]
+	return len(a.unknown) < _maxUnknown && (!ok || now.Sub(at) > _unknownTTL)
+}
+
+// returnAfter returns when the client of a rejected job should return. Each of them gets the
+// time in which the entry's share of the room is free for its job, so that they return one
+// after the other.
+func (a *admission) returnAfter(now time.Time, r *beryloutlook.Rejection, entries int) time.Duration {
+	at := now.Add(max(r.Wait, _retryAfter))
+	if a.returnsAt.After(at) {
+		at = a.returnsAt
+	}
+	a.returnsAt = at.Add(min(r.Room*time.Duration(max(entries, 1)), _maxSpread))
+	if limit := now.Add(_maxSpread); a.returnsAt.After(limit) {
+		a.returnsAt = limit
+	}
+	return at.Sub(now)
+}
+
+// checkLoad returns a rejection if the load makes the submitted job useless, as far as the
+// leader's summary tells, and no submission of it has been or may have been recorded. It
+// reads the jobs' topic first, so that a job that another entry has accepted is known.
+func (i *Intake) checkLoad(ctx context.Context, now time.Time, r Request, f *Facts) *beryloutlook.Rejection {
+	if i.Outlook == nil || f.Job.Known || storeUnreachable(*f) || f.AppendsFailing > 0 {
+		return nil
+	}
+	o, age := i.Outlook(now)
+	policy, _ := i.View.Policy()
+	if o == nil || policy == nil {
+		return nil
+	}
+	rejection := o.Check(age, beryloutlook.Request{Work: r.Work, Queue: r.Queue, Account: r.Account, Guaranteed: policy.Guaranteed(r.Account)})
+	if rejection == nil || !i.rejectable(now, r.ID) {
+		return nil
+	}
+	confirmed := i.confirm(ctx, now)
+	f.Job = i.View.Job(r.ID)
+	if !confirmed || f.Job.Known {
+		return nil
+	}
+	i.Log.Info("reject", "job", r.ID, "queue", r.Queue.Name, "priority", r.Queue.Priority, "account", r.Account,
+		"why", rejection.Reason, "wait", rejection.Wait.Milliseconds(), "room", rejection.Room.Milliseconds(),
+		"epoch", o.Epoch, "age", age.Milliseconds())
+	if i.CountDecision != nil {
+		i.CountDecision("reject")
+	}
+	return rejection
+}
+
+func (i *Intake) rejectable(now time.Time, job string) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.admission.mayReject(now, job)
+}
+
+// returnAfter returns when the client of a rejected job should return.
+func (i *Intake) returnAfter(now time.Time, r *beryloutlook.Rejection) time.Duration {
+	entries := 1
+	if i.Entries != nil {
+		entries = i.Entries()
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.admission.returnAfter(now, r, entries)
+}
+
+// noteOutcome notes a submission that may have been recorded.
+func (i *Intake) noteOutcome(now time.Time, r Request, unknown bool) {
+	if r.Verb != Submit || !unknown {
+		return
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.admission.noteUnknown(now, r.ID)
+}
+
+const (
+	// _unknownTTL is how long a job whose submission had no outcome is not rejected:
+	// longer than clients retry, and than the store may carry out an append late.
+	_unknownTTL = time.Minute
+	// _maxUnknown is the number of such jobs from which nothing is rejected.
+	_maxUnknown = 4096
+	// _maxSpread bounds the time over which rejected clients return.
+	_maxSpread = time.Minute
+)
--- a/berylintake/intake.go
+++ b/berylintake/intake.go
@@ -10,11 +10,13 @@
 	"fmt"
 	"log/slog"
 	"strings"
+	"sync"
 	"time"
 
 	"berylglade/berylbook"
 	"berylglade/berylclock"
 	"berylglade/berylerror"
+	"berylglade/beryloutlook"
 	"berylglade/berylpolicy"
 	"berylglade/berylproducer"
 	"berylglade/berylstore"
@@ -90,6 +92,10 @@
 	Confirmed bool
 	// Waiting is the number of waiting jobs of the queue.
 	Waiting int
+	// Rejection is set if the load makes a submitted job useless, and the job is
+	// confirmed not to be known. RetryAfter is when its client should return.
+	Rejection  *beryloutlook.Rejection
+	RetryAfter time.Duration
 	// AppendsFailing is for how long appends to the store have failed, and
 	// ReadsFailing for how long reads have.
 	AppendsFailing, ReadsFailing time.Duration
@@ -146,6 +152,8 @@
 		return reject("this entry has no current state of the jobs")
 	case f.AppendsFailing > _rejectAfter:
 		return Answer{Reply{Kind: berylerror.NotRun, Reason: "store does not accept records", RetryAfter: retryAfter(f.AppendsFailing)}}
+	case f.Rejection != nil:
+		return Answer{Reply{Kind: berylerror.NotRun, Reason: f.Rejection.Reason, RetryAfter: f.RetryAfter}}
 	default:
 		return Record{}
 	}
@@ -197,6 +205,16 @@
 	// Forward forwards a request to another entry; nil if there is none. An error
 	// of kind NotRun means that no entry has recorded anything.
 	Forward func(ctx context.Context, r Request) (Reply, error)
+	// Outlook returns the leader's newest summary of the load and its age; nil if there is
+	// none.
+	Outlook func(now time.Time) (*beryloutlook.Outlook, time.Duration)
+	// Entries returns the number of entries.
+	Entries func() int
+	// CountDecision increments the counter of the decision with the given log message.
+	CountDecision func(decision string)
+
+	mu        sync.Mutex
+	admission admission
 }
 
 // Serve answers one request, through another entry if this one does not reach
@@ -222,6 +240,7 @@
 	if reply.Kind == berylerror.NotRun && berylerror.Of(err) != berylerror.NotRun {
 		reply = Reply{Kind: berylerror.Unknown, Reason: "another entry did not answer: " + err.Error()}
 	}
+	i.noteOutcome(now, r, reply.Kind == berylerror.Unknown)
 	return reply
 }
 
@@ -240,6 +259,7 @@
 		reply = s.Reply
 	case Record:
 		reply = i.record(ctx, now, r)
+		i.noteOutcome(now, r, reply.Kind == berylerror.Unknown)
 	}
 	i.log(now, r, facts, reply, "here")
 	return reply
@@ -257,6 +277,11 @@
 	if r.Verb == Count {
 		f.Waiting, f.Job.At = i.View.Waiting(r.Queue.Name)
 	}
+	if r.Verb == Submit {
+		if f.Rejection = i.checkLoad(ctx, now, r, &f); f.Rejection != nil {
+			f.RetryAfter = i.returnAfter(now, f.Rejection)
+		}
+	}
 	return f
 }
 
