--- a/beryldirector/preempt.go
+++ b/beryldirector/preempt.go
@@ -152,13 +152,13 @@
 	for i := range hosts {
 		hosts[i].Victims = d.victims[hosts[i].Node]
 	}
-	units, places, ok := demand.Evict(hosts)
+	units, places, ok := evictInTime(now, u, hosts, demand)
 	if !ok && d.guaranteed(u) {
 		reclaimable := d.findReclaimable(now, u.job.Work.Account)
 		for i := range hosts {
 			hosts[i].Victims = slices.Concat(hosts[i].Victims, reclaimable[hosts[i].Node])
 		}
-		units, places, ok = demand.Evict(hosts)
+		units, places, ok = evictInTime(now, u, hosts, demand)
 	}
 	if !ok {
 		d.reservations[u.name()] = reservation{at: now}
--- a/beryldirector/speed.go
+++ b/beryldirector/speed.go
@@ -136,6 +136,20 @@
 	return berylfit.PreferFast
 }
 
+// evictInTime chooses what to preempt for an urgent unit: on hosts that are fast enough for
+// it to be in time if it can, as on others the preempted work would be lost for nothing.
+func evictInTime(now time.Time, u *unit, hosts []berylfit.Host, demand *berylfit.Demand) (units []string, places []int, ok bool) {
+	fast := *demand
+	path, left := u.due.Sub(u.latestStart), u.due.Sub(now)-_preemptionTime
+	if path > 0 && left > 0 {
+		fast.MinSpeed = path.Seconds() / left.Seconds()
+		if units, places, ok = fast.Evict(hosts); ok {
+			return units, places, true
+		}
+	}
+	return demand.Evict(hosts)
+}
+
 const (
 	// _minRateSpan is the span from which a rate is compared with others: progress is
 	// listed in whole percents.
--- a/berylfit/fit.go
+++ b/berylfit/fit.go
@@ -71,15 +71,20 @@
 	Exclude bool
 	// Prefer chooses among hosts of different speeds.
 	Prefer SpeedPreference
+	// MinSpeed excludes hosts that are slower; zero for none.
+	MinSpeed float64
 	// Together means that the tasks end with the slowest of them.
 	Together bool
 }
 
-// Eligible reports whether the host has the required label and is not excluded.
+// Eligible reports whether the host has the required label and speed and is not excluded.
 func (d *Demand) Eligible(h *Host) bool {
 	if d.Exclude && d.Avoid[h.Node] {
 		return false
 	}
+	if h.Speed > 0 && h.Speed < d.MinSpeed {
+		return false
+	}
 	return d.Label == "" || slices.Contains(h.Labels, d.Label)
 }
 
