--- a/beryldirector/director.go
+++ b/beryldirector/director.go
@@ -23,7 +23,9 @@
 	"berylglade/berylestimator"
 	"berylglade/berylfit"
 	"berylglade/berylheadroom"
+	"berylglade/beryloutlook"
 	"berylglade/berylpolicy"
+	"berylglade/berylspeed"
 	"berylglade/berylstore"
 	"berylglade/berylwork"
 )
@@ -271,6 +273,11 @@
 	unsavedRuns     int
 	runTimesSavedAt time.Time
 	savedEpoch      int64
+	// speeds has the speeds of the backend servers. It is kept when the leadership ends.
+	speeds berylspeed.Table
+	// outlook is the newest summary of the load, which was made at outlookAt.
+	outlook   *beryloutlook.Outlook
+	outlookAt time.Time
 	// bestRunTime is the shortest run time that a task's rate has projected, and
 	// restarts counts how often a unit was restarted for being slow.
 	bestRunTime map[berylwork.Ref]time.Duration
@@ -378,6 +385,7 @@
 	d.moveFromLeaving(now)
 	if now.Sub(d.slowCheckedAt) >= _slowCheckInterval {
 		d.slowCheckedAt = now
+		d.learnSpeeds(now)
 		d.markSlowServers(now)
 		d.restartSlowUnits(now)
 	}
--- a/beryldirector/place.go
+++ b/beryldirector/place.go
@@ -72,6 +72,7 @@
 			Free:       r.Capacity.Sub(used[node]),
 			Releasing:  releasing[node],
 			FaultScore: d.faultScore(now, a),
+			Speed:      d.speeds.Speed(now, node),
 		})
 	}
 	slices.SortFunc(hosts, func(a, b berylfit.Host) int { return cmp.Compare(a.Node, b.Node) })
@@ -111,6 +112,7 @@
 		return true
 	}
 	demand := demandOf(u.job, u.occurrence, u.step, len(u.tasks))
+	demand.Prefer = preferredSpeed(now, u, hosts)
 	demand.Avoid = d.failedOn[u.name()]
 	demand.Exclude = len(demand.Avoid) > 0 && u.waited < _maxAvoidWait
 	if demand.Exclude && !demand.FitsOneRack(known) {
@@ -189,7 +191,8 @@
 	d.markDirty(u.job.Work.ID)
 	x := d.expect(u.job.Work, u.step)
 	d.note("start", "unit", u.name(), "run", run, "queue", u.queue.Name, "priority", u.queue.Priority,
-		"waited", u.waited.Milliseconds(), "slack", u.latestStart.Sub(now).Milliseconds(), "nodes", nodes, "saved", tasks[u.tasks[0]].Checkpoint != "", "policy", d.Policy.Version,
+		"waited", u.waited.Milliseconds(), "slack", u.latestStart.Sub(now).Milliseconds(), "nodes", nodes,
+		"speed", round(placesSpeed(hosts, places)), "saved", tasks[u.tasks[0]].Checkpoint != "", "policy", d.Policy.Version,
 		"expect", x.Median.Milliseconds(), "from", x.From, "declared", u.stepSpec().Estimate)
 }
 
--- a/beryldirector/preempt.go
+++ b/beryldirector/preempt.go
@@ -227,7 +227,7 @@
 	for i := range hosts {
 		hosts[i].Victims = d.victims[hosts[i].Node]
 	}
-	units, places, ok := demand.Evict(hosts)
+	units, places, ok := d.evictInTime(now, u, hosts, demand)
 	if !ok && c.Guaranteed {
 		protected := d.findVictims(now, true)
 		reclaimable := d.findReclaimable(now, u.job.Work.Account)
@@ -235,7 +235,7 @@
 			node := hosts[i].Node
 			hosts[i].Victims = slices.Concat(hosts[i].Victims, protected[node], reclaimable[node])
 		}
-		units, places, ok = demand.Evict(hosts)
+		units, places, ok = d.evictInTime(now, u, hosts, demand)
 	}
 	if !ok {
 		return false
--- a/beryldirector/runtime.go
+++ b/beryldirector/runtime.go
@@ -20,8 +20,6 @@
 
 func (RunTimeSeen) effect() {}
 
-// _nominalSpeed is the speed of a backend server whose speed is unknown.
-const _nominalSpeed = 1.0
 
 // taskOf returns what is known of the tasks of a step before they run.
 func (d *Director) taskOf(w *berylwork.Work, step int) berylestimator.Task {
@@ -74,7 +72,7 @@
 	}
 	x := d.expect(j.Work, ref.Step)
 	d.effects = append(d.effects, RunTimeSeen{Queue: j.Work.Queue, From: x.From, Took: took, Expected: x.Median})
-	d.runTimes.Add(now, d.taskOf(j.Work, ref.Step), berylestimator.Run{Took: took, Speed: _nominalSpeed})
+	d.runTimes.Add(now, d.taskOf(j.Work, ref.Step), berylestimator.Run{Took: took, Speed: d.unitSpeed(now, j, ref)})
 	d.unsavedRuns++
 }
 
@@ -90,7 +88,7 @@
 		return
 	}
 	took := p.lastListed.Sub(time.UnixMilli(t.OrderedAt))
-	d.runTimes.Add(now, d.taskOf(j.Work, ref.Step), berylestimator.Run{Took: took, Speed: _nominalSpeed, Cut: true})
+	d.runTimes.Add(now, d.taskOf(j.Work, ref.Step), berylestimator.Run{Took: took, Speed: d.unitSpeed(now, j, ref), Cut: true})
 }
 
 // awayFromData reports whether a run is slower than a run of its step in one rack with
