beryldirector: preempt before the slack is used up

Urgent units waited for 0.7 of their slack by declared times. They wait for 0.35 of it now, unless capacity comes free in time.

TestNoPreemptionWithoutGain: the run that is about to end does so.

--- a/beryldirector/place.go
+++ b/beryldirector/place.go
@@ -222,9 +222,10 @@
 	// enough capacity.
 	_minRackWait = 2 * time.Second
 	_maxRackWait = 8 * time.Second
-	// _slackShare is the share of a job's slack by its declared times that is used,
-	// because declared times are up to half too long.
-	_slackShare = 0.7
+	// _slackShare is the share of a job's slack by its declared times for which an urgent
+	// unit waits for capacity: its tasks may take a third longer than declared, and as
+	// much longer again on a slow backend server.
+	_slackShare = 0.35
 	// _pathUncertainty is the share of a job's longest chain by which its slack may be
 	// too small: the due time grows with the chain, and declared times of urgent work
 	// are some 20 % off.
