--- a/beryllistener/listener.go
+++ b/beryllistener/listener.go
@@ -83,17 +83,16 @@
 // open returns nil if there is no room for the connection.
 func (l *Listener) open(inner net.Conn) *conn {
 	address, _, _ := net.SplitHostPort(inner.RemoteAddr().String())
-	var id uint64
+	c := &conn{Conn: inner, listener: l, head: true}
 	if !l.await(func() (d berylquota.Decision) {
-		id, d = l.quota.Open(l.cfg.Clock(), address)
+		c.id, d = l.quota.Open(l.cfg.Clock(), address)
+		if d.Granted {
+			l.conns[c.id] = c
+		}
 		return d
 	}) {
 		return nil
 	}
-	c := &conn{Conn: inner, listener: l, id: id, head: true}
-	l.mu.Lock()
-	l.conns[id] = c
-	l.mu.Unlock()
 	return c
 }
 
@@ -103,7 +102,7 @@
 }
 
 // await asks for a reservation until it is granted or refused, or _grantTimeout has
-// passed. It closes the connections that the quota selects.
+// passed. It closes the connections that the quota selects. It calls ask with mu held.
 func (l *Listener) await(ask func() berylquota.Decision) bool {
 	var timeout <-chan time.Time
 	for {
--- a/berylsite/budgets.go
+++ b/berylsite/budgets.go
@@ -25,7 +25,7 @@
 		heap:          max(s.Memory-_otherMemory, s.Memory/2),
 		clients:       berylquota.NewLimits(s.Memory/_clientMemoryShare, conns/_clientConnShare),
 		service:       berylquota.NewLimits(s.Memory/_serviceMemoryShare, max(_minServiceConns, conns/_serviceConnShare)),
-		internalConns: conns / _internalConnShare,
+		internalConns: conns * 3 / _internalConnShare,
 	}
 }
 
@@ -59,13 +59,14 @@
 	// and the buffers of the kernel.
 	_otherMemory = 24 << 20
 	// Each share is one part in so many of the VM's memory, or of the descriptors that
-	// connections may use. There are three service listeners at most. The rest of the
-	// descriptors is for calls to the store, to other processes and to backend
-	// servers.
+	// connections may use; the internal listener has three of its parts, as each agent
+	// has a connection to the leader. There are three service listeners at most. The
+	// rest of the descriptors is for calls to the store, to other processes and to
+	// backend servers.
 	_clientMemoryShare  = 4
 	_serviceMemoryShare = 16
-	_clientConnShare    = 2
-	_internalConnShare  = 4
+	_clientConnShare    = 4
+	_internalConnShare  = 8
 	_serviceConnShare   = 32
 	_minServiceConns    = 16
 )
