beryllistener, berylquota: trailers, long paths and small VMs

The trailer of a chunked body was not charged and stayed with the request: at 4 KiB of short lines some 0.3 MB a connection. It is dropped when it was read. A path of the longest legal size is kept in up to four forms, so header bytes count four times. The share of a connection has room for one request at the limits on a VM of 32 MB too, and smaller VMs than that are the only ones that are rejected.

--- a/beryllistener/conn.go
+++ b/beryllistener/conn.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"time"
@@ -208,8 +209,9 @@
 // body is the body of a request. It reserves memory before it reads.
 type body struct {
 	io.ReadCloser
-	conn *conn
-	err  error
+	conn    *conn
+	request *http.Request
+	err     error
 }
 
 // Read implements io.Reader. It returns ErrNoRoom if there is no memory for the body.
@@ -234,6 +236,8 @@
 	if err != nil {
 		b.err = err
 		if errors.Is(err, io.EOF) {
+			// Nothing reads trailers, whose lines are not charged.
+			b.request.Trailer = nil
 			b.conn.received()
 		}
 	}
@@ -241,10 +245,10 @@
 }
 
 const (
-	// _headerFactor covers the parts of a header that are kept as strings, and
-	// _lineOverhead what the parser allocates for a line besides, in bytes: an element
-	// of a growing map, and a slice of strings.
-	_headerFactor = 2
+	// _headerFactor covers the parts of a header that are kept as strings, of which the
+	// path is kept up to four times, and _lineOverhead what the parser allocates for a
+	// line besides, in bytes: an element of a growing map, and a slice of strings.
+	_headerFactor = 4
 	_lineOverhead = 256
 	// _bodyFactor covers the parts in which a body is read and the copy that joins
 	// them; _bodyStep is how many bytes of it are read at a time.
--- a/beryllistener/listener.go
+++ b/beryllistener/listener.go
@@ -225,7 +225,7 @@
 		case r.Body == nil || r.Body == http.NoBody:
 			c.received()
 		default:
-			r.Body = &body{ReadCloser: r.Body, conn: c}
+			r.Body = &body{ReadCloser: r.Body, conn: c, request: r}
 		}
 		next.ServeHTTP(w, r)
 	})
--- a/berylquota/limits.go
+++ b/berylquota/limits.go
@@ -17,11 +17,15 @@
 // room for other connections, accounts and addresses.
 func NewLimits(bytes int64, conns int) Limits {
 	return Limits{
-		Bytes: bytes, Connection: bytes / 4, Account: bytes / 2, Address: bytes * 3 / 4,
+		Bytes: bytes, Connection: min(bytes, max(bytes/4, _fullRequest)), Account: bytes / 2, Address: bytes * 3 / 4,
 		Conns: conns, ConnsPerAddress: max(1, conns*3/4), Base: _base,
 	}
 }
 
+// _fullRequest is room for one request with a header of 16 KiB in the shortest lines and
+// a body of 256 KiB, in bytes.
+const _fullRequest = 4 << 20
+
 // _base covers the buffers and stacks of a connection, in bytes.
 const _base = 16 << 10
 
--- a/berylsite/budgets.go
+++ b/berylsite/budgets.go
@@ -68,5 +68,5 @@
 	_clientConnShare    = 4
 	_internalConnShare  = 8
 	_serviceConnShare   = 32
-	_minServiceConns    = 16
+	_minServiceConns    = 8
 )
