berylwork: one rule on who owns a job

Cause: berylintake.owns and berylbook.Book.Conflicts had the same rule in two forms. Change: both use Owner.Matches. No behaviour changes; TestConflictingSubmission and TestDecide pass unchanged.

--- a/berylbook/book.go
+++ b/berylbook/book.go
@@ -130,15 +130,7 @@
 		return false
 	}
 	var s Submission
-	if !b.decode(r, &s) {
-		return false
-	}
-	old := b.Jobs[id].Work
-	if old.Queue == s.Work.Queue && (old.Account == "" || s.Work.Account == "") {
-		// The queue has become public or is public no longer.
-		return false
-	}
-	return old.Account != s.Work.Account
+	return b.decode(r, &s) && !b.Jobs[id].Work.Owner().Matches(s.Work.Owner())
 }
 
 func (b *Book) deferUpdate(id string) *deferredUpdate {
--- a/berylintake/intake.go
+++ b/berylintake/intake.go
@@ -162,14 +162,10 @@
 	return f.Job.State.Final() && owns(r, f.Job)
 }
 
-// owns reports whether the client may see and cancel the job: it has the key of the job's
-// client account, or the request is on the job's own queue, which is public now or was when
-// the job was accepted.
+// owns reports whether the client may see and cancel the job.
 func owns(r Request, j berylview.Job) bool {
-	if !j.Known {
-		return false
-	}
-	return j.Account == r.Account || (j.Queue == r.Queue.Name && (j.Account == "" || r.Account == ""))
+	job := berylwork.Owner{Account: j.Account, Queue: j.Queue}
+	return j.Known && job.Matches(berylwork.Owner{Account: r.Account, Queue: r.Queue.Name})
 }
 
 func reject(reason string) Answer {
--- a/berylwork/work.go
+++ b/berylwork/work.go
@@ -38,6 +38,9 @@
 	Accepted int64 `cbor:"a"`
 }
 
+// Owner returns the job's client account and queue.
+func (w *Work) Owner() Owner { return Owner{Account: w.Account, Queue: w.Queue} }
+
 // Terms are the rules of a queue by which the tasks of a job are run. They hold when the
 // operators remove the queue while the job is not done; until then the policy holds.
 type Terms struct {
