beryldirector: keep what belongs to an incarnation in a struct of its own

Cause: the fields that begin anew with each incarnation of a backend server were reset one by one, so that a new one could be forgotten. Change: moves only. No behaviour changes.

--- a/beryldirector/report.go
+++ b/beryldirector/report.go
@@ -20,9 +20,6 @@
 	// the end of the leader lease of an earlier leader, which may have extended the
 	// lease until then.
 	contactAt time.Time
-	// contactClock is the clock of the backend server in the report that was answered at
-	// contactAt; zero if this leader has had no contact with the incarnation.
-	contactClock int64
 	// replacedAt is when the agent last named another incarnation of its backend server:
 	// leases of the earlier one were not extended since.
 	replacedAt time.Time
@@ -36,10 +33,7 @@
 	handled map[berylreport.Key]bool
 	running map[berylreport.Key]bool
 	// unknown are listed runs that are not active in the Book. They are stopped.
-	unknown        []berylreport.Key
-	unrecordedEnds []pendingEnd
-	// ackedEnd is the number up to which all ends are recorded.
-	ackedEnd int64
+	unknown []berylreport.Key
 	// sentAt and sentFingerprint are those of the orders that were last sent.
 	sentAt          time.Time
 	sentFingerprint string
@@ -49,10 +43,23 @@
 	slow bool
 	// refusedAt is when the backend server last refused a start.
 	refusedAt time.Time
+	// faultAt is when faultScore last increased.
+	faultAt time.Time
+	incarnationState
+}
+
+// incarnationState is the part of an agentState that begins anew with each incarnation of the
+// backend server.
+type incarnationState struct {
+	// contactClock is the clock of the backend server in the report that was answered at
+	// contactAt; zero if this leader has had no contact with the incarnation.
+	contactClock   int64
+	unrecordedEnds []pendingEnd
+	// ackedEnd is the number up to which all ends are recorded.
+	ackedEnd int64
 	// faultScore increases with failed runs and with refused or unconfirmed starts,
-	// and decreases with successful runs. faultAt is when it last increased.
+	// and decreases with successful runs.
 	faultScore float64
-	faultAt    time.Time
 }
 
 // pendingEnd is an end that was applied and whose job is not recorded yet. It is
@@ -104,7 +111,7 @@
 	if a.report.Incarnation != r.Incarnation {
 		d.note("member", "node", r.Node, "instance", r.Incarnation.Instance, "born", r.Incarnation.StartedAt,
 			"service", r.Service, "zone", r.Zone, "labels", strings.Join(r.Labels, ","), "accelerators", r.Capacity.Accelerators)
-		a.unrecordedEnds, a.ackedEnd, a.faultScore, a.contactClock = nil, 0, 0, 0
+		a.incarnationState = incarnationState{}
 		a.replacedAt = now
 	}
 	drainingChanged := a.report.Draining != r.Draining
