berylkeeper: call a backend server that stays down less often again

Change: after 15 s, when no late start can be left, the pause is that of other failed calls. Test: TestFirstCallSoonAfterRestart has the case.

--- a/berylkeeper/keeper.go
+++ b/berylkeeper/keeper.go
@@ -164,6 +164,9 @@
 	failedCalls int
 	// down is true while no process listens at the address of the backend server.
 	down bool
+	// downSince is when the first of the last listing calls was refused because no process
+	// listens; zero if the last one was not.
+	downSince time.Time
 	// acked is the number up to which the leader has recorded ends.
 	acked     int64
 	reportSeq int64
@@ -272,9 +275,9 @@
 	k.ack(a.Acked)
 }
 
-// DownPause is the pause between listing calls while no process listens at the address of the
-// backend server. The next incarnation refuses late starts meant for the previous one from the
-// first call that it gets, so the pause is shorter than others.
+// DownPause is the pause between listing calls when no process listens at the address of the
+// backend server, for as long as a late start may still come. The next incarnation refuses such
+// starts from the first call that it gets, so the pause is shorter than others.
 const DownPause = 50 * time.Millisecond
 
 const (
@@ -289,6 +292,9 @@
 	_retryPause = 150 * time.Millisecond
 	// _repeatPause is the pause before a call with an unknown outcome is repeated.
 	_repeatPause = 20 * time.Millisecond
+	// _lateCallWindow bounds how much later a call without an answer is carried out: seconds,
+	// and a reserve.
+	_lateCallWindow = 15 * time.Second
 	// _stopPollPause is the pause between listings while a run is being stopped.
 	_stopPollPause = 100 * time.Millisecond
 	// _runRetention is how long a settled run is remembered, so that a late order
--- a/berylkeeper/outcome.go
+++ b/berylkeeper/outcome.go
@@ -39,16 +39,23 @@
 func (k *Keeper) fenceOutcome(now time.Time, to berylexecutor.Target, o Outcome) {
 	k.noteFence(to, o.Err)
 	if k.heartbeat.Incarnation.Instance == "" {
-		k.nextPoll = now.Add(pollPause(o.Err))
+		k.nextPoll = now.Add(k.pollPause(now, o.Err))
 	}
 }
 
 // pollPause returns the pause after a listing call that failed.
-func pollPause(err error) time.Duration {
-	if errors.Is(err, berylexecutor.ErrDown) {
-		return DownPause
+func (k *Keeper) pollPause(now time.Time, err error) time.Duration {
+	if !errors.Is(err, berylexecutor.ErrDown) {
+		k.downSince = time.Time{}
+		return _retryPause
 	}
-	return _retryPause
+	if k.downSince.IsZero() {
+		k.downSince = now
+	}
+	if now.Sub(k.downSince) > _lateCallWindow {
+		return _retryPause
+	}
+	return DownPause
 }
 
 // noteFence raises the fence above that of an earlier process of this agent if it is too
@@ -146,9 +153,10 @@
 
 func (k *Keeper) renewOutcome(now time.Time, o Outcome) {
 	if o.Err != nil {
-		k.nextPoll = now.Add(pollPause(o.Err))
+		k.nextPoll = now.Add(k.pollPause(now, o.Err))
 		return
 	}
+	k.downSince = time.Time{}
 	if o.Listing.StartedAt != 0 && o.Listing.StartedAt != k.heartbeat.Incarnation.StartedAt {
 		// A new incarnation with the same name replied before its first heartbeat
 		// arrived. It has to refuse late starts meant for the previous one already.
--- a/berylkeeper/start_test.go
+++ b/berylkeeper/start_test.go
@@ -362,7 +362,12 @@
 		poll := only[berylexecutor.RenewCall](is, k.Calls(now))
 		k.Outcome(now, Outcome{Call: poll.Call, Seq: poll.Seq, Err: berylexecutor.ErrDown})
 		now = now.Add(DownPause)
-		is.Equal(len(callsOf[berylexecutor.RenewCall](k.Calls(now))), 1)
+		poll = only[berylexecutor.RenewCall](is, k.Calls(now))
+		// No late start is left, as on a VM without a backend server.
+		now = now.Add(_lateCallWindow)
+		k.Outcome(now, Outcome{Call: poll.Call, Seq: poll.Seq, Err: berylexecutor.ErrDown})
+		is.Equal(len(callsOf[berylexecutor.RenewCall](k.Calls(now.Add(DownPause)))), 0)
+		is.Equal(len(callsOf[berylexecutor.RenewCall](k.Calls(now.Add(_retryPause)))), 1)
 	}
 }
 
