--- a/berylestimator/estimator.go
+++ b/berylestimator/estimator.go
@@ -1,7 +1,7 @@
 // Package berylestimator estimates run times from finished runs.
 //
 // Declared run times are often wrong by a factor of ten. An [Estimator] keeps the newest
-// runs of each service, queue, shape of step, client account and image, and takes the
+// runs of each queue of a service, shape of step, client account and image, and takes the
 // finest of these that has enough ends. From its runs it predicts either the run time
 // itself or the ratio of the run time to the declared one, whichever varies less. Without
 // enough ends the declared value is the estimate.
--- a/berylestimator/history.go
+++ b/berylestimator/history.go
@@ -204,6 +204,6 @@
 	low, high := decodeTime(h.shortest)/_rangeFactor, decodeTime(h.longest)*_rangeFactor
 	x.Median = min(max(time.Duration(float64(declared)*decodeRatio(h.ratio.median)), low), high)
 	x.High = min(max(time.Duration(float64(declared)*decodeRatio(h.ratio.high)), x.Median), high)
-	x.From = [...]string{"service ratio", "queue ratio", "shape ratio", "account ratio", "image ratio"}[l]
+	x.From = [...]string{"queue ratio", "shape ratio", "account ratio", "image ratio"}[l]
 	return x
 }
--- a/berylestimator/key.go
+++ b/berylestimator/key.go
@@ -9,8 +9,7 @@
 type level int
 
 const (
-	_byService level = iota
-	_byQueue
+	_byQueue level = iota
 	_byShape
 	_byAccount
 	_byImage
@@ -22,7 +21,7 @@
 // String returns the name of the field that the level distinguishes in addition to those
 // of the coarser ones.
 func (l level) String() string {
-	return [...]string{"service", "queue", "shape", "account", "image"}[min(max(l, 0), _levels-1)]
+	return [...]string{"queue", "shape", "account", "image"}[min(max(l, 0), _levels-1)]
 }
 
 // key selects the runs that are alike. Fields of finer levels are zero.
@@ -36,12 +35,8 @@
 // key returns the key of a task at a level. It returns false if the task does not have
 // the field of that level, or if a name is too long.
 func (t Task) key(l level) (key, bool) {
-	k := key{level: l, service: t.Service}
-	present := t.Service != ""
-	if l >= _byQueue {
-		k.queue = t.Queue
-		present = t.Queue != ""
-	}
+	k := key{level: l, service: t.Service, queue: t.Queue}
+	present := t.Queue != ""
 	if l >= _byShape {
 		k.shape = t.Shape
 		present = t.Shape != Shape{}
--- a/berylestimator/known.go
+++ b/berylestimator/known.go
@@ -7,11 +7,11 @@
 
 // Known is what is known of the runs of one key, for operators.
 type Known struct {
-	// Level is the finest field of the key: "service", "queue", "shape", "account" or
-	// "image". Fields of finer levels are empty.
+	// Level is the finest field of the key: "queue", "shape", "account" or "image". Fields
+	// of finer levels are empty.
 	Level   string `json:"level"`
 	Service string `json:"service"`
-	Queue   string `json:"queue,omitempty"`
+	Queue   string `json:"queue"`
 	Shape   Shape  `json:"shape,omitzero"`
 	Account string `json:"account,omitempty"`
 	Image   string `json:"image,omitempty"`
