beryldirector: learn the time of the work without start and listing

Due times are multiples of the time of the work, so they came too late. The mean rate between listings gives that time.

--- a/beryldirector/driver_test.go
+++ b/beryldirector/driver_test.go
@@ -52,6 +52,8 @@
 	ends int64
 	// onAppend, if set, is called for each record that is appended.
 	onAppend func(r berylstore.Record)
+	// seen are the finished runs that the director has told about.
+	seen []RunTimeSeen
 }
 
 func newHarness(t *testing.T) *harness {
@@ -92,6 +94,8 @@
 				h.is.NoErr(err)
 				h.append(r)
 				done = false
+			case RunTimeSeen:
+				h.seen = append(h.seen, e)
 			case Persist:
 				if h.holdAppends {
 					continue
--- a/beryldirector/progress.go
+++ b/beryldirector/progress.go
@@ -13,8 +13,10 @@
 // runProgress tracks the progress of one run, in percent, from the listings of its
 // backend server.
 type runProgress struct {
-	// firstListed is when the run was first listed, and lastListed when it last was.
+	// firstListed is when the run was first listed, with firstProgress, and lastListed
+	// when it last was.
 	firstListed, lastListed time.Time
+	firstProgress           float64
 	// advancedAt is when the progress last increased, to progress.
 	advancedAt time.Time
 	progress   float64
@@ -32,7 +34,7 @@
 	t.lastListed = now
 	if t.firstListed.IsZero() {
 		t.firstListed, t.rateFrom, t.advancedAt = now, now, now
-		t.rateBase, t.progress = progress, progress
+		t.rateBase, t.progress, t.firstProgress = progress, progress, progress
 		return
 	}
 	if progress > t.progress {
@@ -74,6 +76,17 @@
 	return time.Duration(_complete / t.rate * float64(time.Second))
 }
 
+// workTime returns the time of the whole work at the mean rate of all listings, without
+// the times to start the run and to list its end. It is zero if too little of the work was
+// listed.
+func (t *runProgress) workTime() time.Duration {
+	done := t.progress - t.firstProgress
+	if done < _minListedWork {
+		return 0
+	}
+	return time.Duration(float64(t.lastListed.Sub(t.firstListed)) * _complete / done)
+}
+
 // remaining returns the expected time until the end of the run. Total is the run
 // time to assume if the rate is unknown or the run is stalled. A stalled run is
 // expected to remain stalled for as long as it has been.
@@ -302,6 +315,9 @@
 const (
 	// _complete is the progress, in percent, of a run whose work is complete.
 	_complete = 100.0
+	// _minListedWork is the progress between two listings, in percent, from which it
+	// tells the time of the whole work.
+	_minListedWork = 25.0
 	// _rateWindow is the minimum span over which a rate is measured; runs are
 	// listed twice a second.
 	_rateWindow = 900 * time.Millisecond
--- a/beryldirector/runtime.go
+++ b/beryldirector/runtime.go
@@ -69,6 +69,11 @@
 // observeEnd learns from the end of a run, which is not applied yet.
 func (d *Director) observeEnd(now time.Time, j *berylbook.Job, ref berylwork.Ref, t *berylbook.Task) {
 	took := time.Duration(now.UnixMilli()-t.OrderedAt) * time.Millisecond
+	p := d.agents[t.Incarnation.Node].progressOf(berylreport.Key{Task: ref.String(), Run: t.Run})
+	if work := p.workTime(); work > 0 {
+		// Declared times and targets are those of the work too.
+		took = min(took, work)
+	}
 	if took <= 0 || !d.learnsFrom(j, ref, t) {
 		return
 	}
--- a/beryldirector/runtime_test.go
+++ b/beryldirector/runtime_test.go
@@ -99,6 +99,36 @@
 	}
 }
 
+// Guards against run times that include the time to start a run and to list its end, by
+// which work would be due later than its client was told.
+func TestRunTimeIsThatOfTheWork(t *testing.T) {
+	tests := []struct {
+		name     string
+		progress []float64 // every half second
+		want     time.Duration
+	}{
+		{name: "steady", progress: []float64{0, 0, 20, 45, 70, 95}, want: 2 * time.Second},
+		{name: "too little listed", progress: []float64{0, 0, 0, 0, 0, 20}, want: 3 * time.Second},
+		{name: "not listed", progress: []float64{0, 0, 0, 0, 0, 0}, want: 3 * time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			h := newHarness(t)
+			h.report("n1", nil)
+			h.submit("j1", "routine", step(1, 1))
+			for _, p := range tt.progress {
+				h.advance(500 * time.Millisecond)
+				if p > 0 {
+					h.report("n1", listProgress(p))
+				}
+			}
+			h.report("n1", func(r *berylreport.Report) { r.Ends = []berylreport.End{end(1, "j1.0.0.0", 1, berylreport.Done)} })
+			h.is.Equal(len(h.seen), 1)
+			h.is.Equal(h.seen[0].Took.Round(500*time.Millisecond), tt.want) // the harness adds some milliseconds to each step
+		})
+	}
+}
+
 // Guards against a gang that is learned once for each member, and against one wide step
 // that displaces all that is known of others.
 func TestStepCountsForFewRuns(t *testing.T) {
