--- a/beryldirector/progress.go
+++ b/beryldirector/progress.go
@@ -20,8 +20,6 @@
 	// advancedAt is when the progress last increased, to progress.
 	advancedAt time.Time
 	progress   float64
-	// firstProgress is the progress at firstListed.
-	firstProgress float64
 	// rate is the progress in percent per second, measured over spans of about a
 	// second; zero while unknown.
 	rate float64
--- a/berylfit/fit.go
+++ b/berylfit/fit.go
@@ -206,7 +206,9 @@
 	// share is the share of the host that is available, by its scarcest resource, and
 	// rackShare the sum of the shares of its rack.
 	share, rackShare float64
-	avoid, sameRack  bool
+	// class is that of the host's speed; zero if speeds don't matter.
+	class           int
+	avoid, sameRack bool
 }
 
 // pack fills one host after the other. It prefers hosts with a lower fault score,
@@ -224,7 +226,7 @@
 			cmp.Compare(x.FaultScore, y.FaultScore),
 			cmp.Compare(boolToInt(a.avoid), boolToInt(b.avoid)),
 			-cmp.Compare(boolToInt(a.sameRack), boolToInt(b.sameRack)),
-			d.compareSpeed(x, y),
+			d.compareSpeed(a.class, b.class),
 			cmp.Compare(a.share, b.share),
 			cmp.Compare(a.rackShare, b.rackShare),
 			cmp.Compare(x.Node, y.Node),
@@ -254,9 +256,11 @@
 			continue
 		}
 		total += n
-		list = append(list, candidate{
-			index: i, count: n, share: available.MinShare(h.Total), rackShare: racks[h.Rack], avoid: d.Avoid[h.Node], sameRack: h.Rack == d.Rack,
-		})
+		c := candidate{index: i, count: n, share: available.MinShare(h.Total), rackShare: racks[h.Rack], avoid: d.Avoid[h.Node], sameRack: h.Rack == d.Rack}
+		if d.Prefer != AnySpeed {
+			c.class = SpeedClass(h.Speed)
+		}
+		list = append(list, c)
 	}
 	return list, total
 }
