--- a/beryldirector/runtime.go
+++ b/beryldirector/runtime.go
@@ -20,7 +20,6 @@
 
 func (RunTimeSeen) effect() {}
 
-
 // taskOf returns what is known of the tasks of a step before they run.
 func (d *Director) taskOf(w *berylwork.Work, step int) berylestimator.Task {
 	s := &w.Steps[step]
