--- a/beryldirector/runtime.go
+++ b/beryldirector/runtime.go
@@ -55,12 +55,13 @@
 
 // learnsFrom reports whether the time of a run tells about others of its kind. A run that
 // resumed from a checkpoint had only part of the work to do, and one away from its data
-// took longer than the step would elsewhere. The tasks of a step are alike, so that a wide
-// one would displace all others: only the first ones by index count, which are not the
-// fastest ones as the first to end are.
+// took longer than the step would elsewhere. The tasks of a step are alike and have one
+// declared time: only the first one by index counts, which is not the fastest one as the
+// first to end is. Otherwise a wide step would displace all others, and two of them would
+// seem to tell how much run times vary.
 func (d *Director) learnsFrom(j *berylbook.Job, ref berylwork.Ref, t *berylbook.Task) bool {
 	step := &j.Work.Steps[ref.Step]
-	if step.LongRunning || t.Checkpoint != "" || !step.Gang && ref.Index >= _maxLearnedTasks {
+	if step.LongRunning || t.Checkpoint != "" || !step.Gang && ref.Index > 0 {
 		return false
 	}
 	return !d.awayFromData(j, ref, t)
@@ -195,9 +196,6 @@
 	// new leader may miss the newest ends.
 	_saveInterval   = 5 * time.Second
 	_minUnsavedRuns = 16
-	// _maxLearnedTasks is the number of tasks of a step that are learned from: two steps
-	// make a kind known, and the window has those of eight.
-	_maxLearnedTasks = 4
 	// _maxRunTimesSize is the size of the record in bytes, which each entry reads.
 	_maxRunTimesSize = 8 << 10
 )
