--- a/beryldirector/runtime.go
+++ b/beryldirector/runtime.go
@@ -14,7 +14,7 @@
 // RunTimeSeen tells the entry about a finished run: its time, and the one that was
 // expected. It is for metrics only.
 type RunTimeSeen struct {
-	Queue, From    string
+	Queue          string
 	Took, Expected time.Duration
 }
 
@@ -79,7 +79,7 @@
 		return
 	}
 	x := d.expect(j.Work, ref.Step)
-	d.effects = append(d.effects, RunTimeSeen{Queue: j.Work.Queue, From: x.From, Took: took, Expected: x.Median})
+	d.effects = append(d.effects, RunTimeSeen{Queue: j.Work.Queue, Took: took, Expected: x.Median})
 	d.runTimes.Add(now, d.taskOf(j.Work, ref.Step), berylestimator.Run{Took: took, Speed: _nominalSpeed})
 	d.unsavedRuns++
 }
