beryldirector: learn speeds from the members of gangs

They are most of the running tasks, so speeds are known seconds earlier. The expected end of a member is that of its gang: reservations counted on its resources too early.

--- a/beryldirector/progress.go
+++ b/beryldirector/progress.go
@@ -142,7 +142,7 @@
 		sibling.Index = i
 		p := a.progressOf(berylreport.Key{Task: sibling.String(), Run: t.Run})
 		if total := p.runTime(); total > 0 && p.stalledFor(d.now) < _stallTimeout {
-			totals = append(totals, atUsualSpeed(total, d.unitSpeed(d.now, j, sibling)))
+			totals = append(totals, atUsualSpeed(total, d.speeds.Speed(d.now, t.Incarnation.Node)))
 		}
 	}
 	if len(totals) < _minSiblings {
@@ -174,8 +174,24 @@
 	return time.Duration(float64(j.Work.Steps[step].Estimate)*ratio) * time.Millisecond
 }
 
-// remainingTime returns the expected time until a run ends without being stopped.
+// remainingTime returns the expected time until a run ends without being stopped. The
+// members of a gang end with the last of them.
 func (d *Director) remainingTime(now time.Time, j *berylbook.Job, ref berylwork.Ref, t *berylbook.Task) time.Duration {
+	if !j.Work.Steps[ref.Step].Gang {
+		return d.remainingWork(now, j, ref, t)
+	}
+	var longest time.Duration
+	for i := range j.Tasks[ref.Occurrence][ref.Step] {
+		ref.Index = i
+		if member := &j.Tasks[ref.Occurrence][ref.Step][i]; member.Phase.Active() {
+			longest = max(longest, d.remainingWork(now, j, ref, member))
+		}
+	}
+	return longest
+}
+
+// remainingWork returns the expected time until a task's own work is done.
+func (d *Director) remainingWork(now time.Time, j *berylbook.Job, ref berylwork.Ref, t *berylbook.Task) time.Duration {
 	a := d.agents[t.Incarnation.Node]
 	if a == nil || j.Work.Steps[ref.Step].LongRunning {
 		return _never
@@ -185,7 +201,7 @@
 	if !ok {
 		total = d.declaredRunTime(j, ref.Step)
 	}
-	return p.remaining(now, atSpeed(total, d.unitSpeed(now, j, ref)))
+	return p.remaining(now, atSpeed(total, d.speeds.Speed(now, t.Incarnation.Node)))
 }
 
 // markSlowServers marks the backend servers that have a run which is stalled or far
@@ -200,17 +216,17 @@
 			return
 		}
 		p := a.progressOf(berylreport.Key{Task: s.name, Run: s.task.Run})
-		if d.isSlow(now, s.job, s.ref, p) {
+		if d.isSlow(now, a, s.job, s.ref, p) {
 			a.slow = true
 		}
 	})
 }
 
-func (d *Director) isSlow(now time.Time, j *berylbook.Job, ref berylwork.Ref, p *runProgress) bool {
+func (d *Director) isSlow(now time.Time, a *agentState, j *berylbook.Job, ref berylwork.Ref, p *runProgress) bool {
 	if p.stalledFor(now) > _stallTimeout {
 		return true
 	}
-	speed := d.unitSpeed(now, j, ref)
+	speed := d.speeds.Speed(now, a.report.Node)
 	d.updateBestRunTime(ref, p, speed)
 	expected, ok := d.expectedRunTime(j, ref)
 	return ok && p.runTime().Seconds() > _slowFactor*atSpeed(expected, speed).Seconds()
--- a/beryldirector/speed.go
+++ b/beryldirector/speed.go
@@ -20,9 +20,8 @@
 	d.eachActive(func(s activeTask) {
 		a := d.agents[s.task.Incarnation.Node]
 		step := &s.job.Work.Steps[s.ref.Step]
-		if a == nil || s.task.Phase != berylbook.Working || step.Gang || step.LongRunning || (step.Rack != "" && step.Rack != a.rack) {
-			// The tasks of a gang advance together, and those away from their data are
-			// slow for another reason.
+		if a == nil || s.task.Phase != berylbook.Working || step.LongRunning || (step.Rack != "" && step.Rack != a.rack) {
+			// A task away from its data is slow for another reason.
 			return
 		}
 		p := a.progressOf(berylreport.Key{Task: s.name, Run: s.task.Run})
--- a/berylspeed/speed.go
+++ b/berylspeed/speed.go
@@ -229,7 +229,7 @@
 
 const (
 	// _minSamples and _minServers are how many tasks and servers are compared at least.
-	_minSamples = 4
+	_minSamples = 3
 	_minServers = 2
 	// _maxSpeed bounds what is learned.
 	_maxSpeed = 4.0
