beryllint: check a configuration before it is sent

The check command stopped at the first mistake of a file, and told nothing of entries that are valid one by one: a queue behind another one with the same path, a queue without a service, one key in two accounts, guarantees above the quota or the site's room.

--- a/berylcli/cli.go
+++ b/berylcli/cli.go
@@ -108,7 +108,12 @@
 		return c.fail(g.JSON || slices.Contains(args, "--json"), usageError(err))
 	}
 	out := &output{json: g.JSON, in: c.In, out: c.Out, err: c.Err}
-	if err := parsed.Run(out); err != nil {
+	err = parsed.Run(out)
+	var warnings *warningsError
+	if errors.As(err, &warnings) {
+		return _warningsExit
+	}
+	if err != nil {
 		return c.fail(g.JSON, err)
 	}
 	return 0
--- a/berylsettings/config.go
+++ b/berylsettings/config.go
@@ -31,39 +31,54 @@
 // domains and returns the values by configuration key. The value null removes a
 // key from the configuration. The name of the file is used in errors only.
 func ParseConfig(file string, data []byte) (map[string]json.RawMessage, error) {
+	set, _, errs := CheckConfig(file, data)
+	if len(errs) > 0 {
+		return nil, errs[0]
+	}
+	return set, nil
+}
+
+// CheckConfig is like ParseConfig, but also returns the line of each key, and the errors of
+// all keys. Of the errors of types it returns the first.
+func CheckConfig(file string, data []byte) (set map[string]json.RawMessage, lines map[string]int, errs []error) {
 	doc, err := parseDocument(file, data)
 	if err != nil {
-		return nil, err
+		return nil, nil, []error{err}
 	}
-	set := map[string]json.RawMessage{}
-	cfg := new(berylconfig.Config).Clone()
 	kinds, err := doc.members(&doc.root, "")
 	if err != nil {
-		return nil, err
+		return nil, nil, []error{err}
 	}
+	set, lines = map[string]json.RawMessage{}, map[string]int{}
+	var entries []configEntry
 	for i := range kinds {
 		members, err := doc.members(&kinds[i].Value, memberName(&kinds[i]))
 		if err != nil {
-			return nil, err
+			return nil, nil, []error{err}
 		}
 		for j := range members {
-			key := memberName(&kinds[i]) + "/" + memberName(&members[j])
-			set[key] = standardJSON(&members[j].Value)
+			e := configEntry{key: memberName(&kinds[i]) + "/" + memberName(&members[j]), offset: members[j].Name.StartOffset}
+			set[e.key] = standardJSON(&members[j].Value)
+			lines[e.key] = doc.line(e.offset)
+			entries = append(entries, e)
 		}
 	}
 	if err := doc.checkTypes(); err != nil {
-		return nil, err
+		return nil, nil, []error{err}
 	}
-	for i := range kinds {
-		members, _ := doc.members(&kinds[i].Value, memberName(&kinds[i]))
-		for j := range members {
-			key := memberName(&kinds[i]) + "/" + memberName(&members[j])
-			if err := cfg.Set(key, set[key]); err != nil {
-				return nil, doc.errorAtOffset(members[j].Name.StartOffset, key, err.Error())
-			}
+	cfg := new(berylconfig.Config).Clone()
+	for _, e := range entries {
+		if err := cfg.Set(e.key, set[e.key]); err != nil {
+			errs = append(errs, doc.errorAtOffset(e.offset, e.key, err.Error()))
 		}
 	}
-	return set, nil
+	return set, lines, errs
+}
+
+// configEntry is a key of a configuration file and where it stands.
+type configEntry struct {
+	key    string
+	offset int
 }
 
 // checkTypes decodes the file without the values that are null, to find unknown
--- a/berylsettings/decode.go
+++ b/berylsettings/decode.go
@@ -40,13 +40,18 @@
 }
 
 func (d *document) errorAtOffset(offset int, key, text string) error {
-	line := bytes.Count(d.data[:min(offset, len(d.data))], []byte("\n")) + 1
+	line := d.line(offset)
 	if key == "" {
 		return berylerror.Invalid.Errorf("%s:%d: %s", d.file, line, text)
 	}
 	return berylerror.Invalid.Errorf("%s:%d: %s: %s", d.file, line, key, text)
 }
 
+// line returns the line of an offset, from one.
+func (d *document) line(offset int) int {
+	return bytes.Count(d.data[:min(offset, len(d.data))], []byte("\n")) + 1
+}
+
 // errorAtKey returns an error with the line of a key such as "agent.entries[1]".
 // If the key is missing, the line is that of the innermost enclosing value.
 func (d *document) errorAtKey(key, text string) error {
--- a/berylsite/site.go
+++ b/berylsite/site.go
@@ -34,7 +34,7 @@
 type grammar struct {
 	Entry entryCmd `cmd:"" help:"Run an entry, which serves clients and may be the leader."`
 	Agent agentCmd `cmd:"" help:"Run an agent beside a backend server."`
-	Check checkCmd `cmd:"" help:"Check the settings file and print what was read."`
+	Check checkCmd `cmd:"" help:"Check the settings file, or a desired state, and print what was read."`
 }
 
 const _description = `Scheduler for multi-accelerator jobs on the users' platform.
@@ -58,7 +58,11 @@
 	if err != nil {
 		return fail(berylerror.Invalid.Wrap(err, "arguments"))
 	}
-	if err := parsed.Run(); err != nil {
+	err = parsed.Run()
+	if errors.Is(err, errWarnings) {
+		return _warningsExit
+	}
+	if err != nil {
 		return fail(err)
 	}
 	return 0
@@ -69,18 +73,6 @@
 	return berylerror.Of(err).Exit()
 }
 
-type checkCmd struct{}
-
-// Run validates the settings file and prints the settings.
-func (checkCmd) Run() error {
-	s, err := platform.Load(os.Getenv(platform.EnvSettings))
-	if err != nil {
-		return err
-	}
-	fmt.Printf("%+v\n", s)
-	return nil
-}
-
 // process is the common part of an entry and an agent process.
 type process struct {
 	settings platform.Settings
