--- a/beryldirector/speed.go
+++ b/beryldirector/speed.go
@@ -15,7 +15,6 @@
 
 // learnSpeeds compares the rates of the running tasks of each step.
 func (d *Director) learnSpeeds(now time.Time) {
-	before := d.knownSpeeds(now)
 	samples := map[stepKey][]berylspeed.Sample{}
 	d.eachActive(func(s activeTask) {
 		a := d.agents[s.task.Incarnation.Node]
@@ -35,30 +34,25 @@
 	for _, list := range samples {
 		d.speeds.Observe(now, list)
 	}
-	d.noteSpeeds(now, before)
+	d.noteSpeeds(now)
 }
 
-// knownSpeeds returns the learned speeds by node.
-func (d *Director) knownSpeeds(now time.Time) map[string]float64 {
-	known := map[string]float64{}
+// noteSpeeds logs the speeds that differ by a class from those that were last logged.
+func (d *Director) noteSpeeds(now time.Time) {
+	noted := make(map[string]float64, len(d.notedSpeeds))
 	for _, node := range d.speeds.Nodes() {
-		known[node] = d.speeds.Speed(now, node)
-	}
-	return known
-}
-
-// noteSpeeds logs the speeds that have changed by a class.
-func (d *Director) noteSpeeds(now time.Time, before map[string]float64) {
-	for _, node := range d.speeds.Nodes() {
-		was, known := before[node]
+		was, known := d.notedSpeeds[node]
 		if !known {
 			was = berylspeed.Usual
 		}
 		speed := d.speeds.Speed(now, node)
-		if berylfit.SpeedClass(was) != berylfit.SpeedClass(speed) {
+		noted[node] = was
+		if berylfit.SpeedClass(speed/was) != 0 {
+			noted[node] = speed
 			d.note("speed", "node", node, "speed", round(speed), "was", round(was), "runs", d.speeds.Looks(node))
 		}
 	}
+	d.notedSpeeds = noted
 }
 
 // round rounds to hundredths, for logs.
--- a/berylfit/fit.go
+++ b/berylfit/fit.go
@@ -200,7 +200,9 @@
 type candidate struct {
 	index, count int
 	// accelerators are the available ones.
-	accelerators    int
+	accelerators int
+	// class is that of the host's speed; zero if speeds don't matter.
+	class           int
 	avoid, sameRack bool
 }
 
@@ -218,7 +220,7 @@
 			cmp.Compare(x.FaultScore, y.FaultScore),
 			cmp.Compare(boolToInt(a.avoid), boolToInt(b.avoid)),
 			-cmp.Compare(boolToInt(a.sameRack), boolToInt(b.sameRack)),
-			d.compareSpeed(x, y),
+			d.compareSpeed(a.class, b.class),
 			cmp.Compare(a.accelerators, b.accelerators),
 			cmp.Compare(x.Node, y.Node),
 		)
@@ -246,9 +248,11 @@
 			continue
 		}
 		total += n
-		list = append(list, candidate{
-			index: i, count: n, accelerators: available.Accelerators, avoid: d.Avoid[h.Node], sameRack: h.Rack == d.Rack,
-		})
+		c := candidate{index: i, count: n, accelerators: available.Accelerators, avoid: d.Avoid[h.Node], sameRack: h.Rack == d.Rack}
+		if d.Prefer != AnySpeed {
+			c.class = SpeedClass(h.Speed)
+		}
+		list = append(list, c)
 	}
 	return list, total
 }
--- a/berylfit/speed.go
+++ b/berylfit/speed.go
@@ -26,13 +26,13 @@
 	return int(math.Round(math.Log(speed) / math.Log(_speedClassRatio)))
 }
 
-// compareSpeed orders the preferred speed first.
-func (d *Demand) compareSpeed(a, b *Host) int {
+// compareSpeed orders the class of the preferred speed first.
+func (d *Demand) compareSpeed(a, b int) int {
 	switch d.Prefer {
 	case PreferFast:
-		return cmp.Compare(SpeedClass(b.Speed), SpeedClass(a.Speed))
+		return cmp.Compare(b, a)
 	case PreferSlow:
-		return cmp.Compare(SpeedClass(a.Speed), SpeedClass(b.Speed))
+		return cmp.Compare(a, b)
 	default:
 		return 0
 	}
