berylspeed: compare rates twice a second, and medians once for each server

A comparison of 500 running tasks sorted 21 looks twice for each of them, four times a second, which costs the leader some percent of a core on a site of 300 servers. Runs are listed twice a second, so that nothing is learned later.

--- a/beryldirector/director.go
+++ b/beryldirector/director.go
@@ -213,8 +213,10 @@
 	waiting map[berylwork.Ref]waiting
 	// speeds has the speeds of the backend servers. It is kept when the leadership ends.
 	speeds berylspeed.Table
-	// notedSpeeds has the speeds that were last logged, by node.
+	// notedSpeeds has the speeds that were last logged, by node, and learnedAt is when
+	// they were last compared.
 	notedSpeeds map[string]float64
+	learnedAt   time.Time
 	// outlook is the newest summary of the load, which was made at outlookAt.
 	outlook   *beryloutlook.Outlook
 	outlookAt time.Time
--- a/beryldirector/speed.go
+++ b/beryldirector/speed.go
@@ -13,8 +13,13 @@
 	"berylglade/berylwork"
 )
 
-// learnSpeeds compares the rates of the running tasks of each step.
+// learnSpeeds compares the rates of the running tasks of each step, once in _learnInterval.
 func (d *Director) learnSpeeds(now time.Time) {
+	if now.Sub(d.learnedAt) < _learnInterval {
+		return
+	}
+	d.learnedAt = now
+	var steps []stepKey
 	samples := map[stepKey][]berylspeed.Sample{}
 	d.eachActive(func(s activeTask) {
 		a := d.agents[s.task.Incarnation.Node]
@@ -29,10 +34,13 @@
 			return
 		}
 		key := stepKey{s.job, s.ref.Occurrence, s.ref.Step}
+		if samples[key] == nil {
+			steps = append(steps, key)
+		}
 		samples[key] = append(samples[key], berylspeed.Sample{Node: a.report.Node, Kind: a.kind(), Run: s.name, Rate: rate})
 	})
-	for _, list := range samples {
-		d.speeds.Observe(now, list)
+	for _, key := range steps {
+		d.speeds.Observe(now, samples[key])
 	}
 	d.noteSpeeds(now)
 }
@@ -130,6 +138,8 @@
 }
 
 const (
+	// _learnInterval is the time between two comparisons. Runs are listed twice a second.
+	_learnInterval = 500 * time.Millisecond
 	// _minRateSpan is the span from which a rate is compared with others: progress is
 	// listed in whole percents.
 	_minRateSpan = 1200 * time.Millisecond
--- a/berylspeed/speed.go
+++ b/berylspeed/speed.go
@@ -62,8 +62,15 @@
 	if !ok {
 		return
 	}
+	seen := map[*server]bool{}
 	for _, s := range samples {
-		t.observe(now, s, s.Rate/base)
+		if v := t.observe(now, s, s.Rate/base); v != nil {
+			seen[v] = true
+		}
+	}
+	for v := range seen {
+		v.middle = medianLog(v.looks)
+		v.error = v.spread() / math.Sqrt(float64(len(v.looks)))
 	}
 	estimates := make([]float64, 0, len(t.servers))
 	for _, v := range t.servers {
@@ -92,9 +99,10 @@
 	return median(rates), true
 }
 
-func (t *Table) observe(now time.Time, s Sample, speed float64) {
+// observe adds a look and returns the server, or nil if the rate is not learned.
+func (t *Table) observe(now time.Time, s Sample, speed float64) *server {
 	if speed < t.Speed(now, s.Node)/FaultFactor || speed > FaultFactor*_maxSpeed {
-		return
+		return nil
 	}
 	if t.servers == nil {
 		t.servers = map[string]*server{}
@@ -107,8 +115,7 @@
 	}
 	v.lastSeen = now
 	v.add(look{run: s.Run, log: math.Log(speed)})
-	v.middle = medianLog(v.looks)
-	v.error = v.spread() / math.Sqrt(float64(len(v.looks)))
+	return v
 }
 
 // add adds a look, and drops earlier ones that the newest runs contradict.
