--- a/berylcli/check.go
+++ b/berylcli/check.go
@@ -84,7 +84,9 @@
 
 // onlyMistake reports whether one file was checked that can't be read for one reason, which
 // is the text of the error then.
-func onlyMistake(results []checkResult) bool { return len(results) == 1 && len(results[0].Mistakes) == 1 }
+func onlyMistake(results []checkResult) bool {
+	return len(results) == 1 && len(results[0].Mistakes) == 1
+}
 
 // warningsError means that files are valid but have warnings, with --strict.
 type warningsError struct{ count int }
