berylkeeper, beryldirector: a truncated listing proves no run lost

Cause: a backend server returns 500 unacknowledged ends at a time. The leader took a run in neither list for vanished and had it stopped, the agent called it absent, and the task was started again.

Change: a listing says whether there may be further ends, and as long as there may, no run is taken for vanished, absent, unconfirmed or gone with the previous incarnation. The same cause on a related path: a start refused as 'old' was called absent at once, though the run may have ended.

--- a/beryldirector/end.go
+++ b/beryldirector/end.go
@@ -243,6 +243,10 @@
 		d.orderedAt[k] = now
 		return
 	}
+	if a != nil && a.report.Truncated && a.handled[berylreport.Key{Task: ref.String(), Run: t.Run}] {
+		// The run was started, and its end may follow those that are listed.
+		return
+	}
 	if now.Sub(since) > d.Limits.startTimeout() {
 		d.note("start not confirmed", "task", ref.String(), "run", t.Run, "node", t.Incarnation.Node, "ms", now.Sub(since).Milliseconds())
 		t.Phase = berylbook.Stopping
--- a/beryldirector/report.go
+++ b/beryldirector/report.go
@@ -118,6 +118,9 @@
 	if drainingChanged {
 		d.note("draining", "node", r.Node, "draining", r.Draining, "remaining", r.Remaining)
 	}
+	if a.report.Truncated != r.Truncated {
+		d.note("ends truncated", "node", r.Node, "truncated", r.Truncated, "ends", len(r.Ends), "running", len(r.Runs))
+	}
 	a.report = r
 	a.leavesAt = now.Add(time.Duration(r.Remaining) * time.Millisecond)
 	a.rack = rackOf(r.Labels)
@@ -133,7 +136,7 @@
 	for _, e := range r.Ends {
 		d.handleEnd(now, a, e)
 	}
-	if r.Listed {
+	if r.Listed && !r.Truncated {
 		d.endPreviousRuns(now, r)
 	}
 	for _, k := range r.Absent {
@@ -150,7 +153,7 @@
 		a.running[run.Key] = true
 		d.applyRun(now, a, run)
 	}
-	if r.Listed && !r.Unresponsive {
+	if r.Listed && !r.Unresponsive && !r.Truncated {
 		d.stopVanished(a)
 	}
 	if drainingChanged && r.Draining {
--- a/beryldirector/world_test.go
+++ b/beryldirector/world_test.go
@@ -40,6 +40,8 @@
 	// sameName is true if a call that is under way while a backend server restarts reaches
 	// the next incarnation, which has the same name.
 	sameName bool
+	// maxEnds is the number of ends that a listing has at most; zero means no limit.
+	maxEnds int
 
 	entries []*worldEntry
 	agents  []*worldAgent
@@ -249,6 +251,16 @@
 	_ = playWorlds(t, func(w *world) { w.restarts(40) })
 }
 
+// TestWorldWithTruncatedListings simulates the same days with listings that have at most two
+// ends. Guards against a task that runs again after it was done, because its end was not listed
+// yet.
+func TestWorldWithTruncatedListings(t *testing.T) {
+	_ = playWorlds(t, func(w *world) {
+		w.maxEnds = 2
+		w.outages(3)
+	})
+}
+
 // TestWorldRegressions simulates days on which a task ran twice: a start was ordered for a
 // backend server without contact, given up at once, and carried out with the next contact; or
 // (30468) an agent and its backend server started again together, and a late start call came
--- a/beryldirector/worldserver_test.go
+++ b/beryldirector/worldserver_test.go
@@ -148,7 +148,10 @@
 	if _, ok := s.runs[c.Key]; ok {
 		return l, nil
 	}
-	if s.stopped[c.Task] >= c.Run || c.Deadline < s.clock() {
+	if s.stopped[c.Task] >= c.Run {
+		return l, berylexecutor.ErrSuperseded
+	}
+	if c.Deadline < s.clock() {
 		return l, berylexecutor.ErrRefused
 	}
 	if len(s.runs) >= _worldSlots {
@@ -189,5 +192,8 @@
 		l.Runs = append(l.Runs, berylreport.Run{Key: k})
 	}
 	l.Ends = append(l.Ends, s.ends...)
+	if n := s.w.maxEnds; n > 0 && len(l.Ends) >= n {
+		l.Ends, l.Truncated = l.Ends[:n], true
+	}
 	return l, nil
 }
--- a/berylexecutor/executor.go
+++ b/berylexecutor/executor.go
@@ -77,8 +77,13 @@
 	Clock int64
 	// StartedAt distinguishes its incarnations; zero if it is not reported.
 	StartedAt int64
-	Runs      []berylreport.Run
-	Ends      []berylreport.End
+	// Runs has all runs that exist.
+	Runs []berylreport.Run
+	// Ends has the unacknowledged ends with the lowest numbers.
+	Ends []berylreport.End
+	// Truncated is true if there may be further ends than Ends has. A run that is in
+	// neither list may then have ended.
+	Truncated bool
 }
 
 // Definite errors of a backend server. After any other error it is unknown
@@ -87,6 +92,9 @@
 	// ErrRefused means that the run does not exist and that this call never starts
 	// it.
 	ErrRefused = errors.New("refused")
+	// ErrSuperseded means that this call never starts the run, because this run or a
+	// higher one of the task was stopped or has ended there.
+	ErrSuperseded = errors.New("run was stopped or has ended")
 	// ErrFenced means that a higher fence has been seen.
 	ErrFenced = errors.New("fenced")
 	// ErrBusy means that the backend server did nothing and that the call may be
--- a/berylkeeper/outcome.go
+++ b/berylkeeper/outcome.go
@@ -100,8 +100,9 @@
 }
 
 func isReply(err error) bool {
-	return errors.Is(err, berylexecutor.ErrRefused) || errors.Is(err, berylexecutor.ErrFenced) ||
-		errors.Is(err, berylexecutor.ErrBusy) || errors.Is(err, berylexecutor.ErrOtherInstance)
+	return errors.Is(err, berylexecutor.ErrRefused) || errors.Is(err, berylexecutor.ErrSuperseded) ||
+		errors.Is(err, berylexecutor.ErrFenced) || errors.Is(err, berylexecutor.ErrBusy) ||
+		errors.Is(err, berylexecutor.ErrOtherInstance)
 }
 
 func (k *Keeper) startOutcome(now time.Time, c berylexecutor.StartCall, err error) {
@@ -116,6 +117,9 @@
 			k.setPhase(now, r, accepted)
 		}
 		k.relist = true
+	case errors.Is(err, berylexecutor.ErrSuperseded) && r.phase == starting:
+		// The run may have ended. The listing after a stop tells.
+		k.setPhase(now, r, stopping)
 	case errors.Is(err, berylexecutor.ErrRefused) && r.phase == starting:
 		// An earlier attempt may still be carried out, so the run is stopped first.
 		if r.unconfirmed {
@@ -246,6 +250,9 @@
 		case ended[key]:
 			r.phase = accepted
 			r.changedAt = now
+		case o.Listing.Truncated:
+			// Its end may follow those that are listed.
+			k.relistLater(now)
 		default:
 			k.setPhase(now, r, absent)
 		}
--- a/berylkeeper/report.go
+++ b/berylkeeper/report.go
@@ -57,7 +57,7 @@
 		Service: k.heartbeat.Service, Zone: k.heartbeat.Zone, Labels: k.heartbeat.Labels, Capacity: k.heartbeat.Capacity,
 		Draining: k.heartbeat.Draining, Remaining: k.remaining(now),
 		Listed: k.listed, Unresponsive: k.failedCalls >= _unresponsiveAfter || k.down, LeaseExpired: expired,
-		Runs: k.listing.Runs, Ends: k.unackedEnds(), PastEnds: k.pastEnds,
+		Runs: k.listing.Runs, Ends: k.unackedEnds(), Truncated: k.listing.Truncated, PastEnds: k.pastEnds,
 	}
 	for _, key := range k.keys() {
 		run := k.runs[key]
--- a/berylreport/report.go
+++ b/berylreport/report.go
@@ -61,6 +61,9 @@
 	LeaseExpired bool  `cbor:"x,omitempty"`
 	Runs         []Run `cbor:"u,omitempty"`
 	Ends         []End `cbor:"e,omitempty"`
+	// Truncated is true if there may be further ends than Ends has. A run that is in
+	// neither list may then have ended.
+	Truncated bool `cbor:"f,omitempty"`
 	// PastEnds has the ends of the previous incarnation that were listed but not
 	// acknowledged when it ended.
 	PastEnds PastEnds `cbor:"j,omitempty"`
