berylkeeper: the newer of two listings counts, whichever is handled first

Cause: the reply to a listing call that waits for an end was dropped if a call issued later had been handled before, although it alone may tell of the end. A server that leaves within the next call loses it, and its task runs again. Related: a reply that was sent just before its process ended arrived after the report of the loss, and one of the previous incarnation after the heartbeat of the next.

Conclusion: replies are ordered by the clock of the server that made them.

--- a/beryldirector/worldagent_test.go
+++ b/beryldirector/worldagent_test.go
@@ -82,7 +82,7 @@
 	for _, t := range k.Calls(a.w.now) {
 		a.call(k, t)
 	}
-	if k.Reportable() && !a.reporting && (k.Changed() || a.w.now.Sub(a.reportedAt) > 400*time.Millisecond) {
+	if k.Reportable(a.w.now) && !a.reporting && (k.Changed() || a.w.now.Sub(a.reportedAt) > 400*time.Millisecond) {
 		a.report(k)
 	}
 }
--- a/berylkeeper/calls.go
+++ b/berylkeeper/calls.go
@@ -161,7 +161,9 @@
 	deadline := k.lease(now)
 	k.deadline = max(k.deadline, deadline)
 	call := berylexecutor.RenewCall{Target: k.target(), Deadline: deadline, Acked: k.ackable(), Wait: wait}
-	return k.issueCall(call, wait+_callTimeout)
+	t := k.issueCall(call, wait+_callTimeout)
+	k.listings[t.Seq] = true
+	return t
 }
 
 // ackable returns the number up to which ends may be acknowledged to the backend server. An
--- a/berylkeeper/keeper.go
+++ b/berylkeeper/keeper.go
@@ -139,12 +139,18 @@
 	// strays is true in a new incarnation until a listing has no runs. Runs found
 	// there were started by calls meant for the previous incarnation.
 	strays bool
-	// listingSeq is the number of the newest listing call whose reply was used.
-	listingSeq int64
-	lastSeq    int64
+	// listingSeq is the number of the listing call whose reply was used last, and
+	// listingFrom that of the last call issued by then: the reply to a later call is newer.
+	listingSeq, listingFrom int64
+	// incarnationFrom is the number of the last call issued before the incarnation was
+	// known. Replies to calls up to it don't tell about the incarnation.
+	incarnationFrom int64
+	lastSeq         int64
 	// pollSeq is the number of the listing call that waits for a run to end; zero
 	// if none is in flight.
 	pollSeq int64
+	// listings has the numbers of the listing calls in flight.
+	listings map[int64]bool
 	// relist requests a listing that does not wait.
 	relist   bool
 	nextPoll time.Time
@@ -164,6 +170,10 @@
 	failedCalls int
 	// down is true while no process listens at the address of the backend server.
 	down bool
+	// downAt is when down was last set, and downSeq the number of the last call issued
+	// by then.
+	downAt  time.Time
+	downSeq int64
 	// downSince is when the first of the last listing calls was refused because no process
 	// listens; zero if the last one was not.
 	downSince time.Time
@@ -179,14 +189,31 @@
 func New(node, addr string, boot int64, limits Limits) *Keeper {
 	return &Keeper{
 		Limits: limits, Node: node, Addr: addr, Boot: boot, fence: boot,
-		runs: map[berylreport.Key]*run{},
+		runs: map[berylreport.Key]*run{}, listings: map[int64]bool{},
 	}
 }
 
 // Reportable reports whether this incarnation may be reported to the leader. The
 // leader then considers the runs of the previous incarnation as ended, so no
 // stray run may be left.
-func (k *Keeper) Reportable() bool { return k.heartbeat.Incarnation.Instance != "" && !k.strays }
+func (k *Keeper) Reportable(now time.Time) bool {
+	return k.heartbeat.Incarnation.Instance != "" && !k.strays && !k.awaitsListing(now)
+}
+
+// awaitsListing reports whether a backend server whose process is gone may have sent a
+// reply that has not arrived yet. It may list ends that have to count before the leader is
+// told that nothing runs there.
+func (k *Keeper) awaitsListing(now time.Time) bool {
+	if !k.down || now.Sub(k.downAt) >= _lateReplyWindow {
+		return false
+	}
+	for seq := range k.listings {
+		if seq <= k.downSeq {
+			return true
+		}
+	}
+	return false
+}
 
 // Incarnation returns the known incarnation of the backend server.
 func (k *Keeper) Incarnation() berylbook.Incarnation { return k.heartbeat.Incarnation }
@@ -232,9 +259,11 @@
 	k.otherStartedAt = 0
 	k.unverified = false
 	clear(k.runs)
+	clear(k.listings)
 	k.listing = berylexecutor.Listing{}
 	k.listed = false
-	k.listingSeq = k.lastSeq
+	k.incarnationFrom = k.lastSeq
+	k.listingSeq, k.listingFrom = k.lastSeq, k.lastSeq
 	k.pollSeq = 0
 	k.clock, k.deadline, k.leaderContact, k.minBasis = 0, 0, 0, 0
 	k.failedCalls, k.down = 0, false
@@ -295,6 +324,9 @@
 	// _lateCallWindow bounds how much later a call without an answer is carried out: seconds,
 	// and a reserve.
 	_lateCallWindow = 15 * time.Second
+	// _lateReplyWindow is how long a reply that a process sent before its end may take to
+	// arrive on the same VM.
+	_lateReplyWindow = 100 * time.Millisecond
 	// _stopPollPause is the pause between listings while a run is being stopped.
 	_stopPollPause = 100 * time.Millisecond
 	// _runRetention is how long a settled run is remembered, so that a late order
--- a/berylkeeper/keeper_test.go
+++ b/berylkeeper/keeper_test.go
@@ -195,17 +195,17 @@
 	is := is.New(t)
 	now := start()
 	k := readyKeeper(is, now)
-	is.True(k.Reportable())
+	is.True(k.Reportable(now))
 	k.Heartbeat(now, Heartbeat{Incarnation: berylbook.Incarnation{Instance: "i-1", StartedAt: 9}, Addr: "10.0.0.1:80", Seq: 1, Clock: 50})
-	is.True(!k.Reportable())
+	is.True(!k.Reportable(now))
 	list(now, k, 9, berylreport.Run{Key: key("a.0.0.0")})
-	is.True(!k.Reportable())
+	is.True(!k.Reportable(now))
 	stop := only[berylexecutor.StopCall](is, k.Calls(now))
 	k.Outcome(now, Outcome{Call: stop.Call, Seq: stop.Seq})
 	k.relist = true
 	now = now.Add(time.Second)
 	list(now, k, 9)
-	is.True(k.Reportable())
+	is.True(k.Reportable(now))
 }
 
 // Guards against reporting a run as absent because of a listing made before the
--- a/berylkeeper/outcome.go
+++ b/berylkeeper/outcome.go
@@ -1,7 +1,9 @@
 package berylkeeper
 
 import (
+	"cmp"
 	"errors"
+	"slices"
 	"time"
 
 	"berylglade/berylexecutor"
@@ -25,16 +27,38 @@
 		if o.Seq == k.pollSeq {
 			k.pollSeq = 0
 		}
-		switch c.Instance {
-		case "":
+		delete(k.listings, o.Seq)
+		switch {
+		case c.Instance == "":
 			k.fenceOutcome(now, c.Target, o)
-		case k.heartbeat.Incarnation.Instance:
+		case k.isPast(c.Instance, o.Listing):
+			k.notePastEnds(o.Listing)
+		case c.Instance == k.heartbeat.Incarnation.Instance:
 			k.observe(now, c.Target, o)
 			k.renewOutcome(now, o)
 		}
 	}
 }
 
+// isPast reports whether a listing is a late reply of the previous incarnation.
+func (k *Keeper) isPast(instance string, l berylexecutor.Listing) bool {
+	past := k.pastEnds.Incarnation
+	return instance != "" && past.Instance == instance && l.StartedAt != 0 && past.StartedAt == l.StartedAt
+}
+
+// notePastEnds adds the ends of a late reply of the previous incarnation to those that the
+// leader has to know.
+func (k *Keeper) notePastEnds(l berylexecutor.Listing) {
+	ends := slices.Clone(k.pastEnds.Ends)
+	for _, e := range l.Ends {
+		if !slices.ContainsFunc(ends, func(o berylreport.End) bool { return o.Seq == e.Seq }) {
+			ends = append(ends, e)
+			k.changed = true
+		}
+	}
+	k.pastEnds.Ends = ends
+}
+
 // fenceOutcome handles the result of a call before the first heartbeat.
 func (k *Keeper) fenceOutcome(now time.Time, to berylexecutor.Target, o Outcome) {
 	k.noteFence(to, o.Err)
@@ -84,6 +108,7 @@
 			// The next incarnation may have the same name. The first call that it gets
 			// then makes it refuse late starts meant for this one.
 			k.fence++
+			k.downAt, k.downSeq = now, k.lastSeq
 		}
 		k.down = true
 		k.unverified = true
@@ -171,10 +196,11 @@
 		}
 		return
 	}
-	if o.Seq <= k.listingSeq {
+	if !k.isNewer(o) {
 		return
 	}
 	k.listingSeq = o.Seq
+	k.listingFrom = k.lastSeq
 	if !k.listed || differs(k.listing, o.Listing) {
 		k.changed = true
 	}
@@ -191,6 +217,32 @@
 	k.settleRuns(now, o)
 }
 
+// isNewer reports whether a listing was made after the last one that was used. The replies
+// to two calls that were in flight together may arrive in either order, and a call that
+// waits for an end may be answered after one that was issued later. The clock of the
+// backend server tells which reply is newer, and within a millisecond the ends do.
+func (k *Keeper) isNewer(o Outcome) bool {
+	switch {
+	case o.Seq <= k.incarnationFrom:
+		return false
+	case !k.listed || o.Seq > k.listingFrom:
+		return true
+	case o.Listing.Clock != k.listing.Clock:
+		return o.Listing.Clock > k.listing.Clock
+	default:
+		return cmp.Or(cmp.Compare(lastEnd(o.Listing), max(lastEnd(k.listing), k.acked)), cmp.Compare(o.Seq, k.listingSeq)) > 0
+	}
+}
+
+// lastEnd returns the number of the last listed end; zero if there is none.
+func lastEnd(l berylexecutor.Listing) int64 {
+	var n int64
+	for _, e := range l.Ends {
+		n = max(n, e.Seq)
+	}
+	return n
+}
+
 // stopStrays stops runs that exist in a new incarnation before anything was
 // ordered there.
 func (k *Keeper) stopStrays(now time.Time) {
--- a/berylkeeper/start_test.go
+++ b/berylkeeper/start_test.go
@@ -387,7 +387,7 @@
 	now = now.Add(_retryPause)
 	second := only[berylexecutor.RenewCall](is, k.Calls(now))
 	is.True(second.Call.(berylexecutor.RenewCall).Fence > 77)
-	is.True(!k.Reportable())
+	is.True(!k.Reportable(now))
 	// The heartbeat takes effect while the call is under way.
 	k.Heartbeat(now, Heartbeat{Incarnation: berylbook.Incarnation{Instance: "i-1", StartedAt: 5}, Addr: "10.0.0.1:80", Seq: 1, Clock: 10_000})
 	third := only[berylexecutor.RenewCall](is, k.Calls(now))
--- a/berylsidecar/leader.go
+++ b/berylsidecar/leader.go
@@ -10,7 +10,7 @@
 
 // report sends a report if the state has changed or the report interval has passed.
 func (s *Sidecar) report(now time.Time) {
-	if s.reporting || !s.keeper.Reportable() {
+	if s.reporting || !s.keeper.Reportable(now) {
 		return
 	}
 	if now.Sub(s.lastReport) < _minReportInterval {
