berylstore: pages that are not complete are no topic

After: such a page is an error and the topic is loaded again. The follower and the registry of addresses share one loop.

--- a/berylfollower/follower.go
+++ b/berylfollower/follower.go
@@ -109,35 +109,17 @@
 	}
 }
 
-// load reads the newest records and returns the offset to follow from. That is the
-// end of the topic at the first page, as the pages are not a consistent snapshot.
+// load reads the newest records and returns the offset to follow from.
 func (f *Follower) load(ctx context.Context) (int64, error) {
 	f.reload.Store(false)
-	l := Loaded{AsOf: f.Clock()}
-	after := ""
-	for {
-		page, err := f.page(ctx, after)
-		if err != nil {
-			return 0, err
-		}
-		if after == "" {
-			l.End = page.End
-		}
-		l.Records = append(l.Records, page.Records...)
-		if !page.More || len(page.Records) == 0 {
-			break
-		}
-		after = page.Records[len(page.Records)-1].Key
+	asOf := f.Clock()
+	records, end, err := berylstore.ReadNewest(ctx, f.Store, f.Topic, _pageTimeout)
+	if err != nil {
+		return 0, err
 	}
-	f.asOf = l.AsOf
-	f.Handle(l)
-	return l.End, nil
-}
-
-func (f *Follower) page(ctx context.Context, after string) (berylstore.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, _pageTimeout)
-	defer cancel()
-	return f.Store.Newest(ctx, f.Topic, after)
+	f.asOf = asOf
+	f.Handle(Loaded{Records: records, AsOf: asOf, End: end})
+	return end, nil
 }
 
 // follow reads appended records until the topic has to be loaded again.
--- a/berylregistry/registry.go
+++ b/berylregistry/registry.go
@@ -12,8 +12,11 @@
 	"berylglade/berylstore"
 )
 
-// _retryDelay is the delay before a failed registration is retried.
-const _retryDelay = time.Second
+const (
+	// _retryDelay is the delay before a failed registration is retried.
+	_retryDelay  = time.Second
+	_pageTimeout = time.Second
+)
 
 // Registry stores the addresses of the processes of one role.
 type Registry struct {
@@ -42,19 +45,13 @@
 
 // Addresses returns the registered addresses, which may be stale.
 func (r *Registry) Addresses(ctx context.Context) ([]string, error) {
-	var addrs []string
-	after := ""
-	for {
-		page, err := r.Store.Newest(ctx, r.Topic, after)
-		if err != nil {
-			return nil, err
-		}
-		for _, record := range page.Records {
-			addrs = append(addrs, string(record.Value))
-		}
-		if !page.More || len(page.Records) == 0 {
-			return addrs, nil
-		}
-		after = page.Records[len(page.Records)-1].Key
+	records, _, err := berylstore.ReadNewest(ctx, r.Store, r.Topic, _pageTimeout)
+	if err != nil {
+		return nil, err
+	}
+	addrs := make([]string, 0, len(records))
+	for _, record := range records {
+		addrs = append(addrs, string(record.Value))
 	}
+	return addrs, nil
 }
