berylstore, berylproducer, beryldirector: a refused append is final, and none is too large

Cause: the store answers 413 to a record or a call beyond its limits. The leader and the producers took that for an append without an outcome and repeated it for ever; nothing knew the limits.

Change: the outcome of an append has a type that says whether a repetition can change it; limits come from the settings and are checked by each writer before anything is queued; a submission larger than a record is stored in parts, so that a job of legal size is still accepted; the removal of a job is bounded too. If the store refuses an append all the same, only the request at fault fails.

--- a/berylbook/book.go
+++ b/berylbook/book.go
@@ -1,12 +1,12 @@
 // Package berylbook is the replicated state of all jobs, built from the records
 // of one keyed topic in the platform's store.
 //
-// Entries append [Submission] and [Cancel] records. The leader appends
-// [Progress] records, each with the state of one job, a record of each [Task]
-// that changes, [Claim] records, and now and then a [RunTimes] record. Every entry applies the same records with
-// [Book.Apply] and therefore reaches the same state. A process that starts first
-// reads the newest record of each key, which gives the same result as reading the
-// whole log.
+// Entries append [Submission] and [Cancel] records, a large submission as several
+// [Part] records. The leader appends [Progress] records, each with the state of one
+// job, a record of each [Task] that changes, [Claim] records, and now and then a
+// [RunTimes] record. Every entry applies the same records with [Book.Apply] and
+// therefore reaches the same state. A process that starts first reads the newest
+// record of each key, which gives the same result as reading the whole log.
 package berylbook
 
 import (
@@ -22,6 +22,7 @@
 // Key prefixes of the topic, and the key of the claim.
 const (
 	_submissionPrefix = "j/"
+	_partPrefix       = "p/"
 	_cancelPrefix     = "c/"
 	_progressPrefix   = "s/"
 	_taskPrefix       = "t/"
@@ -52,6 +53,8 @@
 	cancel   int64
 	progress *Progress
 	tasks    map[berylwork.Ref]Task
+	// parts are the parts of the submission so far, by index.
+	parts map[int]Part
 }
 
 // Apply applies one record. It returns the id of the job that changed, or an
@@ -68,6 +71,8 @@
 		b.applyRunTimes(r)
 	case strings.HasPrefix(r.Key, _submissionPrefix):
 		return b.applySubmission(r)
+	case strings.HasPrefix(r.Key, _partPrefix):
+		return b.applyPart(r)
 	case strings.HasPrefix(r.Key, _cancelPrefix):
 		return b.applyCancel(r)
 	case strings.HasPrefix(r.Key, _progressPrefix):
--- a/berylbook/book_test.go
+++ b/berylbook/book_test.go
@@ -34,8 +34,13 @@
 	return Task{Run: 3, Phase: Working, Incarnation: Incarnation{Node: "n", Instance: "i", StartedAt: 4}, Failures: 1, Checkpoint: "s"}
 }
 
+// room has room for a number of records of any size.
+func room(records int) Room {
+	return Room{Records: records, Bytes: 1 << 30, Limits: berylstore.DefaultLimits()}
+}
+
 func changes(is *is.I, j *Job, recorded *Recorded) []berylstore.Record {
-	list, more, err := j.Changes(7, recorded, 1<<20)
+	list, more, err := j.Changes(7, recorded, room(1<<20))
 	is.NoErr(err)
 	is.True(!more)
 	return list
@@ -85,7 +90,7 @@
 	b.Apply(list[0])
 	is.Equal(b.Jobs["j1"].Tasks[0][0][1].Run, 3)
 	is.Equal(len(b.Sorted()), 1)
-	for _, r := range Tombstones("j1") {
+	for _, r := range b.Jobs["j1"].Tombstones() {
 		b.Apply(r)
 	}
 	is.Equal(len(b.Jobs), 0)
@@ -268,7 +273,7 @@
 	write := func(check func()) {
 		for more := true; more; {
 			var list []berylstore.Record
-			list, more, err = j.Changes(1, recorded, limit)
+			list, more, err = j.Changes(1, recorded, room(limit))
 			is.NoErr(err)
 			is.True(len(list) <= limit+1)
 			for _, r := range list {
@@ -288,7 +293,9 @@
 	j.State, j.EndedAt = Completed, 9
 	write(func() { is.True(book.Jobs["j1"].Quiescent()) })
 	is.Equal(len(changes(is, j, recorded)), 0)
-	is.Equal(len(book.Jobs["j1"].TaskTombstones()), 0)
+	left, more := book.Jobs["j1"].TaskTombstones(limit)
+	is.Equal(len(left), 0)
+	is.True(!more)
 }
 
 // Guards against progress of an earlier version, with all tasks in one record, that is
--- a/berylbook/changes.go
+++ b/berylbook/changes.go
@@ -42,12 +42,31 @@
 	return &r.tasks[ref.Occurrence][ref.Step][ref.Index]
 }
 
-// Changes returns records that bring the topic from r towards the state of the job, at
-// most about limit of them, and updates r. More is true if others have to follow. A job
-// may have thousands of tasks, all entries read each record, and one event changes few
-// tasks, so each task has a record of its own. Once the job is final and has no active
-// run, its tasks are deleted.
-func (j *Job) Changes(epoch int64, r *Recorded, limit int) (records []berylstore.Record, more bool, err error) {
+// Room is what an append has left for the records of one job.
+type Room struct {
+	// Records is the number of records, Bytes their size in the call. The record of a
+	// job's state may exceed them.
+	Records, Bytes int
+	// Limits are those of the store.
+	Limits berylstore.Limits
+}
+
+// take reports whether there is room for r, and takes it.
+func (m *Room) take(r berylstore.Record) bool {
+	if m.Records < 1 || m.Bytes < r.CallSize() {
+		return false
+	}
+	m.Records--
+	m.Bytes -= r.CallSize()
+	return true
+}
+
+// Changes returns records that bring the topic from r towards the state of the job, for
+// which there is room, and updates r. More is true if others have to follow. A job may
+// have thousands of tasks, all entries read each record, and one event changes few tasks,
+// so each task has a record of its own. Once the job is final and has no active run, its
+// tasks are deleted.
+func (j *Job) Changes(epoch int64, r *Recorded, room Room) (records []berylstore.Record, more bool, err error) {
 	if r.tasks == nil {
 		r.copyTasks(NewJob(j.Work))
 	}
@@ -59,7 +78,7 @@
 			return nil, false, err
 		}
 	}
-	tasks, more, err := j.changedTasks(r, quiescent, limit)
+	tasks, more, err := j.changedTasks(r, quiescent, room)
 	if err != nil {
 		return nil, false, err
 	}
@@ -84,9 +103,9 @@
 	return []berylstore.Record{p}, nil
 }
 
-// changedTasks returns records of at most limit tasks that differ from r, or their
-// deletion if the job is quiescent, and whether there are others.
-func (j *Job) changedTasks(r *Recorded, quiescent bool, limit int) (records []berylstore.Record, more bool, err error) {
+// changedTasks returns records of tasks that differ from r, or their deletion if the job is
+// quiescent, and whether there are others for which there is no room.
+func (j *Job) changedTasks(r *Recorded, quiescent bool, room Room) (records []berylstore.Record, more bool, err error) {
 	j.Each(func(ref berylwork.Ref, t *Task) {
 		old := r.task(ref)
 		want := *t
@@ -96,16 +115,28 @@
 		if *old == want || more || err != nil {
 			return
 		}
-		if len(records) >= limit {
-			more = true
-			return
-		}
 		rec := berylstore.Record{Key: _taskPrefix + ref.String()}
 		if !quiescent {
-			rec, err = record(rec.Key, t)
+			rec, err = taskRecord(rec.Key, t, room.Limits)
+		}
+		if !room.take(rec) {
+			more = true
+			return
 		}
 		records = append(records, rec)
 		*old = want
 	})
 	return records, more, err
 }
+
+// taskRecord returns the record of a task. A checkpoint that is too large for a record is
+// left out, so that a later run starts without it.
+func taskRecord(key string, t *Task, limits berylstore.Limits) (berylstore.Record, error) {
+	r, err := record(key, t)
+	if err != nil || limits.Accepts(r) {
+		return r, err
+	}
+	without := *t
+	without.Checkpoint = ""
+	return record(key, &without)
+}
--- a/berylbook/job.go
+++ b/berylbook/job.go
@@ -110,6 +110,8 @@
 
 	// quiescent and begun cache a true result of Quiescent and Begun.
 	quiescent, begun bool
+	// parts is the number of records that the topic has of a split submission.
+	parts int
 	// combined is true if the tasks were in the job's Progress, so that the next
 	// Progress deletes them.
 	combined bool
--- a/berylbook/record.go
+++ b/berylbook/record.go
@@ -68,21 +68,45 @@
 // Record returns the record of the claim.
 func (c *Claim) Record() (berylstore.Record, error) { return record(_leaderKey, c) }
 
-// Tombstones returns the records that delete a job, but for those of its tasks.
-func Tombstones(id string) []berylstore.Record {
-	return []berylstore.Record{{Key: _submissionPrefix + id}, {Key: _cancelPrefix + id}, {Key: _progressPrefix + id}}
+// Tombstones returns the records that delete a job, but for those of its tasks. They belong
+// into one append, after those of the tasks.
+func (j *Job) Tombstones() []berylstore.Record {
+	id := j.Work.ID
+	records := []berylstore.Record{{Key: _submissionPrefix + id}, {Key: _cancelPrefix + id}, {Key: _progressPrefix + id}}
+	for i := range j.parts {
+		records = append(records, berylstore.Record{Key: partKey(id, i)})
+	}
+	return records
+}
+
+// JobOf returns the id of the job that r submits, in whole or in part; empty if it is
+// another record.
+func JobOf(r berylstore.Record) string {
+	if id, ok := strings.CutPrefix(r.Key, _submissionPrefix); ok {
+		return id
+	}
+	if id, ok := strings.CutPrefix(r.Key, _partPrefix); ok {
+		id, _, _ = strings.Cut(id, ".")
+		return id
+	}
+	return ""
 }
 
-// TaskTombstones returns the records that delete the tasks of a quiescent job that the
-// topic still has, because its leader was deposed before it deleted them.
-func (j *Job) TaskTombstones() []berylstore.Record {
-	var records []berylstore.Record
+// TaskTombstones returns records that delete tasks of a quiescent job that the topic still
+// has, because its leader was deposed before it deleted them. They are at most limit; more
+// is true if others have to follow. The job is without these tasks afterwards.
+func (j *Job) TaskTombstones(limit int) (records []berylstore.Record, more bool) {
 	j.Each(func(ref berylwork.Ref, t *Task) {
-		if *t != (Task{}) {
+		switch {
+		case *t == (Task{}):
+		case len(records) >= limit:
+			more = true
+		default:
 			records = append(records, berylstore.Record{Key: _taskPrefix + ref.String()})
+			*t = Task{}
 		}
 	})
-	return records
+	return records, more
 }
 
 func record(key string, v any) (berylstore.Record, error) {
--- a/beryldirector/director.go
+++ b/beryldirector/director.go
@@ -47,6 +47,9 @@
 type Persist struct {
 	Epoch   int64
 	Records []berylstore.Record
+	// Enqueued is how many of the records that were enqueued are among them, the oldest
+	// first.
+	Enqueued int
 }
 
 // Claim asks for an append of a leadership claim that succeeds only if the topic
@@ -123,8 +126,14 @@
 	// recorded is the progress of each job as the topic has it, or will have after
 	// the append in flight.
 	recorded map[string]*berylbook.Recorded
-	// enqueued are clients' records that the next append includes.
-	enqueued []berylstore.Record
+	// enqueued are clients' records that are not in an append yet, in the form in which
+	// the store takes each.
+	enqueued [][]berylstore.Record
+	// unrecorded has the jobs whose submission is in enqueued.
+	unrecorded map[string]bool
+	// maxAppend is the size of an append in bytes: that of the store, or less if the store
+	// has refused one.
+	maxAppend int
 	// appending is true while an append is in flight, and appendedAt is when the
 	// latest append was started.
 	appending  bool
@@ -229,9 +238,13 @@
 
 // New returns a Director that does not lead.
 func New(self Self, limits Limits) *Director {
+	if limits.Store == (berylstore.Limits{}) {
+		limits.Store = berylstore.DefaultLimits()
+	}
 	return &Director{
 		Self:           self,
 		Limits:         limits,
+		maxAppend:      limits.Store.Call,
 		agents:         map[string]*agentState{},
 		dirty:          map[string]bool{},
 		inFlight:       map[string]bool{},
@@ -239,6 +252,7 @@
 		recorded:       map[string]*berylbook.Recorded{},
 		medianRunTimes: map[stepKey]time.Duration{},
 		orderedAt:      map[runKey]time.Time{},
+		unrecorded:     map[string]bool{},
 		waiting:        map[berylwork.Ref]waiting{},
 		bestRunTime:    map[berylwork.Ref]time.Duration{},
 		restarts:       map[berylwork.Ref]int{},
@@ -274,6 +288,14 @@
 	d.flush(now)
 }
 
+// Refused handles an append that the store refuses because of its content. The leadership
+// ends, as the Book has changes that can't be recorded, and later appends are smaller.
+func (d *Director) Refused() {
+	d.maxAppend = max(d.maxAppend/2, _minAppend)
+	d.note("append refused for its content", "epoch", d.epoch, "max", d.maxAppend)
+	d.Deposed()
+}
+
 // Deposed ends the leadership of this entry and requests a reload of the Book.
 func (d *Director) Deposed() {
 	d.note("deposed", "epoch", d.epoch, "claim", d.Book.Claim.Epoch, "leader", d.Book.Claim.Node)
@@ -281,6 +303,7 @@
 	d.stale = true
 	d.appending = false
 	d.enqueued = nil
+	clear(d.unrecorded)
 	clear(d.dirty)
 	clear(d.inFlight)
 	clear(d.checkpointed)
@@ -299,7 +322,9 @@
 }
 
 // isRecorded reports whether the topic has the current state of the job.
-func (d *Director) isRecorded(id string) bool { return !d.dirty[id] && !d.inFlight[id] }
+func (d *Director) isRecorded(id string) bool {
+	return !d.dirty[id] && !d.inFlight[id] && !d.unrecorded[id]
+}
 
 // Deferred reports whether a placement pass or orders of the leader were deferred, so
 // that Step and Orders should be called again soon.
--- a/beryldirector/director_test.go
+++ b/beryldirector/director_test.go
@@ -249,7 +249,7 @@
 	r, err := s.Record()
 	h.is.NoErr(err)
 	h.now = h.now.Add(h.d.placeInterval())
-	h.is.True(h.d.EnqueueRecord(h.now, r))
+	h.is.NoErr(h.d.EnqueueRecord(h.now, r))
 	h.d.Step(h.now)
 	var persists []Persist
 	for _, e := range h.d.Effects() {
--- a/beryldirector/driver_test.go
+++ b/beryldirector/driver_test.go
@@ -21,6 +21,7 @@
 		Retention: 2 * time.Minute,
 		Stop:      400 * time.Millisecond, Reclaim: 2900 * time.Millisecond, GangTimeout: 3 * time.Second,
 		Checkpoint: 2 * time.Second, Restore: 250 * time.Millisecond, SpreadFactor: 3,
+		Store: berylstore.DefaultLimits(),
 	}
 }
 
@@ -54,6 +55,8 @@
 	ends int64
 	// onAppend, if set, is called for each record that is appended.
 	onAppend func(r berylstore.Record)
+	// onPersist, if set, is called for each append that the director asks for.
+	onPersist func(p Persist)
 	// seen are the finished runs that the director has told about.
 	seen []RunTimeSeen
 }
@@ -102,6 +105,9 @@
 				if h.holdAppends {
 					continue
 				}
+				if h.onPersist != nil {
+					h.onPersist(e)
+				}
 				h.append(e.Records...)
 				h.d.Committed(h.now)
 				done = false
--- a/beryldirector/election_test.go
+++ b/beryldirector/election_test.go
@@ -18,7 +18,7 @@
 	h := newHarness(t)
 	h.report("n1", nil)
 	h.submit("j1", "routine", step(1, 1))
-	old, _, err := h.d.Book.Jobs["j1"].Changes(0, &berylbook.Recorded{}, 10)
+	old, _, err := h.d.Book.Jobs["j1"].Changes(0, &berylbook.Recorded{}, berylbook.Room{Records: 10, Bytes: 1 << 20, Limits: testLimits().Store})
 	h.is.NoErr(err)
 	h.holdAppends = true
 	h.report("n1", func(r *berylreport.Report) {
@@ -148,10 +148,10 @@
 	r, err := s.Record()
 	h.is.NoErr(err)
 	h.holdAppends = true
-	h.is.True(h.d.EnqueueRecord(h.now, r))
+	h.is.NoErr(h.d.EnqueueRecord(h.now, r))
 	h.d.Deposed()
 	h.d.Effects()
-	h.is.True(!h.d.EnqueueRecord(h.now, r))
+	h.is.True(h.d.EnqueueRecord(h.now, r) != nil)
 	h.d.Step(h.now.Add(time.Second))
 	for _, e := range h.d.Effects() {
 		_, persist := e.(Persist)
@@ -207,7 +207,7 @@
 	is.NoErr(err)
 	j := berylbook.NewJob(&work)
 	j.Tasks[0][0][0] = berylbook.Task{Run: 1, Phase: berylbook.Ordered, Incarnation: incarnation("n1")}
-	started, _, err := j.Changes(1, &berylbook.Recorded{}, 10)
+	started, _, err := j.Changes(1, &berylbook.Recorded{}, berylbook.Room{Records: 10, Bytes: 1 << 20, Limits: testLimits().Store})
 	is.NoErr(err)
 	// The entry has read the topic for longer than any delay of a claim.
 	for range 40 {
--- a/beryldirector/limits.go
+++ b/beryldirector/limits.go
@@ -1,9 +1,15 @@
 package beryldirector
 
-import "time"
+import (
+	"time"
 
-// Limits are the durations that a Director works with.
+	"berylglade/berylstore"
+)
+
+// Limits are the bounds that a Director works with.
 type Limits struct {
+	// Store are the limits of the store; zero means the default ones.
+	Store berylstore.Limits
 	// LeaseExpiry is the time since the last contact with a backend server after
 	// which its lease must have expired, so that nothing can run on it.
 	LeaseExpiry time.Duration
--- a/beryldirector/records.go
+++ b/beryldirector/records.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"berylglade/berylbook"
+	"berylglade/berylerror"
 	"berylglade/berylstore"
 )
 
@@ -59,23 +60,43 @@
 	}
 }
 
-// EnqueueRecord applies a client's record and includes it in the next append,
-// together with the decisions that follow from it. It returns false if this entry
-// holds no leader lease; the caller then has to append the record itself. A slow
-// store handles one append at a time, so that separate appends of the record and
-// of the start would wait twice.
-func (d *Director) EnqueueRecord(now time.Time, r berylstore.Record) bool {
+// EnqueueRecord applies a client's record and includes it in one of the next appends,
+// together with the decisions that follow from it. A slow store handles one append at a
+// time, so that separate appends of the record and of the start would wait twice. It
+// changes nothing and returns an error of kind NotRun if this entry holds no leader lease,
+// so that the caller has to append the record itself, and one of kind Oversize if the
+// store does not take the record.
+func (d *Director) EnqueueRecord(now time.Time, r berylstore.Record) error {
 	if !d.hasLease(now) {
-		return false
+		return berylerror.NotRun.Errorf("this entry is not the leader")
+	}
+	records, err := berylbook.Split(r, d.Limits.Store)
+	if err != nil {
+		return err
+	}
+	if !d.recordLimits().AcceptsCall(records) {
+		return berylerror.NotRun.Errorf("leader's appends are too small for the record")
+	}
+	d.enqueued = append(d.enqueued, records)
+	if id := berylbook.JobOf(r); id != "" {
+		d.unrecorded[id] = true
 	}
-	d.enqueued = append(d.enqueued, r)
 	d.resetIndex()
 	if id := d.Book.Apply(r); id != "" {
 		d.jobChanged(now, id)
 	}
-	return true
+	return nil
 }
 
+// recordLimits returns the limits of one client's records in an append, which has room for
+// a renewal of the claim beside them.
+func (d *Director) recordLimits() berylstore.Limits {
+	return berylstore.Limits{Record: d.Limits.Store.Record, Call: d.maxAppend - _claimRoom}
+}
+
+// _claimRoom is the room in an append for a renewal of the claim, in bytes.
+const _claimRoom = 4 << 10
+
 // jobChanged handles a change of a job by a record.
 func (d *Director) jobChanged(now time.Time, id string) {
 	j := d.Book.Jobs[id]
--- a/beryldirector/world_test.go
+++ b/beryldirector/world_test.go
@@ -176,7 +176,7 @@
 // entry appends it. So the topic may get the record twice.
 func (w *world) submit(r berylstore.Record) {
 	e := w.entries[w.r.IntN(len(w.entries))]
-	if !e.up || !e.d.EnqueueRecord(w.now, r) {
+	if !e.up || e.d.EnqueueRecord(w.now, r) != nil {
 		w.topic = append(w.topic, r)
 		return
 	}
--- a/berylerror/kind.go
+++ b/berylerror/kind.go
@@ -102,6 +102,17 @@
 	return answers()[k]
 }
 
+// Final reports whether the same request fails in the same way however often it is repeated,
+// and at whichever process.
+func (k Kind) Final() bool {
+	switch k {
+	case Invalid, Conflict, Oversize, Impossible:
+		return true
+	default:
+		return false
+	}
+}
+
 // Errorf returns a new error of this kind.
 func (k Kind) Errorf(format string, args ...any) error {
 	return &kindError{kind: k, err: errors.Errorf(format, args...)}
--- a/berylfollower/follower_test.go
+++ b/berylfollower/follower_test.go
@@ -28,6 +28,8 @@
 
 func (s *scriptedStore) Append(context.Context, berylstore.Append) (int64, error) { return 0, nil }
 
+func (s *scriptedStore) Limits() berylstore.Limits { return berylstore.DefaultLimits() }
+
 func (s *scriptedStore) Newest(context.Context, string, string) (berylstore.Page, error) {
 	s.pages++
 	return berylstore.Page{End: 5}, nil
--- a/berylgateway/gateway.go
+++ b/berylgateway/gateway.go
@@ -252,6 +252,10 @@
 		return
 	}
 	g.cfg.Log.Warn("append refused; no longer leading", "epoch", m.epoch, "err", m.err)
+	if berylstore.OutcomeOf(m.err) == berylstore.Refused {
+		g.director.Refused()
+		return
+	}
 	g.director.Deposed()
 }
 
@@ -262,14 +266,13 @@
 		switch e := e.(type) {
 		case beryldirector.Persist:
 			g.seq++
-			g.pendingReplies.appendSent()
+			g.pendingReplies.appendSent(e.Enqueued)
 			go g.persist(e, g.seq)
 		case beryldirector.Claim:
 			g.seq = 0
 			go g.claim(e)
 		case beryldirector.Reload:
-			g.pendingReplies.appendSent()
-			g.pendingReplies.resolve(errDeposed)
+			g.pendingReplies.resolveAll(errDeposed)
 			g.jobs.Reload()
 		case beryldirector.Probe:
 			go g.probe(e)
--- a/berylgateway/memory_test.go
+++ b/berylgateway/memory_test.go
@@ -13,9 +13,11 @@
 
 // memory is an in-memory store with the topic "jobs"; all other topics are empty.
 type memory struct {
-	mu      sync.Mutex
-	records []berylstore.Record
-	epochs  map[string]int64
+	mu sync.Mutex
+	// limits are those of the settings, and real, if set, those that hold.
+	limits, real berylstore.Limits
+	records      []berylstore.Record
+	epochs       map[string]int64
 	// answered has the offset of each append of the leader, by epoch and sequence
 	// number. The store takes another append with the same ones for a repetition.
 	answered map[[2]int64]int64
@@ -33,7 +35,7 @@
 }
 
 func newMemory() *memory {
-	return &memory{epochs: map[string]int64{}, answered: map[[2]int64]int64{}, claimed: map[*storeView]bool{}, jobs: map[string]int{}, changed: make(chan struct{})}
+	return &memory{limits: berylstore.DefaultLimits(), epochs: map[string]int64{}, answered: map[[2]int64]int64{}, claimed: map[*storeView]bool{}, jobs: map[string]int{}, changed: make(chan struct{})}
 }
 
 // storeView is the store as one VM reaches it.
@@ -56,6 +58,8 @@
 		return 0, berylstore.ErrRejected
 	case a.Topic != "jobs":
 		return 0, nil
+	case v.real != (berylstore.Limits{}) && !v.real.AcceptsCall(a.Records):
+		return 0, berylstore.ErrInvalid
 	case repeated && a.Producer == _leaderProducer:
 		return first, nil
 	case a.Epoch < v.epochs[a.Producer]:
@@ -120,6 +124,8 @@
 	return berylstore.Read{Records: slices.Clone(v.records[from:]), Next: end, End: end}, nil
 }
 
+func (v *storeView) Limits() berylstore.Limits { return v.limits }
+
 func (v *storeView) Newest(_ context.Context, topic, _ string) (berylstore.Page, error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/berylgateway/message.go
+++ b/berylgateway/message.go
@@ -31,8 +31,8 @@
 		reply  func(error)
 	}
 	// appendFinished is the outcome of the leader's append. If err is set, the store has
-	// refused the append, as its epoch is fenced or its sequence number does not
-	// match.
+	// refused the append for good: its epoch is fenced, its sequence number does not
+	// match, or its content is invalid.
 	appendFinished struct {
 		epoch int64
 		err   error
@@ -87,8 +87,7 @@
 	}
 	g.leading.Store(false)
 	g.stepScheduled = false
-	g.pendingReplies.appendSent()
-	g.pendingReplies.resolve(errDeposed)
+	g.pendingReplies.resolveAll(errDeposed)
 	g.jobs.Reload()
 }
 
--- a/berylgateway/persist.go
+++ b/berylgateway/persist.go
@@ -1,8 +1,6 @@
 package berylgateway
 
 import (
-	"github.com/go-faster/errors"
-
 	"berylglade/berylclock"
 	"berylglade/beryldirector"
 	"berylglade/berylstore"
@@ -17,14 +15,11 @@
 			timeout = _retryTimeout
 		}
 		err := g.append(e, seq, -1, timeout)
-		switch {
-		case err == nil:
-			g.loop.Tell(appendFinished{epoch: e.Epoch})
-			return
-		case errors.Is(err, berylstore.ErrFenced), errors.Is(err, berylstore.ErrSequence):
+		if berylstore.OutcomeOf(err).Final() {
 			g.loop.Tell(appendFinished{epoch: e.Epoch, err: err})
 			return
-		case g.ctx.Err() != nil:
+		}
+		if g.ctx.Err() != nil {
 			return
 		}
 		if tries&(tries-1) == 0 {
--- a/berylgateway/record.go
+++ b/berylgateway/record.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"berylglade/berylbook"
 	"berylglade/berylcontrol"
 	"berylglade/berylerror"
 	"berylglade/berylmessage"
@@ -20,14 +21,22 @@
 
 // replyQueue holds the callers that wait for an append of the leader.
 type replyQueue struct {
-	// next are the callers whose record is in the next append.
+	// next are the callers whose record is enqueued, the oldest first.
 	next []func(error)
 	// inFlight are the callers whose record is in the outstanding append.
 	inFlight []func(error)
 }
 
-// appendSent notes that an append with all records so far has been sent.
-func (r *replyQueue) appendSent() { r.inFlight, r.next = append(r.inFlight, r.next...), nil }
+// appendSent notes that an append with the n oldest enqueued records has been sent.
+func (r *replyQueue) appendSent(n int) {
+	r.inFlight, r.next = append(r.inFlight, r.next[:n]...), r.next[n:]
+}
+
+// resolveAll passes err to all callers.
+func (r *replyQueue) resolveAll(err error) {
+	r.appendSent(len(r.next))
+	r.resolve(err)
+}
 
 // resolve passes the outcome of the append in flight to its callers.
 func (r *replyQueue) resolve(err error) {
@@ -44,8 +53,8 @@
 		m.reply(berylerror.Conflict.Errorf("another client account uses this job id"))
 		return
 	}
-	if !g.director.EnqueueRecord(now, m.record) {
-		m.reply(berylerror.NotRun.Errorf("this entry is not the leader"))
+	if err := g.director.EnqueueRecord(now, m.record); err != nil {
+		m.reply(err)
 		return
 	}
 	g.pendingReplies.next = append(g.pendingReplies.next, m.reply)
@@ -76,10 +85,14 @@
 // saves an append and a read, or directly if the leader can't be reached. A record
 // that is appended both ways does no harm, as key and value are the same.
 func (g *Gateway) appendRecord(ctx context.Context, r berylstore.Record) error {
+	records, err := berylbook.Split(r, g.cfg.Store.Limits())
+	if err != nil {
+		return err
+	}
 	var leaderErr error
 	if g.cfg.Clock().UnixMilli() >= g.leaderRetryAt.Load() {
 		leaderErr = g.appendViaLeader(ctx, r)
-		if leaderErr == nil || berylerror.Of(leaderErr) == berylerror.Conflict {
+		if leaderErr == nil || berylerror.Of(leaderErr).Final() {
 			return leaderErr
 		}
 		if berylerror.Of(leaderErr) != berylerror.NotRun {
@@ -87,7 +100,7 @@
 			g.cfg.Log.Warn("leader has not recorded", "key", r.Key, "err", leaderErr)
 		}
 	}
-	err := g.producer.Append(ctx, r)
+	err = g.producer.Append(ctx, records...)
 	if berylerror.Of(err) == berylerror.NotRun && leaderErr != nil && berylerror.Of(leaderErr) != berylerror.NotRun {
 		return berylerror.Unknown.Wrap(leaderErr, "leader did not answer")
 	}
--- a/berylproducer/producer.go
+++ b/berylproducer/producer.go
@@ -12,8 +12,6 @@
 	"sync"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"berylglade/berylclock"
 	"berylglade/berylerror"
 	"berylglade/berylstore"
@@ -73,10 +71,14 @@
 	return now.Sub(p.failingSince)
 }
 
-// Append appends the records and waits until they are in the topic. An error of kind
-// NotRun means that they will never be; one of kind Unknown means that ctx ended or
-// the process stopped before the outcome was known.
+// Append appends the records in one append and waits until they are in the topic. An
+// error of kind NotRun means that they will never be, and one of kind Oversize that the
+// store never takes them; one of kind Unknown means that ctx ended or the process stopped
+// before the outcome was known.
 func (p *Producer) Append(ctx context.Context, records ...berylstore.Record) error {
+	if !p.store.Limits().AcceptsCall(records) {
+		return berylerror.Oversize.Errorf("%d records exceed the limits of the store", len(records))
+	}
 	r := &request{records: records, done: make(chan error, 1)}
 	p.mu.Lock()
 	p.waiting = append(p.waiting, r)
@@ -131,23 +133,37 @@
 		return false
 	}
 	err := p.appendUntilKnown(ctx, records)
+	if berylerror.Of(err) == berylerror.Oversize && len(batch) > 1 {
+		// Which of the requests the store refuses is not known.
+		p.appendEach(ctx, batch)
+		return ctx.Err() == nil
+	}
 	for _, r := range batch {
 		r.done <- err
 	}
 	return ctx.Err() == nil
 }
 
+// appendEach appends requests one by one.
+func (p *Producer) appendEach(ctx context.Context, batch []*request) {
+	for _, r := range batch {
+		r.done <- p.appendUntilKnown(ctx, r.records)
+	}
+}
+
 func (p *Producer) nextBatch() ([]*request, []berylstore.Record) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var records []berylstore.Record
+	limits := p.store.Limits()
 	n := 0
 	for _, r := range p.waiting {
-		if n > 0 && len(records)+len(r.records) > _maxRecords {
+		joined := append(records[:len(records):len(records)], r.records...)
+		if n > 0 && (len(joined) > _maxRecords || !limits.AcceptsCall(joined)) {
 			break
 		}
 		r.sent = true
-		records = append(records, r.records...)
+		records = joined
 		n++
 	}
 	batch := p.waiting[:n:n]
@@ -163,22 +179,28 @@
 	p.markOutstanding()
 	for {
 		err := p.attempt(ctx, records, timeout)
+		outcome := berylstore.OutcomeOf(err)
 		switch {
-		case err == nil:
-			p.markAppended()
+		case outcome == berylstore.Appended:
+			p.markAnswered()
 			return nil
 		case ctx.Err() != nil:
 			return berylerror.Unknown.Wrap(err, "process is stopping")
-		case errors.Is(err, berylstore.ErrRejected) && !unknown:
+		case outcome == berylstore.Refused:
+			// An earlier attempt had the same content.
+			p.seq--
+			p.markAnswered()
+			return berylerror.Oversize.Wrap(err, "append")
+		case outcome == berylstore.Rejected && !unknown:
 			p.seq--
 			p.markRefused()
 			return berylerror.NotRun.Wrap(err, "append")
-		case errors.Is(err, berylstore.ErrSequence), errors.Is(err, berylstore.ErrFenced):
+		case outcome == berylstore.Superseded:
 			// The store's state of this producer differs, so start a new epoch. The
 			// records may be appended twice, which their readers ignore.
 			p.epoch++
 			p.seq = 1
-		case !errors.Is(err, berylstore.ErrRejected):
+		case outcome == berylstore.Unanswered:
 			unknown = true
 			timeout = _retryTimeout
 		}
@@ -227,7 +249,8 @@
 	}
 }
 
-func (p *Producer) markAppended() {
+// markAnswered notes that the store has answered the append for good.
+func (p *Producer) markAnswered() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.busy = false
--- a/berylproducer/producer_test.go
+++ b/berylproducer/producer_test.go
@@ -47,6 +47,8 @@
 	return 0, err
 }
 
+func (s *scriptedStore) Limits() berylstore.Limits { return berylstore.DefaultLimits() }
+
 func (s *scriptedStore) Read(context.Context, string, int64, time.Duration) (berylstore.Read, error) {
 	return berylstore.Read{}, nil
 }
@@ -84,6 +86,11 @@
 		{name: "success", want: 0, seqs: []int64{1}},
 		{name: "retried after a lost reply", give: []error{context.DeadlineExceeded}, want: 0, seqs: []int64{1, 1}},
 		{name: "refused", give: []error{berylstore.ErrRejected}, want: berylerror.NotRun, seqs: []int64{1}},
+		{name: "refused for its content", give: []error{berylstore.ErrInvalid}, want: berylerror.Oversize, seqs: []int64{1}},
+		{
+			name: "refused for its content after a lost reply",
+			give: []error{context.DeadlineExceeded, berylstore.ErrInvalid}, want: berylerror.Oversize, seqs: []int64{1, 1},
+		},
 		{
 			name: "retried when refused after a lost reply",
 			give: []error{context.DeadlineExceeded, berylstore.ErrRejected}, want: 0, seqs: []int64{1, 1, 1},
--- a/berylregistry/registry_test.go
+++ b/berylregistry/registry_test.go
@@ -32,6 +32,8 @@
 	return berylstore.Read{}, errors.New("not used")
 }
 
+func (p *pagedStore) Limits() berylstore.Limits { return berylstore.DefaultLimits() }
+
 func (p *pagedStore) Newest(_ context.Context, _, after string) (berylstore.Page, error) {
 	for i, r := range p.records {
 		if r.Key > after {
--- a/berylsidecar/sidecar_test.go
+++ b/berylsidecar/sidecar_test.go
@@ -38,6 +38,8 @@
 	return berylstore.Read{}, nil
 }
 
+func (s *topic) Limits() berylstore.Limits { return berylstore.DefaultLimits() }
+
 func (s *topic) Newest(context.Context, string, string) (berylstore.Page, error) {
 	return berylstore.Page{}, nil
 }
--- a/berylsite/agent.go
+++ b/berylsite/agent.go
@@ -28,7 +28,7 @@
 		Buckets: prometheus.ExponentialBuckets(0.001, 3, 8),
 	}, []string{"call", "result"})
 	p.registry.MustRegister(calls)
-	store := platform.NewStore(s.Store)
+	store := platform.NewStore(s.Store, s.StoreLimits)
 	agent := berylsidecar.New(berylsidecar.Config{
 		Node: s.Node, Addr: s.InternalAddr(), Boot: p.boot,
 		Limits:   keeperLimits(s),
--- a/berylsite/entry.go
+++ b/berylsite/entry.go
@@ -44,7 +44,7 @@
 		Name: "berylglade_decisions_total", Help: "Decisions of the leader by their name in the log.",
 	}, []string{"decision"})
 	e.registry.MustRegister(decisions)
-	store := platform.NewStore(s.Store)
+	store := platform.NewStore(s.Store, s.StoreLimits)
 	e.gateway = berylgateway.New(berylgateway.Config{
 		Self:           beryldirector.Self{Node: s.Node, Boot: e.boot, Addr: s.InternalAddr(), Cores: s.Cores},
 		Limits:         directorLimits(s),
@@ -162,6 +162,7 @@
 		Retention: s.Kept + _retentionMargin,
 		Stop:      s.StopTimeout, Reclaim: s.Reclaim, GangTimeout: s.GangTimeout,
 		Checkpoint: s.Checkpoint, Restore: s.Restore, SpreadFactor: s.SpreadFactor,
+		Store: s.StoreLimits,
 	}
 }
 
--- a/berylstore/store.go
+++ b/berylstore/store.go
@@ -58,10 +58,50 @@
 	ErrSequence = errors.New("sequence number does not follow the last one")
 	// ErrGone means that records at the offset have been deleted.
 	ErrGone = errors.New("records at the offset were deleted")
-	// ErrRejected means that the store rejected the call and did nothing.
+	// ErrRejected means that the store rejected the call and did nothing. The same call
+	// may succeed later.
 	ErrRejected = errors.New("store rejected the call")
+	// ErrInvalid means that the store refused the call because of its content and did
+	// nothing. The same call is always refused.
+	ErrInvalid = errors.New("store refuses the content of the call")
 )
 
+// Outcome is what is known of an append after a call.
+type Outcome uint8
+
+const (
+	// Appended means that the records are in the topic.
+	Appended Outcome = iota + 1
+	// Rejected means that this call did nothing, and a repetition may succeed.
+	Rejected
+	// Refused means that this call did nothing, and neither does a repetition.
+	Refused
+	// Superseded means that the producer's epoch or sequence number is not that of the
+	// store any more. A repetition gets the same answer.
+	Superseded
+	// Unanswered means that the call may have taken effect, or may do so later.
+	Unanswered
+)
+
+// OutcomeOf returns the outcome of an append that returned err.
+func OutcomeOf(err error) Outcome {
+	switch {
+	case err == nil:
+		return Appended
+	case errors.Is(err, ErrRejected):
+		return Rejected
+	case errors.Is(err, ErrInvalid), errors.Is(err, ErrEndMismatch):
+		return Refused
+	case errors.Is(err, ErrFenced), errors.Is(err, ErrSequence):
+		return Superseded
+	default:
+		return Unanswered
+	}
+}
+
+// Final reports whether the outcome stays the same however often the call is repeated.
+func (o Outcome) Final() bool { return o == Appended || o == Refused || o == Superseded }
+
 // Store is the platform's store. Implementations are safe for concurrent use.
 type Store interface {
 	// Append returns the offset of the first record.
@@ -70,4 +110,6 @@
 	Read(ctx context.Context, topic string, from int64, wait time.Duration) (Read, error)
 	// Newest returns a page of the newest records whose keys follow after.
 	Newest(ctx context.Context, topic, after string) (Page, error)
+	// Limits returns the sizes that the store accepts.
+	Limits() Limits
 }
