beryldirector: orders to an agent are bounded by their size

Before: TestOrdersAreBounded fails (8 MB in one message). After: a message has starts of 2 MiB, the others follow when these are received, and the time to confirm a start begins when it is sent.

--- a/beryldirector/orders.go
+++ b/beryldirector/orders.go
@@ -42,11 +42,14 @@
 			Epoch: d.epoch, Incarnation: a.report.Incarnation, Basis: a.contactClock, Boot: a.report.Boot, Acked: a.ackedEnd, Stop: slices.Clone(a.unknown),
 		}
 	}
-	d.eachActive(func(s activeTask) { d.addOrder(now, orders, s) })
+	size := map[string]int{}
+	d.eachActive(func(s activeTask) { d.addOrder(now, orders, size, s) })
 	return d.dropRepeated(now, orders)
 }
 
-func (d *Director) addOrder(now time.Time, orders map[string]berylreport.Orders, s activeTask) {
+// addOrder adds the order for a task. Size has the size of the starts for each node, in
+// bytes. What exceeds that of a message follows when the agent has received the others.
+func (d *Director) addOrder(now time.Time, orders map[string]berylreport.Orders, size map[string]int, s activeTask) {
 	t := s.task
 	o, ok := orders[t.Incarnation.Node]
 	if !ok || o.Incarnation != t.Incarnation || t.Phase == berylbook.Working || !t.Phase.Active() {
@@ -57,6 +60,13 @@
 	case t.Phase == berylbook.Stopping:
 		o.Stop = append(o.Stop, k)
 	case t.Phase == berylbook.Ordered && d.isRecorded(s.job.Work.ID) && d.mayStart(now, d.agents[t.Incarnation.Node], k):
+		n := _startSize + len(k.Task) + len(s.job.Work.Spec) + len(t.Checkpoint)
+		if len(o.Start) > 0 && size[t.Incarnation.Node]+n > _maxOrdersSize {
+			// The time to confirm it begins when it is sent.
+			d.orderedAt[runKey{s.ref, t.Run}] = now
+			return
+		}
+		size[t.Incarnation.Node] += n
 		o.Start = append(o.Start, berylreport.Start{Key: k, Spec: s.job.Work.Spec, Checkpoint: t.Checkpoint})
 	default:
 		return
@@ -117,8 +127,15 @@
 	return a.report.Addr, a.report.Via
 }
 
-// _orderInterval is the minimum time between two computations of the orders.
-const _orderInterval = 10 * time.Millisecond
+const (
+	// _orderInterval is the minimum time between two computations of the orders.
+	_orderInterval = 10 * time.Millisecond
+	// _maxOrdersSize is the size of the starts in one message to an agent, in bytes. A
+	// message may have 16 MiB, and the smallest agent's memory is 152 MB.
+	_maxOrdersSize = 2 << 20
+	// _startSize is the size of a start without its strings, in bytes.
+	_startSize = 32
+)
 
 // usedResources returns the resources that active runs use on each node, and the
 // part of them that is being released because the run is being stopped.
