--- a/berylbook/book.go
+++ b/berylbook/book.go
@@ -15,6 +15,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"berylglade/berylload"
 	"berylglade/berylstore"
 	"berylglade/berylwork"
 )
@@ -32,7 +33,10 @@
 
 // Book is the state of all jobs. The zero value is empty.
 type Book struct {
-	Jobs map[string]*Job
+	// Summary makes the Book keep of each job only what a client may ask for: it has
+	// neither steps nor tasks. It must not change.
+	Summary bool
+	Jobs    map[string]*Job
 	// Claim is the newest claim to leadership.
 	Claim Claim
 	// RunTimes is the newest record of what a leader has learned about run times.
@@ -47,6 +51,8 @@
 	// deferred holds progress and cancels whose submission has not been read yet:
 	// a page of newest records is in the order of keys, so they may arrive first.
 	deferred map[string]*deferredUpdate
+	// names has the names of VMs and instances in the tasks, which thousands share.
+	names map[string]string
 }
 
 type deferredUpdate struct {
@@ -63,6 +69,7 @@
 	if b.Jobs == nil {
 		b.Jobs = map[string]*Job{}
 		b.deferred = map[string]*deferredUpdate{}
+		b.names = map[string]string{}
 	}
 	switch {
 	case r.Key == _leaderKey:
@@ -129,6 +136,10 @@
 		return ""
 	}
 	j := NewJob(&s.Work)
+	j.Load = s.Work.Load()
+	if b.Summary {
+		j.summarize()
+	}
 	b.Jobs[id] = j
 	b.unsorted = true
 	if e := b.deferred[id]; e != nil {
@@ -221,34 +232,44 @@
 // deleteTask applies the deletion of a task's record. The Progress of its job, which
 // precedes it, says that no run exists.
 func (b *Book) deleteTask(ref berylwork.Ref) {
-	j, t := b.Task(ref)
-	if t != nil && j.Quiescent() {
-		*t = Task{}
+	if j := b.Jobs[ref.Job]; j != nil && !b.Summary && j.has(ref) && j.Quiescent() {
+		j.Step(ref.Occurrence, ref.Step).clear(ref.Index)
 	}
 }
 
 func (b *Book) setTask(ref berylwork.Ref, t Task) {
-	j, task := b.Task(ref)
-	if task == nil {
+	j := b.Jobs[ref.Job]
+	if b.Summary {
+		j.started = j.started || t.started()
+		return
+	}
+	if !j.has(ref) {
 		b.Undecodable++
 		return
 	}
-	*task = t
+	t.Incarnation.Node = b.shared(t.Incarnation.Node)
+	t.Incarnation.Instance = b.shared(t.Incarnation.Instance)
+	*j.At(ref.Occurrence, ref.Step, ref.Index) = t
 	j.quiescent = false
 }
 
-// Task returns the task that ref names and its job. Either is nil if it does
-// not exist.
+// shared returns the one copy of a name.
+func (b *Book) shared(name string) string {
+	if s, ok := b.names[name]; ok {
+		return s
+	}
+	b.names[name] = name
+	return name
+}
+
+// Task returns the task that ref names, which may be changed, and its job. Either is nil
+// if it does not exist.
 func (b *Book) Task(ref berylwork.Ref) (*Job, *Task) {
 	j := b.Jobs[ref.Job]
-	if j == nil || ref.Occurrence >= len(j.Tasks) || ref.Step >= len(j.Tasks[ref.Occurrence]) {
+	if j == nil || !j.has(ref) {
 		return j, nil
 	}
-	tasks := j.Tasks[ref.Occurrence][ref.Step]
-	if ref.Index >= len(tasks) {
-		return j, nil
-	}
-	return j, &tasks[ref.Index]
+	return j, j.At(ref.Occurrence, ref.Step, ref.Index)
 }
 
 // Sorted returns the jobs ordered by id, so that decisions do not depend on the
@@ -266,6 +287,31 @@
 	return b.sorted
 }
 
+// Load returns the load of the jobs that have not ended, as seen by one client account.
+func (b *Book) Load(account string) berylload.Load {
+	var l berylload.Load
+	for _, j := range b.Jobs {
+		switch {
+		case j.State.Final():
+		case j.Work.Account == account:
+			l.Account += j.Load
+		default:
+			l.Others += j.Load
+		}
+	}
+	return l
+}
+
+// Submitted returns the job that r submits; nil if it is known, or r is another record.
+func (b *Book) Submitted(r berylstore.Record) *berylwork.Work {
+	id, ok := strings.CutPrefix(r.Key, _submissionPrefix)
+	var s Submission
+	if !ok || b.Jobs[id] != nil || !b.decode(r, &s) {
+		return nil
+	}
+	return &s.Work
+}
+
 // Waiting returns the number of jobs of a queue that have not started, not
 // counting scheduled jobs.
 func (b *Book) Waiting(queue string) int {
--- a/berylbook/book_test.go
+++ b/berylbook/book_test.go
@@ -18,10 +18,10 @@
 	j := NewJob(&work)
 	first, err := (&Submission{Work: work}).Record()
 	is.NoErr(err)
-	j.Tasks[0][0][1] = workingTask()
+	*j.At(0, 0, 1) = workingTask()
 	recorded := &Recorded{}
 	list := append([]berylstore.Record{first}, changes(is, j, recorded)...)
-	j.Tasks[0][0][1].Phase = Done
+	j.At(0, 0, 1).Phase = Done
 	list = append(list, changes(is, j, recorded)...)
 	cancel, err := (&Cancel{At: 9}).Record("j1")
 	is.NoErr(err)
@@ -34,6 +34,17 @@
 	return Task{Run: 3, Phase: Working, Incarnation: Incarnation{Node: "n", Instance: "i", StartedAt: 4}, Failures: 1, Checkpoint: "s"}
 }
 
+// tasksOf returns the tasks with progress.
+func tasksOf(j *Job) map[berylwork.Ref]Task {
+	tasks := map[berylwork.Ref]Task{}
+	j.Each(func(ref berylwork.Ref, t *Task) {
+		if *t != (Task{}) {
+			tasks[ref] = *t
+		}
+	})
+	return tasks
+}
+
 // room has room for a number of records of any size.
 func room(records int) Room {
 	return Room{Records: records, Bytes: 1 << 30, Limits: berylstore.DefaultLimits()}
@@ -72,7 +83,7 @@
 		for _, r := range newest {
 			some.Apply(r)
 		}
-		is.Equal(some.Jobs["j1"].Tasks, all.Jobs["j1"].Tasks)
+		is.Equal(tasksOf(some.Jobs["j1"]), tasksOf(all.Jobs["j1"]))
 		is.Equal(some.Jobs["j1"].ClientState(), Cancelled)
 		is.Equal(some.Claim, all.Claim)
 	}
@@ -88,7 +99,7 @@
 		b.Apply(r)
 	}
 	b.Apply(list[0])
-	is.Equal(b.Jobs["j1"].Tasks[0][0][1].Run, 3)
+	is.Equal(b.Jobs["j1"].At(0, 0, 1).Run, 3)
 	is.Equal(len(b.Sorted()), 1)
 	for _, r := range b.Jobs["j1"].Tombstones() {
 		b.Apply(r)
@@ -145,7 +156,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			b.Jobs["j1"].Tasks[0][0][0] = tt.give
+			*b.Jobs["j1"].At(0, 0, 0) = tt.give
 			is.Equal(b.Waiting("q"), tt.want)
 			state := Pending
 			if tt.want == 1 {
@@ -199,8 +210,8 @@
 		var b Book
 		b.Apply(submission)
 		b.Apply(other)
-		is.Equal(len(b.Jobs["j1"].Tasks[0][0]), 2)
-		is.Equal(len(b.Jobs["j1"].Tasks[0][1]), 1)
+		is.Equal(b.Jobs["j1"].Step(0, 0).Len(), 2)
+		is.Equal(b.Jobs["j1"].Step(0, 1).Len(), 1)
 	})
 }
 
@@ -211,15 +222,15 @@
 	const limit = 256
 	is := is.New(t)
 	j := NewJob(&berylwork.Work{ID: "j1", Steps: []berylwork.Step{{Count: 470}}, Times: 8})
-	for k := range j.Tasks {
-		for i := range j.Tasks[k][0] {
-			j.Tasks[k][0][i] = workingTask()
+	for k := range j.Work.Occurrences() {
+		for i := range j.Step(k, 0).Len() {
+			*j.At(k, 0, i) = workingTask()
 		}
 	}
 	recorded := &Recorded{}
 	is.Equal(len(changes(is, j, recorded)), 8*470+1)
 	is.Equal(len(changes(is, j, recorded)), 0)
-	j.Tasks[3][0][400].Phase = Done
+	j.At(3, 0, 400).Phase = Done
 	list := changes(is, j, recorded)
 	is.Equal(len(list), 1)
 	is.Equal(list[0].Key, "t/j1.3.0.400")
@@ -235,10 +246,10 @@
 	submission, err := (&Submission{Work: work}).Record()
 	is.NoErr(err)
 	recorded := &Recorded{}
-	j.Tasks[0][0][0] = workingTask()
+	*j.At(0, 0, 0) = workingTask()
 	list := append([]berylstore.Record{submission}, changes(is, j, recorded)...)
 	j.State, j.EndedAt = Failed, 9
-	j.Tasks[0][0][0].Phase = Stopping
+	j.At(0, 0, 0).Phase = Stopping
 	list = append(list, changes(is, j, recorded)...)
 	var b Book
 	for _, r := range newestOf(list) {
@@ -246,7 +257,7 @@
 	}
 	is.True(b.Jobs["j1"].State.Final())
 	is.True(b.Jobs["j1"].Active())
-	j.Tasks[0][0][0].Phase = Idle
+	j.At(0, 0, 0).Phase = Idle
 	list = append(list, changes(is, j, recorded)...)
 	is.Equal(len(newestOf(list)), 2)
 	// The pages of a topic are not a snapshot: the newest Progress is read first, and
@@ -283,12 +294,12 @@
 		}
 	}
 	for i := range tasks {
-		j.Tasks[0][0][i] = workingTask()
+		*j.At(0, 0, i) = workingTask()
 	}
 	write(func() {})
-	is.Equal(book.Jobs["j1"].Tasks, j.Tasks)
+	is.Equal(tasksOf(book.Jobs["j1"]), tasksOf(j))
 	for i := range tasks {
-		j.Tasks[0][0][i].Phase = Done
+		j.At(0, 0, i).Phase = Done
 	}
 	j.State, j.EndedAt = Completed, 9
 	write(func() { is.True(book.Jobs["j1"].Quiescent()) })
@@ -316,7 +327,7 @@
 	for _, r := range newestOf(list) {
 		after.Apply(r)
 	}
-	is.Equal(after.Jobs["j1"].Tasks, b.Jobs["j1"].Tasks)
+	is.Equal(tasksOf(after.Jobs["j1"]), tasksOf(b.Jobs["j1"]))
 }
 
 // Two client accounts submit a job with one id at the same time, at two entries. Guards
--- a/berylbook/changes.go
+++ b/berylbook/changes.go
@@ -1,6 +1,8 @@
 package berylbook
 
 import (
+	"hash/maphash"
+
 	"berylglade/berylstore"
 	"berylglade/berylwork"
 )
@@ -13,33 +15,48 @@
 	// written is true once the topic has a Progress of the job, and quiescent if that
 	// says that no run exists.
 	written, quiescent bool
-	// tasks is indexed like Job.Tasks; nil if the topic has no task of the job.
-	tasks [][][]Task
+	// seed and tasks have the hash of each task that the topic has.
+	seed  maphash.Seed
+	tasks map[taskIndex]uint64
 }
 
+// taskIndex identifies a task of a job.
+type taskIndex struct{ occurrence, step, index int32 }
+
 // Recorded returns the progress of a job whose state is that of the topic.
 func (j *Job) Recorded() *Recorded {
 	if j.combined {
 		return &Recorded{}
 	}
-	r := &Recorded{state: j.State, endedAt: j.EndedAt, written: j.ordered() || j.State.Final()}
-	r.copyTasks(j)
+	r := &Recorded{state: j.State, endedAt: j.EndedAt, written: j.Ordered() || j.State.Final()}
+	j.Each(func(ref berylwork.Ref, t *Task) { r.set(ref, t) })
 	return r
 }
 
-func (r *Recorded) copyTasks(j *Job) {
-	r.tasks = make([][][]Task, len(j.Tasks))
-	for k := range j.Tasks {
-		r.tasks[k] = make([][]Task, len(j.Tasks[k]))
-		for s := range j.Tasks[k] {
-			r.tasks[k][s] = append([]Task(nil), j.Tasks[k][s]...)
-		}
+// set notes that the topic has the task as it is.
+func (r *Recorded) set(ref berylwork.Ref, t *Task) {
+	if *t == (Task{}) {
+		delete(r.tasks, indexOf(ref))
+		return
+	}
+	if r.tasks == nil {
+		r.seed = maphash.MakeSeed()
+		r.tasks = map[taskIndex]uint64{}
 	}
+	r.tasks[indexOf(ref)] = maphash.Comparable(r.seed, *t)
 }
 
-// task returns the recorded state of a task. It is zero if the topic does not have it.
-func (r *Recorded) task(ref berylwork.Ref) *Task {
-	return &r.tasks[ref.Occurrence][ref.Step][ref.Index]
+// has reports whether the topic has the task as it is.
+func (r *Recorded) has(ref berylwork.Ref, t *Task) bool {
+	hash, ok := r.tasks[indexOf(ref)]
+	if *t == (Task{}) {
+		return !ok
+	}
+	return ok && hash == maphash.Comparable(r.seed, *t)
+}
+
+func indexOf(ref berylwork.Ref) taskIndex {
+	return taskIndex{int32(ref.Occurrence), int32(ref.Step), int32(ref.Index)}
 }
 
 // Room is what an append has left for the records of one job.
@@ -67,9 +84,6 @@
 // so each task has a record of its own. Once the job is final and has no active run, its
 // tasks are deleted.
 func (j *Job) Changes(epoch int64, r *Recorded, room Room) (records []berylstore.Record, more bool, err error) {
-	if r.tasks == nil {
-		r.copyTasks(NewJob(j.Work))
-	}
 	quiescent := j.State.Final() && !j.Active()
 	if quiescent {
 		// Before the tasks are deleted, the topic has to say that none runs again.
@@ -107,12 +121,11 @@
 // quiescent, and whether there are others for which there is no room.
 func (j *Job) changedTasks(r *Recorded, quiescent bool, room Room) (records []berylstore.Record, more bool, err error) {
 	j.Each(func(ref berylwork.Ref, t *Task) {
-		old := r.task(ref)
 		want := *t
 		if quiescent {
 			want = Task{}
 		}
-		if *old == want || more || err != nil {
+		if more || err != nil || r.has(ref, &want) {
 			return
 		}
 		rec := berylstore.Record{Key: _taskPrefix + ref.String()}
@@ -124,7 +137,7 @@
 			return
 		}
 		records = append(records, rec)
-		*old = want
+		r.set(ref, &want)
 	})
 	return records, more, err
 }
--- a/berylbook/job.go
+++ b/berylbook/job.go
@@ -1,6 +1,7 @@
 package berylbook
 
 import (
+	"maps"
 	"slices"
 
 	"berylglade/berylwork"
@@ -97,7 +98,10 @@
 
 // Job is a job with its progress.
 type Job struct {
+	// Work is the job as it was submitted. In a Book without tasks it has no steps.
 	Work *berylwork.Work
+	// Load is what the job takes of the memory of an entry, as berylwork.Work.Load gives it.
+	Load int
 	// State is never final while a task may still get another run.
 	State State
 	// CancelledAt is when the cancel was accepted, in Unix milliseconds; zero if
@@ -105,11 +109,20 @@
 	CancelledAt int64
 	// EndedAt is when State became final, in Unix milliseconds.
 	EndedAt int64
-	// Tasks is indexed by occurrence, step and index.
-	Tasks [][][]Task
+	// occurrences has the tasks of those that were asked for, by step.
+	occurrences map[int][]TaskList
+	// complete is the number of the first occurrences that are known to be complete.
+	complete int
+	// started is true once a run of a task was known to have started, in a Book without
+	// tasks.
+	started bool
+	// released is true if the job is completed and the progress of its tasks is not kept.
+	released bool
+	// summary is true in a Book without tasks.
+	summary bool
 
-	// quiescent and begun cache a true result of Quiescent and Begun.
-	quiescent, begun bool
+	// quiescent, begun and ordered cache a true result of Quiescent, Begun and Ordered.
+	quiescent, begun, ordered bool
 	// parts is the number of records that the topic has of a split submission.
 	parts int
 	// combined is true if the tasks were in the job's Progress, so that the next
@@ -118,15 +131,36 @@
 }
 
 // NewJob returns a job without progress.
-func NewJob(w *berylwork.Work) *Job {
-	j := &Job{Work: w, Tasks: make([][][]Task, w.Occurrences())}
-	for k := range j.Tasks {
-		j.Tasks[k] = make([][]Task, len(w.Steps))
-		for s := range w.Steps {
-			j.Tasks[k][s] = make([]Task, w.Steps[s].Count)
+func NewJob(w *berylwork.Work) *Job { return &Job{Work: w, occurrences: map[int][]TaskList{}} }
+
+// summarize deletes what a Book without tasks doesn't keep.
+func (j *Job) summarize() {
+	w := j.Work
+	j.summary = true
+	j.Work = &berylwork.Work{ID: w.ID, Queue: w.Queue, Account: w.Account, Times: w.Times, Accepted: w.Accepted}
+}
+
+// Step returns the tasks of a step in one occurrence.
+func (j *Job) Step(occurrence, step int) *TaskList {
+	steps, ok := j.occurrences[occurrence]
+	if !ok {
+		steps = make([]TaskList, len(j.Work.Steps))
+		for s := range steps {
+			steps[s] = TaskList{count: j.Work.Steps[s].Count, released: j.released}
 		}
+		j.occurrences[occurrence] = steps
 	}
-	return j
+	return &steps[step]
+}
+
+// At returns a task that may be changed.
+func (j *Job) At(occurrence, step, index int) *Task { return j.Step(occurrence, step).At(index) }
+
+// Release gives back the memory of the tasks of a quiescent job, whose records are deleted.
+// Of a completed job it stays known that they are done.
+func (j *Job) Release() {
+	j.released = j.State == Completed
+	clear(j.occurrences)
 }
 
 func (j *Job) cancel(at int64) {
@@ -142,8 +176,16 @@
 	}
 	j.State = p.State
 	j.EndedAt = p.EndedAt
+	if j.summary {
+		for _, steps := range p.Tasks {
+			for _, tasks := range steps {
+				j.started = j.started || slices.ContainsFunc(tasks, func(t Task) bool { return t.started() })
+			}
+		}
+		return
+	}
 	if j.sameShape(p.Tasks) {
-		j.Tasks = p.Tasks
+		j.setTasks(p.Tasks)
 		j.combined = true
 	}
 	if p.Tasks == nil && p.State.Final() && !p.Separate {
@@ -153,8 +195,30 @@
 
 // sameShape reports whether tasks has those of all occurrences and steps.
 func (j *Job) sameShape(tasks [][][]Task) bool {
-	same := func(a, b []Task) bool { return len(a) == len(b) }
-	return slices.EqualFunc(j.Tasks, tasks, func(a, b [][]Task) bool { return slices.EqualFunc(a, b, same) })
+	if len(tasks) != j.Work.Occurrences() {
+		return false
+	}
+	same := func(s berylwork.Step, tasks []Task) bool { return s.Count == len(tasks) }
+	for _, steps := range tasks {
+		if !slices.EqualFunc(j.Work.Steps, steps, same) {
+			return false
+		}
+	}
+	return true
+}
+
+// setTasks replaces all tasks.
+func (j *Job) setTasks(tasks [][][]Task) {
+	clear(j.occurrences)
+	for k := range tasks {
+		for s := range tasks[k] {
+			for i, t := range tasks[k][s] {
+				if t != (Task{}) {
+					*j.At(k, s, i) = t
+				}
+			}
+		}
+	}
 }
 
 // clearRuns marks all active runs of a final job as ended.
@@ -166,13 +230,14 @@
 	})
 }
 
-// Each calls f for every task.
+// Each calls f for each task that has memory, among them all with progress, in order.
 func (j *Job) Each(f func(ref berylwork.Ref, t *Task)) {
-	for k := range j.Tasks {
-		for s := range j.Tasks[k] {
-			for i := range j.Tasks[k][s] {
-				f(berylwork.Ref{Job: j.Work.ID, Occurrence: k, Step: s, Index: i}, &j.Tasks[k][s][i])
-			}
+	for _, k := range slices.Sorted(maps.Keys(j.occurrences)) {
+		for s := range j.occurrences[k] {
+			j.occurrences[k][s].Each(func(i int, t *Task) bool {
+				f(berylwork.Ref{Job: j.Work.ID, Occurrence: k, Step: s, Index: i}, t)
+				return true
+			})
 		}
 	}
 }
@@ -191,7 +256,7 @@
 
 // Started reports whether a run of any task is known to have started. A run that was only
 // ordered may never start.
-func (j *Job) Started() bool { return j.any((*Task).started) }
+func (j *Job) Started() bool { return j.started || j.any((*Task).started) }
 
 // Begun reports whether the start of the job was noted on a task.
 func (j *Job) Begun() bool {
@@ -201,17 +266,20 @@
 	return j.begun
 }
 
-// ordered reports whether a run of any task was ever ordered.
-func (j *Job) ordered() bool { return j.any(func(t *Task) bool { return t.Run > 0 }) }
+// Ordered reports whether a run of any task was ever ordered.
+func (j *Job) Ordered() bool {
+	if !j.ordered {
+		j.ordered = j.any(func(t *Task) bool { return t.Run > 0 })
+	}
+	return j.ordered
+}
 
-// any reports whether f is true for a task.
+// any reports whether f is true for a task with progress.
 func (j *Job) any(f func(t *Task) bool) bool {
-	for _, steps := range j.Tasks {
-		for _, tasks := range steps {
-			for i := range tasks {
-				if f(&tasks[i]) {
-					return true
-				}
+	for _, steps := range j.occurrences {
+		for s := range steps {
+			if !steps[s].Each(func(_ int, t *Task) bool { return !f(t) }) {
+				return true
 			}
 		}
 	}
@@ -233,23 +301,32 @@
 }
 
 // StepDone reports whether all tasks of a step are done.
-func (j *Job) StepDone(occurrence, step int) bool {
-	for i := range j.Tasks[occurrence][step] {
-		if j.Tasks[occurrence][step][i].Phase != Done {
-			return false
-		}
-	}
-	return true
+func (j *Job) StepDone(occurrence, step int) bool { return j.Step(occurrence, step).Done() }
+
+// FirstIncomplete returns the first occurrence that is not known to be complete; the number
+// of occurrences if there is none.
+func (j *Job) FirstIncomplete() int {
+	j.Complete()
+	return j.complete
 }
 
 // Complete reports whether every task is done.
 func (j *Job) Complete() bool {
-	for k := range j.Tasks {
-		for s := range j.Tasks[k] {
-			if !j.StepDone(k, s) {
+	for ; j.complete < j.Work.Occurrences(); j.complete++ {
+		steps, ok := j.occurrences[j.complete]
+		if !ok {
+			return false
+		}
+		for s := range steps {
+			if !steps[s].Done() {
 				return false
 			}
 		}
 	}
 	return true
 }
+
+// has reports whether the job has a task that ref names.
+func (j *Job) has(ref berylwork.Ref) bool {
+	return ref.Occurrence < j.Work.Occurrences() && ref.Step < len(j.Work.Steps) && ref.Index < j.Work.Steps[ref.Step].Count
+}
--- a/berylbook/part_test.go
+++ b/berylbook/part_test.go
@@ -78,8 +78,8 @@
 func TestCheckpointThatNoRecordHolds(t *testing.T) {
 	is := is.New(t)
 	j := NewJob(&berylwork.Work{ID: "j1", Steps: []berylwork.Step{{Count: 1}}})
-	j.Tasks[0][0][0] = workingTask()
-	j.Tasks[0][0][0].Checkpoint = strings.Repeat("x", 5000)
+	*j.At(0, 0, 0) = workingTask()
+	j.At(0, 0, 0).Checkpoint = strings.Repeat("x", 5000)
 	list, _, err := j.Changes(1, &Recorded{}, Room{Records: 10, Bytes: 32 << 10, Limits: smallLimits()})
 	is.NoErr(err)
 	is.True(len(list) > 0)
--- a/beryldirector/append.go
+++ b/beryldirector/append.go
@@ -111,6 +111,9 @@
 		if !more {
 			delete(changed, id)
 		}
+		if !more && err == nil && j.Quiescent() {
+			j.Release()
+		}
 		if err != nil {
 			d.note("progress can't be encoded", "job", id, "err", err)
 			continue
--- a/beryldirector/append_test.go
+++ b/beryldirector/append_test.go
@@ -88,7 +88,9 @@
 	h := newHarness(t)
 	h.submit(id, "none", wide, wide, wide, wide, wide)
 	j := h.d.Book.Jobs[id]
-	j.Each(func(_ berylwork.Ref, t *berylbook.Task) { *t = berylbook.Task{Run: 1, Phase: berylbook.Done} })
+	for i := range tasks {
+		*j.At(0, i%5, i/5) = berylbook.Task{Run: 1, Phase: berylbook.Done}
+	}
 	j.State, j.EndedAt = berylbook.Completed, h.now.UnixMilli()
 	counts := map[string]int{}
 	h.checkAppends(counts)
--- a/beryldirector/departure.go
+++ b/beryldirector/departure.go
@@ -16,7 +16,7 @@
 	job *berylbook.Job
 	// ref is the unit's first task.
 	ref   berylwork.Ref
-	tasks []berylbook.Task
+	tasks []*berylbook.Task
 	queue berylpolicy.Queue
 	// leavesAt is the earliest time at which one of its backend servers leaves.
 	leavesAt time.Time
@@ -24,7 +24,7 @@
 
 // stopping reports whether a run of the unit is being stopped.
 func (u *leavingUnit) stopping() bool {
-	return slices.ContainsFunc(u.tasks, func(t berylbook.Task) bool { return t.Phase == berylbook.Stopping })
+	return slices.ContainsFunc(u.tasks, func(t *berylbook.Task) bool { return t.Phase == berylbook.Stopping })
 }
 
 // moveFromLeaving stops the units that can't end before one of their backend servers
@@ -78,7 +78,7 @@
 func (d *Director) unitLeft(now time.Time, u *leavingUnit) time.Duration {
 	var left time.Duration
 	for i := range u.tasks {
-		t := &u.tasks[i]
+		t := u.tasks[i]
 		if t.Phase != berylbook.Working || d.agents[t.Incarnation.Node] == nil {
 			return 0
 		}
@@ -107,12 +107,13 @@
 	seen := map[berylwork.Ref]int{}
 	for _, node := range nodes {
 		d.eachActiveOn(node, func(s activeTask) {
-			u, ok := d.leavingUnitOf(s, d.agents[node].leavesAt)
-			if !ok {
+			leavesAt := d.agents[node].leavesAt
+			if i, ok := seen[firstTask(s.job, s.ref)]; ok {
+				units[i].leavesAt = earliest(units[i].leavesAt, leavesAt)
 				return
 			}
-			if i, ok := seen[u.ref]; ok {
-				units[i].leavesAt = earliest(units[i].leavesAt, u.leavesAt)
+			u, ok := d.leavingUnitOf(s, leavesAt)
+			if !ok {
 				return
 			}
 			seen[u.ref] = len(units)
--- a/beryldirector/director.go
+++ b/beryldirector/director.go
@@ -212,6 +212,12 @@
 	now time.Time
 	// orderedAt is when the confirmation timeout of each start began.
 	orderedAt map[runKey]time.Time
+	// readySteps is the number of steps that were ready in the last placement pass.
+	readySteps int
+	// nextSteps has, for jobs with very many steps, where the next placement pass goes on.
+	nextSteps map[*berylbook.Job]int
+	// largePaths has the expected paths of jobs with many steps for some time.
+	largePaths map[*berylwork.Work]knownPaths
 	// waiting has the units that are ready to start, by their first task.
 	waiting map[berylwork.Ref]waiting
 	// runTimes are learned from finished runs. They are kept when this entry is deposed.
@@ -259,6 +265,8 @@
 		reservations:   map[string]reservation{},
 		preemptedFor:   map[string]time.Time{},
 		failedOn:       map[string]map[string]bool{},
+		nextSteps:      map[*berylbook.Job]int{},
+		largePaths:     map[*berylwork.Work]knownPaths{},
 		headrooms:      map[string]*berylheadroom.Headroom{},
 		spare:          map[string]float64{},
 		pendingUrgent:  map[string]float64{},
@@ -312,6 +320,8 @@
 	clear(d.bestRunTime)
 	clear(d.restarts)
 	clear(d.failedOn)
+	clear(d.nextSteps)
+	clear(d.largePaths)
 	d.cooldown = berylcooldown.Cooldown{}
 	clear(d.agents)
 	d.effects = append(d.effects, Reload{})
@@ -353,6 +363,7 @@
 	d.moveFromLeaving(now)
 	if now.Sub(d.slowCheckedAt) >= _slowCheckInterval {
 		d.slowCheckedAt = now
+		d.forgetLargeJobs(now)
 		d.learnSpeeds(now)
 		d.markSlowServers(now)
 		d.restartSlowUnits(now)
--- a/beryldirector/director_test.go
+++ b/beryldirector/director_test.go
@@ -81,7 +81,7 @@
 			if tt.change != nil {
 				h.report("n1", tt.change)
 			}
-			h.is.Equal(h.d.Book.Jobs["j1"].Tasks[0][0][0].Run, tt.want)
+			h.is.Equal(h.d.Book.Jobs["j1"].At(0, 0, 0).Run, tt.want)
 		})
 	}
 }
@@ -188,11 +188,11 @@
 	second := step(1, 1)
 	second.After = []int{0}
 	h.submit("j1", "routine", step(1, 1), second)
-	h.is.Equal(h.d.Book.Jobs["j1"].Tasks[0][1][0].Phase, berylbook.Idle)
+	h.is.Equal(h.d.Book.Jobs["j1"].At(0, 1, 0).Phase, berylbook.Idle)
 	h.report("n1", func(r *berylreport.Report) {
 		r.Ends = []berylreport.End{end(1, "j1.0.0.0", 1, berylreport.Done)}
 	})
-	h.is.Equal(h.d.Book.Jobs["j1"].Tasks[0][1][0].Phase, berylbook.Ordered)
+	h.is.Equal(h.d.Book.Jobs["j1"].At(0, 1, 0).Phase, berylbook.Ordered)
 
 	s := berylbook.Submission{Work: berylwork.Work{
 		ID: "j2", Queue: "routine", Steps: []berylwork.Step{step(1, 1)}, Times: 2,
@@ -202,11 +202,11 @@
 	h.is.NoErr(err)
 	h.append(r)
 	h.advance(900 * time.Millisecond)
-	h.is.Equal(h.d.Book.Jobs["j2"].Tasks[0][0][0].Phase, berylbook.Idle)
+	h.is.Equal(h.d.Book.Jobs["j2"].At(0, 0, 0).Phase, berylbook.Idle)
 	h.report("n1", nil)
 	h.advance(200 * time.Millisecond)
-	h.is.Equal(h.d.Book.Jobs["j2"].Tasks[0][0][0].Phase, berylbook.Ordered)
-	h.is.Equal(h.d.Book.Jobs["j2"].Tasks[1][0][0].Phase, berylbook.Idle)
+	h.is.Equal(h.d.Book.Jobs["j2"].At(0, 0, 0).Phase, berylbook.Ordered)
+	h.is.Equal(h.d.Book.Jobs["j2"].At(1, 0, 0).Phase, berylbook.Idle)
 }
 
 // Guards against an end that is ignored because the lease of the backend server has
@@ -222,8 +222,8 @@
 		r.Ends = []berylreport.End{end(1, "j1.0.0.0", 1, berylreport.Done)}
 	})
 	h.is.Equal(h.phase("j1", 0), berylbook.Done)
-	h.is.Equal(h.d.Book.Jobs["j1"].Tasks[0][0][0].Run, 1)
-	h.is.Equal(h.d.Book.Jobs["j1"].Tasks[0][0][1].Run, 2)
+	h.is.Equal(h.d.Book.Jobs["j1"].At(0, 0, 0).Run, 1)
+	h.is.Equal(h.d.Book.Jobs["j1"].At(0, 0, 1).Run, 2)
 }
 
 // Guards against an end from the previous incarnation of a backend server that is
@@ -237,7 +237,7 @@
 		r.Incarnation.StartedAt++
 	})
 	h.is.Equal(h.phase("j1", 0), berylbook.Done)
-	h.is.Equal(h.d.Book.Jobs["j1"].Tasks[0][0][1].Run, 2)
+	h.is.Equal(h.d.Book.Jobs["j1"].At(0, 0, 1).Run, 2)
 }
 
 // Submits a job while the store takes 250 ms for each append. Guards against a start
@@ -285,7 +285,7 @@
 	policy.Version, policy.Queues = 2, policy.Queues[1:]
 	h.d.Policy = policy
 	h.report("n1", func(r *berylreport.Report) { r.Ends = []berylreport.End{end(1, "j1.0.0.0", 1, berylreport.Done)} })
-	h.is.Equal(h.d.Book.Jobs["j1"].Tasks[0][1][0].Phase, berylbook.Ordered)
+	h.is.Equal(h.d.Book.Jobs["j1"].At(0, 1, 0).Phase, berylbook.Ordered)
 	h.report("n1", func(r *berylreport.Report) { r.Ends = []berylreport.End{end(2, "j1.0.1.0", 1, berylreport.Failed)} })
 	h.is.Equal(h.d.Book.Jobs["j1"].State, berylbook.Failed)
 }
@@ -305,9 +305,9 @@
 		r.Absent = []berylreport.Key{{Task: "j2.0.0.0", Run: 1}, {Task: "j2.0.0.1", Run: 1}}
 	})
 	h.advance(time.Second)
-	h.is.True(entry.Jobs["j2"].Tasks[0][0][0].Run > 0)
+	h.is.True(entry.Jobs["j2"].At(0, 0, 0).Run > 0)
 	h.is.Equal(entry.Jobs["j2"].ClientState(), berylbook.Pending)
-	run := h.d.Book.Jobs["j2"].Tasks[0][0][1].Run
+	run := h.d.Book.Jobs["j2"].At(0, 0, 1).Run
 	h.report("n1", listRun("j2.0.0.1", run))
 	h.advance(time.Second)
 	h.is.Equal(entry.Jobs["j2"].ClientState(), berylbook.Running)
--- a/beryldirector/driver_test.go
+++ b/beryldirector/driver_test.go
@@ -177,7 +177,16 @@
 }
 
 func (h *harness) phase(id string, index int) berylbook.Phase {
-	return h.d.Book.Jobs[id].Tasks[0][0][index].Phase
+	return h.d.Book.Jobs[id].At(0, 0, index).Phase
+}
+
+// tasksOf returns the tasks of the first step of a job.
+func tasksOf(j *berylbook.Job) []berylbook.Task {
+	tasks := make([]berylbook.Task, j.Step(0, 0).Len())
+	for i := range tasks {
+		tasks[i] = j.Step(0, 0).Get(i)
+	}
+	return tasks
 }
 
 func end(n int64, task string, run int, how berylreport.EndReason) berylreport.End {
--- a/beryldirector/election_test.go
+++ b/beryldirector/election_test.go
@@ -206,7 +206,7 @@
 	submission, err := (&berylbook.Submission{Work: work}).Record()
 	is.NoErr(err)
 	j := berylbook.NewJob(&work)
-	j.Tasks[0][0][0] = berylbook.Task{Run: 1, Phase: berylbook.Ordered, Incarnation: incarnation("n1")}
+	*j.At(0, 0, 0) = berylbook.Task{Run: 1, Phase: berylbook.Ordered, Incarnation: incarnation("n1")}
 	started, _, err := j.Changes(1, &berylbook.Recorded{}, berylbook.Room{Records: 10, Bytes: 1 << 20, Limits: testLimits().Store})
 	is.NoErr(err)
 	// The entry has read the topic for longer than any delay of a claim.
@@ -275,7 +275,7 @@
 	is.True(d.Leading())
 	leaseEnd := seen.Add(testLimits().LeaderLease).Add(testLimits().LeaseExpiry)
 	for now.Before(leaseEnd) {
-		is.Equal(d.Book.Jobs["j1"].Tasks[0][0][0].Phase.Active(), true)
+		is.Equal(d.Book.Jobs["j1"].At(0, 0, 0).Phase.Active(), true)
 		now = now.Add(50 * time.Millisecond)
 		d.ApplyRecords(now, nil, 5)
 		d.Step(now)
@@ -289,7 +289,7 @@
 		now = now.Add(50 * time.Millisecond)
 		d.Step(now)
 	}
-	is.True(d.Book.Jobs["j1"].Tasks[0][0][0].Run == 1 && !d.Book.Jobs["j1"].Tasks[0][0][0].Phase.Active())
+	is.True(d.Book.Jobs["j1"].At(0, 0, 0).Run == 1 && !d.Book.Jobs["j1"].At(0, 0, 0).Phase.Active())
 }
 
 // The store was away for all entries for longer than the takeover timeout, and the leader
--- a/beryldirector/end.go
+++ b/beryldirector/end.go
@@ -30,13 +30,12 @@
 	if !j.Work.Steps[ref.Step].Gang {
 		return
 	}
-	tasks := j.Tasks[ref.Occurrence][ref.Step]
-	for i := range tasks {
-		t := &tasks[i]
+	j.Step(ref.Occurrence, ref.Step).Each(func(_ int, t *berylbook.Task) bool {
 		if t.Run == run {
 			t.Stop()
 		}
-	}
+		return true
+	})
 	d.markDirty(j.Work.ID)
 }
 
@@ -86,13 +85,13 @@
 // saveCheckpoint stores a checkpoint of a task. That of any member is valid for the
 // whole gang.
 func (d *Director) saveCheckpoint(j *berylbook.Job, ref berylwork.Ref, checkpoint string) {
-	tasks := j.Tasks[ref.Occurrence][ref.Step]
+	tasks := j.Step(ref.Occurrence, ref.Step)
 	if !j.Work.Steps[ref.Step].Gang {
-		tasks[ref.Index].Checkpoint = checkpoint
+		tasks.At(ref.Index).Checkpoint = checkpoint
 		return
 	}
-	for i := range tasks {
-		tasks[i].Checkpoint = checkpoint
+	for i := range tasks.Len() {
+		tasks.At(i).Checkpoint = checkpoint
 	}
 }
 
@@ -107,12 +106,13 @@
 	if !j.Work.Steps[ref.Step].Gang {
 		return
 	}
-	tasks := j.Tasks[ref.Occurrence][ref.Step]
-	for i := range tasks {
-		if tasks[i].Run == t.Run {
-			tasks[i].Phase = berylbook.Done
+	run := t.Run
+	j.Step(ref.Occurrence, ref.Step).Each(func(_ int, t *berylbook.Task) bool {
+		if t.Run == run {
+			t.Phase = berylbook.Done
 		}
-	}
+		return true
+	})
 }
 
 func (d *Director) failTask(now time.Time, a *agentState, j *berylbook.Job, ref berylwork.Ref, t *berylbook.Task) {
@@ -128,9 +128,9 @@
 	if tasks[0].LastFailedRun == run {
 		return
 	}
-	for i := range tasks {
-		tasks[i].LastFailedRun = run
-		tasks[i].Failures++
+	for _, t := range tasks {
+		t.LastFailedRun = run
+		t.Failures++
 	}
 	if t.Failures >= d.maxAttempts(j) {
 		d.note("job failed", "job", j.Work.ID, "task", ref.String(), "failures", t.Failures)
--- a/beryldirector/failed_test.go
+++ b/beryldirector/failed_test.go
@@ -28,12 +28,12 @@
 			}
 			h.report("n1", nil)
 			h.submit("j1", "routine", step(1, 1))
-			h.is.Equal(h.d.Book.Jobs["j1"].Tasks[0][0][0].Incarnation.Node, "n1")
+			h.is.Equal(h.d.Book.Jobs["j1"].At(0, 0, 0).Incarnation.Node, "n1")
 			h.report("n1", func(r *berylreport.Report) {
 				r.Ends = []berylreport.End{end(1, "j1.0.0.0", 1, berylreport.Failed)}
 			})
 			h.advance(time.Second)
-			h.is.Equal(h.d.Book.Jobs["j1"].Tasks[0][0][0].Run, tt.want)
+			h.is.Equal(h.d.Book.Jobs["j1"].At(0, 0, 0).Run, tt.want)
 			if !tt.other {
 				return
 			}
@@ -41,7 +41,7 @@
 				r.Ends = []berylreport.End{end(1, "busy.0.0.0", 1, berylreport.Done)}
 			})
 			h.advance(100 * time.Millisecond)
-			task := h.d.Book.Jobs["j1"].Tasks[0][0][0]
+			task := h.d.Book.Jobs["j1"].At(0, 0, 0)
 			h.is.Equal(task.Run, 2)
 			h.is.Equal(task.Incarnation.Node, "n2")
 		})
@@ -60,8 +60,8 @@
 		r.Ends = []berylreport.End{end(1, "j1.0.0.0", 1, berylreport.Failed), end(2, "j1.0.0.1", 1, berylreport.Stopped)}
 	})
 	h.advance(time.Second)
-	h.is.Equal(h.d.Book.Jobs["j1"].Tasks[0][0][0].Run, 1)
-	h.is.Equal(h.d.Book.Jobs["j1"].Tasks[0][0][1].Run, 2)
+	h.is.Equal(h.d.Book.Jobs["j1"].At(0, 0, 0).Run, 1)
+	h.is.Equal(h.d.Book.Jobs["j1"].At(0, 0, 1).Run, 2)
 }
 
 // A gang needs all hosts of the only rack that is large enough, and failed once. Guards
@@ -82,7 +82,7 @@
 		r.Ends = []berylreport.End{end(1, "j1.0.0.1", 1, berylreport.GangBroken)}
 	})
 	h.advance(300 * time.Millisecond)
-	tasks := h.d.Book.Jobs["j1"].Tasks[0][0]
+	tasks := tasksOf(h.d.Book.Jobs["j1"])
 	h.is.Equal(tasks[0].Run, 2)
 	for _, task := range tasks {
 		h.is.True(task.Incarnation.Node != "n3")
--- a/beryldirector/headroom.go
+++ b/beryldirector/headroom.go
@@ -12,7 +12,7 @@
 // noteArrival notes an urgent unit that has become ready for the first time.
 func (d *Director) noteArrival(now time.Time, u *unit) {
 	step := u.stepSpec()
-	if u.queue.Priority != 0 || step.LongRunning || u.job.Tasks[u.occurrence][u.step][u.tasks[0]].Run > 0 {
+	if u.queue.Priority != 0 || step.LongRunning || u.job.Step(u.occurrence, u.step).Get(u.tasks[0]).Run > 0 {
 		return
 	}
 	service := u.queue.Service
--- a/beryldirector/incarnation_test.go
+++ b/beryldirector/incarnation_test.go
@@ -28,7 +28,7 @@
 		listRun("j1.0.0.0", 1)(r)
 	})
 	h.is.Equal(h.phase("j1", 0), berylbook.Working)
-	h.is.Equal(h.d.Book.Jobs["j1"].Tasks[0][0][0].Run, 1)
+	h.is.Equal(h.d.Book.Jobs["j1"].At(0, 0, 0).Run, 1)
 }
 
 // A backend server is replaced while its agent restarts. Guards against runs of the server
@@ -42,12 +42,12 @@
 		r.Incarnation.StartedAt++
 		r.Listed = false
 	})
-	h.is.Equal(h.d.Book.Jobs["j1"].Tasks[0][0][0].Run, 1)
+	h.is.Equal(h.d.Book.Jobs["j1"].At(0, 0, 0).Run, 1)
 	h.report("n1", func(r *berylreport.Report) {
 		r.Boot = 2
 		r.Incarnation.StartedAt++
 	})
-	h.is.Equal(h.d.Book.Jobs["j1"].Tasks[0][0][0].Run, 2)
+	h.is.Equal(h.d.Book.Jobs["j1"].At(0, 0, 0).Run, 2)
 }
 
 // A backend server restarts under its name, and the new incarnation carries out a start call
@@ -74,14 +74,17 @@
 		t.Run(tt.name, func(t *testing.T) {
 			h := newHarness(t)
 			h.report("n1", nil)
-			h.submit("j1", "routine", step(1, 1))
+			// The second step can't run, so that the job doesn't end.
+			second := step(1, 1)
+			second.Label = "none"
+			h.submit("j1", "routine", step(1, 1), second)
 			h.report("n2", nil)
 			a := h.report("n1", func(r *berylreport.Report) {
 				restarted(r)
 				tt.give(r)
 			})
 			h.is.Equal(h.phase("j1", 0), tt.want)
-			task := h.d.Book.Jobs["j1"].Tasks[0][0][0]
+			task := h.d.Book.Jobs["j1"].At(0, 0, 0)
 			h.is.Equal(task.Run, tt.wantRun)
 			h.is.Equal(len(h.d.Orders(h.now)["n1"].Stop), 0)
 			if tt.want == berylbook.Working {
--- a/beryldirector/orders.go
+++ b/beryldirector/orders.go
@@ -143,7 +143,7 @@
 	used = map[string]berylroom.Resources{}
 	releasing = map[string]berylroom.Resources{}
 	d.eachActive(func(s activeTask) {
-		resources := s.job.Work.Steps[s.ref.Step].Resources()
+		resources := taskResources(&s.job.Work.Steps[s.ref.Step])
 		node := s.task.Incarnation.Node
 		used[node] = used[node].Add(resources)
 		if s.task.Phase == berylbook.Stopping {
--- a/beryldirector/outlook.go
+++ b/beryldirector/outlook.go
@@ -93,17 +93,17 @@
 func (d *Director) addWork(now time.Time, s *beryloutlook.Service, j *berylbook.Job, priority int) {
 	q, _ := d.queueOf(j.Work)
 	paths := d.expectedPaths(j.Work, s.Accelerators)
-	for k := range j.Tasks {
+	for k := j.FirstIncomplete(); k < j.Work.Occurrences(); k++ {
 		if j.Work.Due(k).After(now) {
 			return
 		}
-		u := unit{job: j, queue: q, occurrence: k}
+		u := unit{job: j, queue: &q, occurrence: k}
 		u.setTimes(paths)
 		if now.Sub(u.due) > _uselessFactor*u.due.Sub(u.startableAt) {
 			continue
 		}
 		var run time.Duration
-		for i := range j.Tasks[k] {
+		for i := range j.Work.Steps {
 			run += d.workLeft(now, j, k, i)
 		}
 		if run > 0 {
@@ -119,15 +119,21 @@
 		return 0
 	}
 	var run time.Duration
-	for i := range j.Tasks[occurrence][s] {
-		t := &j.Tasks[occurrence][s][i]
+	tasks := j.Step(occurrence, s)
+	left := tasks.Len()
+	tasks.Each(func(i int, t *berylbook.Task) bool {
 		switch t.Phase {
 		case berylbook.Done:
+			left--
 		case berylbook.Working:
+			left--
 			run += d.remainingTime(now, j, berylwork.Ref{Job: j.Work.ID, Occurrence: occurrence, Step: s, Index: i}, t)
 		default:
-			run += d.declaredRunTime(j, s)
 		}
+		return true
+	})
+	if left > 0 {
+		run += time.Duration(left) * d.declaredRunTime(j, s)
 	}
 	return run * time.Duration(max(step.Need.Accelerators, 1))
 }
--- a/beryldirector/place.go
+++ b/beryldirector/place.go
@@ -7,6 +7,8 @@
 
 	"berylglade/berylbook"
 	"berylglade/berylfit"
+	"berylglade/berylreport"
+	"berylglade/berylroom"
 	"berylglade/berylwork"
 )
 
@@ -17,8 +19,8 @@
 		return
 	}
 	d.urgentNeed = nil
-	units := d.pendingUnits(now)
-	if len(units) == 0 {
+	groups := d.pendingUnits(now)
+	if len(groups) == 0 {
 		return
 	}
 	hosts := map[string][]berylfit.Host{}
@@ -28,18 +30,22 @@
 	d.victims, d.endingRuns = nil, nil
 	clear(d.spare)
 	clear(d.pendingUrgent)
-	for i := range units {
-		u := &units[i]
-		step := stepKey{u.job, u.occurrence, u.step}
-		if full[step] {
-			continue
-		}
-		service := u.queue.Service
-		if _, ok := hosts[service]; !ok {
-			hosts[service] = d.hosts(now, service)
-			known[service] = d.knownHosts(now, service)
+	open := d.openJobs()
+	for _, units := range groups {
+		for i := range units {
+			u := &units[i]
+			step := stepKey{u.job, u.occurrence, u.step}
+			if full[step] || !open.allows(u.job) {
+				break
+			}
+			service := u.queue.Service
+			if _, ok := hosts[service]; !ok {
+				hosts[service] = d.hosts(now, service)
+				known[service] = d.knownHosts(now, service)
+			}
+			full[step] = !d.placeUnit(now, u, hosts[service], known[service])
+			open.note(u.job)
 		}
-		full[step] = !d.placeUnit(now, u, hosts[service], known[service])
 	}
 }
 
@@ -67,9 +73,10 @@
 			// The agent reports, but without the leader lease an answer is no contact.
 			continue
 		}
+		total := hostCapacity(r)
 		hosts = append(hosts, berylfit.Host{
-			Node: node, Zone: r.Zone, Rack: a.rack, Labels: r.Labels, Total: r.Capacity,
-			Free:       r.Capacity.Sub(used[node]),
+			Node: node, Zone: r.Zone, Rack: a.rack, Labels: r.Labels, Total: total,
+			Free:       total.Sub(used[node]),
 			Releasing:  releasing[node],
 			FaultScore: d.faultScore(now, a),
 			Speed:      d.speeds.Speed(now, node),
@@ -79,6 +86,20 @@
 	return hosts
 }
 
+// hostCapacity returns the capacity of a backend server, with the number of its tasks.
+func hostCapacity(r berylreport.Report) berylroom.Resources {
+	total := r.Capacity
+	total.Tasks = _maxHostTasks
+	return total
+}
+
+// taskResources returns what a task of the step takes of the capacity of a backend server.
+func taskResources(step *berylwork.Step) berylroom.Resources {
+	r := step.Resources()
+	r.Tasks = 1
+	return r
+}
+
 // knownHosts returns the backend servers of a service that accept tasks or are
 // likely to accept them again soon, with their total capacity.
 func (d *Director) knownHosts(now time.Time, service string) []berylfit.Host {
@@ -88,7 +109,7 @@
 		if r.Service != service || r.Draining || d.Policy.OutOfService[r.Zone] || now.Sub(a.reportedAt) > _maxRackWait {
 			continue
 		}
-		hosts = append(hosts, berylfit.Host{Node: node, Rack: a.rack, Labels: r.Labels, Total: r.Capacity})
+		hosts = append(hosts, berylfit.Host{Node: node, Rack: a.rack, Labels: r.Labels, Total: hostCapacity(r)})
 	}
 	return hosts
 }
@@ -167,17 +188,17 @@
 
 // start records a new run of each task of the unit.
 func (d *Director) start(now time.Time, u *unit, hosts []berylfit.Host, places []int) {
-	tasks := u.job.Tasks[u.occurrence][u.step]
+	tasks := u.job.Step(u.occurrence, u.step)
 	run := 0
 	for _, i := range u.tasks {
-		run = max(run, tasks[i].Run)
+		run = max(run, tasks.Get(i).Run)
 	}
 	run++
 	nodes := make([]string, 0, len(places))
-	resources := u.stepSpec().Resources()
+	resources := taskResources(u.stepSpec())
 	for n, i := range u.tasks {
 		h := &hosts[places[n]]
-		t := &tasks[i]
+		t := tasks.At(i)
 		t.Run = run
 		t.Phase = berylbook.Ordered
 		t.Incarnation = d.agents[h.Node].report.Incarnation
@@ -192,11 +213,14 @@
 	x := d.expect(u.job.Work, u.step)
 	d.note("start", "unit", u.name(), "run", run, "queue", u.queue.Name, "priority", u.queue.Priority,
 		"waited", u.waited.Milliseconds(), "slack", u.latestStart.Sub(now).Milliseconds(), "nodes", nodes,
-		"speed", round(placesSpeed(hosts, places)), "saved", tasks[u.tasks[0]].Checkpoint != "", "policy", d.Policy.Version,
+		"speed", round(placesSpeed(hosts, places)), "saved", tasks.Get(u.tasks[0]).Checkpoint != "", "policy", d.Policy.Version,
 		"expect", x.Median.Milliseconds(), "from", x.From, "declared", u.stepSpec().Estimate)
 }
 
 const (
+	// _maxHostTasks is the number of tasks that one backend server runs at most. Its agent
+	// lists them several times a second, on a quarter of a core.
+	_maxHostTasks = 2048
 	// _maxReportAge is the age of an agent's last report above which no task is
 	// started on its backend server.
 	_maxReportAge = 1500 * time.Millisecond
--- a/beryldirector/place_test.go
+++ b/beryldirector/place_test.go
@@ -96,7 +96,7 @@
 			h.report("n1", nil)
 			h.d.Policy.Accounts = []berylpolicy.Account{{Name: "a", Guaranteed: tt.guaranteed}}
 			w := berylwork.Work{ID: "j1", Queue: "urgent", Account: "a", Steps: []berylwork.Step{tt.step}, Accepted: h.now.UnixMilli()}
-			u := unit{job: berylbook.NewJob(&w), queue: h.d.Policy.Queues[0]}
+			u := unit{job: berylbook.NewJob(&w), queue: &h.d.Policy.Queues[0]}
 			h.d.Book.Jobs = map[string]*berylbook.Job{"j1": u.job}
 			u.setTimes(h.d.expectedPaths(&w, 8))
 			h.is.Equal(h.d.preemptAfter(&u), tt.want)
@@ -221,7 +221,7 @@
 	h.report("a", listRun("long.0.0.0", 1))
 	h.is.Equal(h.phase("long", 0), berylbook.Working)
 	h.report("b", nil)
-	h.is.Equal(h.d.Book.Jobs["now"].Tasks[0][0][0].Incarnation.Node, "b")
+	h.is.Equal(h.d.Book.Jobs["now"].At(0, 0, 0).Incarnation.Node, "b")
 	h.is.Equal(h.phase("long", 0), berylbook.Working)
 }
 
@@ -320,8 +320,10 @@
 	h.advance(11 * time.Second)
 	h.submit("short", "routine", short)
 	var order []string
-	for _, u := range h.d.pendingUnits(h.now) {
-		order = append(order, u.job.Work.ID)
+	for _, units := range h.d.pendingUnits(h.now) {
+		for _, u := range units {
+			order = append(order, u.job.Work.ID)
+		}
 	}
 	h.is.Equal(order, []string{"long", "short"})
 }
@@ -338,7 +340,7 @@
 	s := gang(3, 8)
 	s.OneRack = true
 	h.submit("j1", "urgent", s)
-	h.is.Equal(h.d.Book.Jobs["j1"].Tasks[0][0][0].Incarnation.Node, "n0")
+	h.is.Equal(h.d.Book.Jobs["j1"].At(0, 0, 0).Incarnation.Node, "n0")
 	fail := func(i int) {
 		node := "n" + strconv.Itoa(i)
 		h.report(node, func(r *berylreport.Report) {
@@ -354,7 +356,7 @@
 		})
 	}
 	var nodes []string
-	for _, task := range h.d.Book.Jobs["j1"].Tasks[0][0] {
+	for _, task := range tasksOf(h.d.Book.Jobs["j1"]) {
 		h.is.Equal(task.Run, 2)
 		nodes = append(nodes, task.Incarnation.Node)
 	}
@@ -390,10 +392,10 @@
 	h.d.Committed(h.now)
 	h.submit("j1", "urgent", step(1, 1))
 	h.advance(200 * time.Millisecond)
-	h.is.Equal(h.d.Book.Jobs["j1"].Tasks[0][0][0].Run, 0)
+	h.is.Equal(h.d.Book.Jobs["j1"].At(0, 0, 0).Run, 0)
 	h.is.True(h.report("n1", nil).FromLeader)
 	h.advance(200 * time.Millisecond)
-	h.is.Equal(h.d.Book.Jobs["j1"].Tasks[0][0][0].Run, 1)
+	h.is.Equal(h.d.Book.Jobs["j1"].At(0, 0, 0).Run, 1)
 }
 
 // An urgent job ends soon after routine work was preempted for it. Guards against routine
--- a/beryldirector/preempt.go
+++ b/beryldirector/preempt.go
@@ -48,7 +48,7 @@
 	}
 	return berylfit.Victim{
 		Unit:      unitName(j, ref.Occurrence, ref.Step, ref.Index),
-		Resources: step.Resources(),
+		Resources: taskResources(step),
 		Loss:      v.Loss(),
 	}
 }
@@ -147,7 +147,7 @@
 		}
 		node := s.task.Incarnation.Node
 		unit := unitName(s.job, s.ref.Occurrence, s.ref.Step, s.ref.Index)
-		ending[node] = append(ending[node], berylfit.Victim{Unit: unit, Resources: s.job.Work.Steps[s.ref.Step].Resources()})
+		ending[node] = append(ending[node], berylfit.Victim{Unit: unit, Resources: taskResources(&s.job.Work.Steps[s.ref.Step])})
 		left[unit] = max(left[unit], d.remainingTime(now, s.job, s.ref, s.task).Seconds())
 	})
 	for _, units := range ending {
@@ -347,8 +347,8 @@
 		return
 	}
 	_, tasks := unitTasks(j, ref)
-	for i := range tasks {
-		tasks[i].Stop()
+	for _, t := range tasks {
+		t.Stop()
 	}
 	d.markDirty(j.Work.ID)
 }
--- a/beryldirector/progress.go
+++ b/beryldirector/progress.go
@@ -144,10 +144,10 @@
 // there are too few.
 func (d *Director) medianRunTime(j *berylbook.Job, ref berylwork.Ref) time.Duration {
 	var totals []time.Duration
-	for i, t := range j.Tasks[ref.Occurrence][ref.Step] {
+	j.Step(ref.Occurrence, ref.Step).Each(func(i int, t *berylbook.Task) bool {
 		a := d.agents[t.Incarnation.Node]
 		if t.Phase != berylbook.Working || a == nil {
-			continue
+			return true
 		}
 		sibling := ref
 		sibling.Index = i
@@ -155,7 +155,8 @@
 		if total := p.runTime(); total > 0 && p.stalledFor(d.now) < _stallTimeout {
 			totals = append(totals, atUsualSpeed(total, d.speeds.Speed(d.now, t.Incarnation.Node)))
 		}
-	}
+		return true
+	})
 	if len(totals) < _minSiblings {
 		return 0
 	}
@@ -182,12 +183,13 @@
 		return d.remainingWork(now, j, ref, t)
 	}
 	var longest time.Duration
-	for i := range j.Tasks[ref.Occurrence][ref.Step] {
+	j.Step(ref.Occurrence, ref.Step).Each(func(i int, member *berylbook.Task) bool {
 		ref.Index = i
-		if member := &j.Tasks[ref.Occurrence][ref.Step][i]; member.Phase.Active() {
+		if member.Phase.Active() {
 			longest = max(longest, d.remainingWork(now, j, ref, member))
 		}
-	}
+		return true
+	})
 	return longest
 }
 
@@ -251,8 +253,11 @@
 		if _, ok := sound[q.Service]; !ok {
 			sound[q.Service] = d.soundHosts(now, q.Service)
 		}
-		for k := range j.Tasks {
-			for s := range j.Tasks[k] {
+		for k := j.FirstIncomplete(); k < j.Work.Occurrences(); k++ {
+			if j.Work.Due(k).After(now) {
+				break
+			}
+			for s := range j.Work.Steps {
 				if !j.Work.Steps[s].LongRunning {
 					d.restartSlowTasks(now, j, sound[q.Service], k, s)
 				}
@@ -274,24 +279,25 @@
 // restartSlowTasks restarts the units of a step that are on slow backend servers. Sound
 // are the hosts with a fault score of zero.
 func (d *Director) restartSlowTasks(now time.Time, j *berylbook.Job, sound []berylfit.Host, occurrence, s int) {
-	tasks := j.Tasks[occurrence][s]
+	tasks := j.Step(occurrence, s)
 	var worst time.Duration
-	for i := range tasks {
+	tasks.Each(func(i int, t *berylbook.Task) bool {
 		ref := berylwork.Ref{Job: j.Work.ID, Occurrence: occurrence, Step: s, Index: i}
-		a := d.agents[tasks[i].Incarnation.Node]
-		if tasks[i].Phase != berylbook.Working || a == nil || !a.slow {
-			continue
+		a := d.agents[t.Incarnation.Node]
+		if t.Phase != berylbook.Working || a == nil || !a.slow {
+			return true
 		}
-		left := d.remainingTime(now, j, ref, &tasks[i])
+		left := d.remainingTime(now, j, ref, t)
 		if j.Work.Steps[s].Gang {
 			worst = max(worst, left)
-			continue
+			return true
 		}
 		d.restartIfFaster(j, sound, ref, left, 1)
-	}
+		return true
+	})
 	if worst > 0 {
 		ref := berylwork.Ref{Job: j.Work.ID, Occurrence: occurrence, Step: s}
-		d.restartIfFaster(j, sound, ref, worst, len(tasks))
+		d.restartIfFaster(j, sound, ref, worst, tasks.Len())
 	}
 }
 
@@ -303,7 +309,7 @@
 	if !ok || d.restarts[ref] >= _maxRestarts {
 		return
 	}
-	t := j.Tasks[ref.Occurrence][ref.Step][ref.Index]
+	t := j.Step(ref.Occurrence, ref.Step).Get(ref.Index)
 	if t.Checkpoint != "" {
 		// The checkpoint has all work but that of the last interval.
 		p := d.agents[t.Incarnation.Node].progressOf(berylreport.Key{Task: ref.String(), Run: t.Run})
--- a/beryldirector/progress_test.go
+++ b/beryldirector/progress_test.go
@@ -34,7 +34,7 @@
 			h.report("n1", full)
 			h.report("n2", func(r *berylreport.Report) { r.Capacity.Accelerators = 2 })
 			h.submit("j1", "routine", step(3, 1))
-			tasks := h.d.Book.Jobs["j1"].Tasks[0][0]
+			tasks := tasksOf(h.d.Book.Jobs["j1"])
 			var faulty int
 			for i := range tasks {
 				if tasks[i].Incarnation.Node == "n1" {
@@ -55,11 +55,11 @@
 				h.report("n1", func(r *berylreport.Report) { full(r); listProgress(mine...)(r) })
 				h.report("n2", func(r *berylreport.Report) { r.Capacity.Accelerators = 2; listProgress(progress...)(r) })
 				h.report("n3", nil)
-				if h.d.Book.Jobs["j1"].Tasks[0][0][faulty].Phase == berylbook.Stopping {
+				if h.d.Book.Jobs["j1"].At(0, 0, faulty).Phase == berylbook.Stopping {
 					break
 				}
 			}
-			h.is.Equal(h.d.Book.Jobs["j1"].Tasks[0][0][faulty].Phase, tt.want)
+			h.is.Equal(h.d.Book.Jobs["j1"].At(0, 0, faulty).Phase, tt.want)
 		})
 	}
 }
--- a/beryldirector/reclaim.go
+++ b/beryldirector/reclaim.go
@@ -64,8 +64,9 @@
 // unavailable returns how many tasks of a long-running step are not at full work.
 func (d *Director) unavailable(j *berylbook.Job, ref berylwork.Ref) int {
 	n := 0
-	for i := range j.Tasks[ref.Occurrence][ref.Step] {
-		t := &j.Tasks[ref.Occurrence][ref.Step][i]
+	tasks := j.Step(ref.Occurrence, ref.Step)
+	for i := range tasks.Len() {
+		t := tasks.Get(i)
 		ref.Index = i
 		p := d.agents[t.Incarnation.Node].progressOf(berylreport.Key{Task: ref.String(), Run: t.Run})
 		if t.Phase != berylbook.Working || p.progress < _fullWork {
--- a/beryldirector/reclaim_test.go
+++ b/beryldirector/reclaim_test.go
@@ -62,7 +62,7 @@
 			list := func(node string) func(r *berylreport.Report) {
 				return func(r *berylreport.Report) {
 					for i := range tt.step.Count {
-						task := &h.d.Book.Jobs["j1"].Tasks[0][0][i]
+						task := h.d.Book.Jobs["j1"].At(0, 0, i)
 						if task.Incarnation.Node == node {
 							ref := berylwork.Ref{Job: "j1", Index: i}
 							r.Runs = append(r.Runs, berylreport.Run{Key: berylreport.Key{Task: ref.String(), Run: 1}, Progress: tt.working})
--- a/beryldirector/records.go
+++ b/beryldirector/records.go
@@ -64,8 +64,8 @@
 // together with the decisions that follow from it. A slow store handles one append at a
 // time, so that separate appends of the record and of the start would wait twice. It
 // changes nothing and returns an error of kind NotRun if this entry holds no leader lease,
-// so that the caller has to append the record itself, and one of kind Oversize if the
-// store does not take the record.
+// so that the caller has to append the record itself, one of kind Oversize if the store
+// does not take the record, and one of kind Exhausted if the load allows no such job.
 func (d *Director) EnqueueRecord(now time.Time, r berylstore.Record) error {
 	if !d.hasLease(now) {
 		return berylerror.NotRun.Errorf("this entry is not the leader")
@@ -77,6 +77,12 @@
 	if !d.recordLimits().AcceptsCall(records) {
 		return berylerror.NotRun.Errorf("leader's appends are too small for the record")
 	}
+	if w := d.Book.Submitted(r); w != nil {
+		if l := d.Book.Load(w.Account); !l.Allows(w.Load()) {
+			d.note("job exceeds the load", "job", w.ID, "account", w.Account, "load", w.Load(), "own", l.Account, "others", l.Others)
+			return berylerror.Exhausted.Errorf("too many tasks of accepted jobs: %d of the client account, %d of others", l.Account, l.Others)
+		}
+	}
 	d.enqueued = append(d.enqueued, records)
 	if id := berylbook.JobOf(r); id != "" {
 		d.unrecorded[id] = true
--- a/beryldirector/runtime.go
+++ b/beryldirector/runtime.go
@@ -1,6 +1,7 @@
 package beryldirector
 
 import (
+	"maps"
 	"math/bits"
 	"time"
 
@@ -107,13 +108,9 @@
 	if !step.OneRack || !step.Gang {
 		return false
 	}
-	tasks := j.Tasks[ref.Occurrence][ref.Step]
-	for i := range tasks {
-		if tasks[i].Run == t.Run && d.rackOf(&tasks[i]) != rack {
-			return true
-		}
-	}
-	return false
+	return !j.Step(ref.Occurrence, ref.Step).Each(func(_ int, other *berylbook.Task) bool {
+		return other.Run != t.Run || d.rackOf(other) == rack
+	})
 }
 
 // rackOf returns the rack of the backend server of a run; empty if it is unknown.
@@ -127,7 +124,28 @@
 // expectedPaths returns for each step the expected time of the longest chain of steps that
 // starts with it, in milliseconds.
 func (d *Director) expectedPaths(w *berylwork.Work, capacity int) []int64 {
-	return criticalPaths(w, capacity, func(step int) int64 { return d.expect(w, step).Median.Milliseconds() })
+	known := d.largePaths[w]
+	if known.paths != nil && known.capacity == capacity && d.now.Sub(known.at) < _pathsTTL {
+		return known.paths
+	}
+	paths := criticalPaths(w, capacity, func(step int) int64 { return d.expect(w, step).Median.Milliseconds() })
+	if len(w.Steps) >= _largeJob {
+		d.largePaths[w] = knownPaths{paths: paths, capacity: capacity, at: d.now}
+	}
+	return paths
+}
+
+// knownPaths are the expected paths of a job as of some time.
+type knownPaths struct {
+	paths    []int64
+	capacity int
+	at       time.Time
+}
+
+// forgetLargeJobs deletes what is kept for large jobs and not used any more.
+func (d *Director) forgetLargeJobs(now time.Time) {
+	maps.DeleteFunc(d.nextSteps, func(j *berylbook.Job, _ int) bool { return j.State.Final() })
+	maps.DeleteFunc(d.largePaths, func(_ *berylwork.Work, known knownPaths) bool { return now.Sub(known.at) >= _pathsTTL })
 }
 
 // restoreRunTimes takes over what an earlier leader has learned. A record that is lost or
@@ -189,6 +207,10 @@
 }
 
 const (
+	// _largeJob is the number of steps from which the expected paths of a job are kept for
+	// _pathsTTL. They are needed in each placement pass.
+	_largeJob = 128
+	_pathsTTL = time.Second
 	// _saveInterval and _minUnsavedRuns limit how often what was learned is recorded: a
 	// new leader may miss the newest ends.
 	_saveInterval   = 5 * time.Second
--- a/beryldirector/runtime_test.go
+++ b/beryldirector/runtime_test.go
@@ -83,7 +83,7 @@
 			h.report("n1", listRun("j1.0.0.0", 1))
 			if tt.step != nil {
 				j := h.d.Book.Jobs["j1"]
-				tt.step(&j.Work.Steps[0], &j.Tasks[0][0][0])
+				tt.step(&j.Work.Steps[0], j.At(0, 0, 0))
 			}
 			h.report("n1", func(r *berylreport.Report) { r.Ends = []berylreport.End{end(2, "j1.0.0.0", 1, tt.how)} })
 			known := h.d.RunTimes(h.now, "routine")[0]
--- a/beryldirector/speed_test.go
+++ b/beryldirector/speed_test.go
@@ -25,7 +25,7 @@
 			node := "n" + strconv.Itoa(n)
 			h.report(node, func(r *berylreport.Report) {
 				two(r)
-				for index, t := range h.d.Book.Jobs[id].Tasks[0][0] {
+				for index, t := range tasksOf(h.d.Book.Jobs[id]) {
 					if t.Incarnation.Node == node {
 						key := berylreport.Key{Task: id + ".0.0." + strconv.Itoa(index), Run: t.Run}
 						r.Runs = append(r.Runs, berylreport.Run{Key: key, Progress: math.Floor(6 * speeds[n] * float64(i) / 2)})
@@ -83,7 +83,7 @@
 					if !tt.known {
 						return
 					}
-					for index, t := range h.d.Book.Jobs["j1"].Tasks[0][0] {
+					for index, t := range tasksOf(h.d.Book.Jobs["j1"]) {
 						if t.Incarnation.Node == node {
 							r.Ends = append(r.Ends, end(int64(len(r.Ends)+1), "j1.0.0."+strconv.Itoa(index), t.Run, berylreport.Done))
 						}
@@ -92,7 +92,7 @@
 			}
 			h.submit("j2", tt.queue, gang(2, 2))
 			var nodes []string
-			for _, task := range h.d.Book.Jobs["j2"].Tasks[0][0] {
+			for _, task := range tasksOf(h.d.Book.Jobs["j2"]) {
 				nodes = append(nodes, task.Incarnation.Node)
 			}
 			h.is.Equal(nodes, tt.want)
--- a/beryldirector/truncated_test.go
+++ b/beryldirector/truncated_test.go
@@ -46,7 +46,7 @@
 				h.advance(400 * time.Millisecond)
 				h.report("n1", last)
 				h.is.True(h.phase("j1", 0).Active())
-				h.is.Equal(h.d.Book.Jobs["j1"].Tasks[0][0][0].Run, 1)
+				h.is.Equal(h.d.Book.Jobs["j1"].At(0, 0, 0).Run, 1)
 				h.is.Equal(len(h.d.Orders(h.now)["n1"].Stop), 0)
 			}
 			h.report("n1", func(r *berylreport.Report) {
--- a/beryldirector/unit.go
+++ b/beryldirector/unit.go
@@ -14,8 +14,10 @@
 
 // unit is the unit of placement: a task, or all tasks of a gang.
 type unit struct {
-	job        *berylbook.Job
-	queue      berylpolicy.Queue
+	job *berylbook.Job
+	// queue and rank are shared by the units of a step.
+	queue      *berylpolicy.Queue
+	rank       *berylrank.Rank
 	occurrence int
 	step       int
 	// tasks are the indexes of the tasks in the step.
@@ -24,8 +26,6 @@
 	// start for that if the expected times are right.
 	due         time.Time
 	latestStart time.Time
-	// rank is the unit's place in the order of placement.
-	rank berylrank.Rank
 	// preemptedAt is when runs were preempted for the unit. Without a recent
 	// preemption it is the time of the placement pass, which is later than any
 	// recent preemption, so that the unit sorts after those that have one.
@@ -49,25 +49,34 @@
 }
 
 func unitName(j *berylbook.Job, occurrence, step, index int) string {
-	if j.Work.Steps[step].Gang {
-		index = 0
-	}
-	return berylwork.Ref{Job: j.Work.ID, Occurrence: occurrence, Step: step, Index: index}.String()
+	return firstTask(j, berylwork.Ref{Job: j.Work.ID, Occurrence: occurrence, Step: step, Index: index}).String()
 }
 
-// unitTasks returns the first task and all tasks of the unit to which a task belongs.
-func unitTasks(j *berylbook.Job, ref berylwork.Ref) (berylwork.Ref, []berylbook.Task) {
-	tasks := j.Tasks[ref.Occurrence][ref.Step]
+// firstTask returns the first task of the unit to which a task belongs.
+func firstTask(j *berylbook.Job, ref berylwork.Ref) berylwork.Ref {
 	if j.Work.Steps[ref.Step].Gang {
 		ref.Index = 0
-		return ref, tasks
 	}
-	return ref, tasks[ref.Index : ref.Index+1]
+	return ref
+}
+
+// unitTasks returns the first task and all tasks of the unit to which a task belongs.
+func unitTasks(j *berylbook.Job, ref berylwork.Ref) (berylwork.Ref, []*berylbook.Task) {
+	tasks := j.Step(ref.Occurrence, ref.Step)
+	ref = firstTask(j, ref)
+	if !j.Work.Steps[ref.Step].Gang {
+		return ref, []*berylbook.Task{tasks.At(ref.Index)}
+	}
+	all := make([]*berylbook.Task, tasks.Len())
+	for i := range all {
+		all[i] = tasks.At(i)
+	}
+	return ref, all
 }
 
-// pendingUnits returns the units that are ready to start, in the order in which they
-// are placed.
-func (d *Director) pendingUnits(now time.Time) []unit {
+// pendingUnits returns the units that are ready to start, in groups in the order in which
+// they are placed.
+func (d *Director) pendingUnits(now time.Time) [][]unit {
 	groups := d.pendingGroups(now)
 	// Capacity that was freed by preemption goes to the unit for which it was freed.
 	// Otherwise a later unit with an earlier latest start would take it, and more
@@ -78,13 +87,13 @@
 		return cmp.Or(
 			cmp.Compare(a.queue.Priority, b.queue.Priority),
 			a.preemptedAt.Compare(b.preemptedAt),
-			a.rank.Compare(now, b.rank),
+			a.rank.Compare(now, *b.rank),
 			cmp.Compare(a.job.Work.ID, b.job.Work.ID),
 			cmp.Compare(a.occurrence, b.occurrence),
 			cmp.Compare(a.step, b.step),
 		)
 	})
-	return slices.Concat(groups...)
+	return groups
 }
 
 // pendingGroups returns the units that are ready to start. Those of a step are a group,
@@ -92,6 +101,8 @@
 func (d *Director) pendingGroups(now time.Time) [][]unit {
 	var groups [][]unit
 	capacity := map[string]int{}
+	limit := min(max(_maxPendingUnits/max(d.readySteps, 1), 1), _maxStepUnits)
+	d.readySteps = 0
 	for _, j := range d.liveJobs() {
 		if j.State.Final() || j.CancelledAt != 0 {
 			continue
@@ -103,7 +114,8 @@
 		if _, ok := capacity[q.Service]; !ok {
 			capacity[q.Service] = d.capacity(q.Service)
 		}
-		for _, units := range d.jobUnits(now, j, q, capacity[q.Service]) {
+		for _, units := range d.jobUnits(now, j, &q, capacity[q.Service], limit) {
+			d.readySteps++
 			d.setRanks(units)
 			groups = append(groups, d.noteReady(now, units)...)
 		}
@@ -131,7 +143,7 @@
 		r.ClaimedStart = u.startableAt.Add(d.Limits.Reclaim - d.Limits.preemptionTime())
 	}
 	for i := range units {
-		units[i].rank = r
+		units[i].rank = &r
 	}
 }
 
@@ -158,25 +170,21 @@
 // noteReady sets for how long the units of a step have been ready, and returns them in
 // groups.
 func (d *Director) noteReady(now time.Time, units []unit) [][]unit {
+	if len(d.preemptedFor) == 0 {
+		for i := range units {
+			d.noteWaiting(now, &units[i])
+		}
+		return [][]unit{units}
+	}
 	var groups [][]unit
 	var others []unit
 	for i := range units {
 		u := &units[i]
-		w := d.waiting[u.ref()]
-		if w.since.IsZero() {
-			w.since = now
-			d.noteArrival(now, u)
-		}
-		w.checkedAt = now
-		d.waiting[u.ref()] = w
-		u.waited = now.Sub(w.since)
-		u.preemptedAt = now
-		if len(d.preemptedFor) > 0 {
-			if at := d.preemptedFor[u.name()]; now.Sub(at) < d.Limits.preemptionWindow() {
-				u.preemptedAt = at
-				groups = append(groups, units[i:i+1])
-				continue
-			}
+		d.noteWaiting(now, u)
+		if at := d.preemptedFor[u.name()]; now.Sub(at) < d.Limits.preemptionWindow() {
+			u.preemptedAt = at
+			groups = append(groups, units[i:i+1])
+			continue
 		}
 		others = append(others, *u)
 	}
@@ -186,26 +194,56 @@
 	return groups
 }
 
+// noteWaiting notes that a unit is ready, and sets for how long it has been.
+func (d *Director) noteWaiting(now time.Time, u *unit) {
+	w := d.waiting[u.ref()]
+	if w.since.IsZero() {
+		w.since = now
+		d.noteArrival(now, u)
+	}
+	w.checkedAt = now
+	d.waiting[u.ref()] = w
+	u.waited = now.Sub(w.since)
+	u.preemptedAt = now
+}
+
 // jobUnits returns the units of a job that are ready to start, those of each step as one
-// group.
-func (d *Director) jobUnits(now time.Time, j *berylbook.Job, q berylpolicy.Queue, capacity int) [][]unit {
-	var groups [][]unit
+// group. A group has at most limit units: the tasks of a step are alike, and when one of
+// them does not fit, neither do the others. Of a job with very many steps that are due,
+// each placement pass has some, in turn.
+func (d *Director) jobUnits(now time.Time, j *berylbook.Job, q *berylpolicy.Queue, capacity, limit int) [][]unit {
 	paths := d.expectedPaths(j.Work, capacity)
-	for k := range j.Tasks {
-		if j.Work.Due(k).After(now) {
-			break
+	steps := len(j.Work.Steps)
+	first := j.FirstIncomplete()
+	due := first
+	for due < j.Work.Occurrences() && !j.Work.Due(due).After(now) {
+		due++
+	}
+	total := (due - first) * steps
+	if total == 0 {
+		return nil
+	}
+	var groups [][]unit
+	proto := unit{job: j, queue: q, occurrence: -1}
+	start, scanned := d.nextSteps[j]%total, 0
+	for ; scanned < min(total, _maxScannedSteps) && len(groups) < _maxJobSteps; scanned++ {
+		at := (start + scanned) % total
+		k, s := first+at/steps, at%steps
+		if !stepReady(j, k, s) {
+			continue
 		}
-		proto := unit{job: j, queue: q, occurrence: k}
-		proto.setTimes(paths)
-		for s := range j.Tasks[k] {
-			if !stepReady(j, k, s) {
-				continue
-			}
-			base := proto
-			base.step = s
-			base.latestStart = proto.latestStartOf(paths, s)
-			groups = appendUnits(groups, base, j.Tasks[k][s])
+		if proto.occurrence != k {
+			proto.occurrence = k
+			proto.setTimes(paths)
 		}
+		base := proto
+		base.step = s
+		base.latestStart = proto.latestStartOf(paths, s)
+		groups = appendUnits(groups, base, j.Step(k, s), limit)
+	}
+	delete(d.nextSteps, j)
+	if scanned < total {
+		d.nextSteps[j] = (start + scanned) % total
 	}
 	return groups
 }
@@ -220,22 +258,19 @@
 	return true
 }
 
-// appendUnits appends the units of a step that are ready as one group.
-func appendUnits(groups [][]unit, base unit, tasks []berylbook.Task) [][]unit {
-	idle := make([]int, 0, len(tasks))
-	for i := range tasks {
-		if tasks[i].Phase == berylbook.Idle {
-			idle = append(idle, i)
+// appendUnits appends the units of a step that are ready as one group, at most limit.
+func appendUnits(groups [][]unit, base unit, tasks *berylbook.TaskList, limit int) [][]unit {
+	if base.stepSpec().Gang {
+		if !tasks.AllIdle() {
+			return groups
 		}
+		base.tasks = tasks.Idle(tasks.Len())
+		return append(groups, []unit{base})
 	}
-	gang := base.stepSpec().Gang
-	if len(idle) == 0 || (gang && len(idle) < len(tasks)) {
+	idle := tasks.Idle(limit)
+	if len(idle) == 0 {
 		return groups
 	}
-	if gang {
-		base.tasks = idle
-		return append(groups, []unit{base})
-	}
 	units := make([]unit, len(idle))
 	for n := range idle {
 		units[n] = base
@@ -269,7 +304,7 @@
 // it is due, if the expected times are right.
 func (d *Director) latestStart(j *berylbook.Job, q berylpolicy.Queue, ref berylwork.Ref) time.Time {
 	paths := d.expectedPaths(j.Work, d.capacity(q.Service))
-	u := unit{job: j, queue: q, occurrence: ref.Occurrence}
+	u := unit{job: j, queue: &q, occurrence: ref.Occurrence}
 	u.setTimes(paths)
 	return u.latestStartOf(paths, ref.Step)
 }
@@ -327,18 +362,30 @@
 func demandOf(j *berylbook.Job, occurrence, step, count int) berylfit.Demand {
 	spec := &j.Work.Steps[step]
 	return berylfit.Demand{
-		Count: count, Resources: spec.Resources(), Label: spec.Label, Rack: spec.Rack,
-		OneRack: spec.OneRack, Together: spec.Gang, MaxPerHost: spec.MaxPerHost, Present: tasksPerNode(j.Tasks[occurrence][step]),
+		Count: count, Resources: taskResources(spec), Label: spec.Label, Rack: spec.Rack,
+		OneRack: spec.OneRack, Together: spec.Gang, MaxPerHost: spec.MaxPerHost, Present: tasksPerNode(j.Step(occurrence, step)),
 	}
 }
 
 // tasksPerNode counts the active tasks on each node.
-func tasksPerNode(tasks []berylbook.Task) map[string]int {
+func tasksPerNode(tasks *berylbook.TaskList) map[string]int {
 	n := map[string]int{}
-	for i := range tasks {
-		if tasks[i].Phase.Active() {
-			n[tasks[i].Incarnation.Node]++
+	tasks.Each(func(_ int, t *berylbook.Task) bool {
+		if t.Phase.Active() {
+			n[t.Incarnation.Node]++
 		}
-	}
+		return true
+	})
 	return n
 }
+
+const (
+	// _maxPendingUnits is about how many units that are ready one placement pass has, and
+	// _maxStepUnits how many of one step. Each takes some hundred bytes.
+	_maxPendingUnits = 1 << 15
+	_maxStepUnits    = 1 << 10
+	// _maxJobSteps is how many ready steps of a job one pass has, and _maxScannedSteps
+	// among how many it looks for them.
+	_maxJobSteps     = 1 << 10
+	_maxScannedSteps = 1 << 12
+)
--- a/berylerror/kind.go
+++ b/berylerror/kind.go
@@ -39,6 +39,9 @@
 	// Unavailable means that a read or an operator's request can't be served
 	// now.
 	Unavailable
+	// Exhausted means that the request did not run, as a bound on accepted work is
+	// reached, and may be retried later. Other processes give the same answer.
+	Exhausted
 )
 
 // answer is the public form of one kind.
@@ -50,7 +53,7 @@
 
 // answers returns the answer of each kind. It is a function because a
 // package-level variable could be changed.
-func answers() [Unavailable + 1]answer {
+func answers() [Exhausted + 1]answer {
 	return [...]answer{
 		Internal:    {name: "internal", status: 500, exit: 1},
 		Invalid:     {name: "invalid", status: 400, exit: 2},
@@ -64,13 +67,14 @@
 		Expired:     {name: "expired", status: 410, exit: 10},
 		Failed:      {name: "failed", status: 502, exit: 11},
 		Unavailable: {name: "unavailable", status: 503, exit: 12},
+		Exhausted:   {name: "exhausted", status: 429, exit: 13},
 	}
 }
 
 // Kinds returns all kinds in order.
 func Kinds() []Kind {
-	kinds := make([]Kind, 0, Unavailable)
-	for k := Internal; k <= Unavailable; k++ {
+	kinds := make([]Kind, 0, Exhausted)
+	for k := Internal; k <= Exhausted; k++ {
 		kinds = append(kinds, k)
 	}
 	return kinds
@@ -96,7 +100,7 @@
 func (k Kind) Exit() int { return k.answer().exit }
 
 func (k Kind) answer() answer {
-	if k < Internal || k > Unavailable {
+	if k < Internal || k > Exhausted {
 		k = Internal
 	}
 	return answers()[k]
--- a/berylgateway/follow.go
+++ b/berylgateway/follow.go
@@ -19,7 +19,7 @@
 	g.jobsOutage.recovered(now, g.cfg.Log, g.cfg.TopicJobs)
 	switch e := e.(type) {
 	case berylfollower.Loaded:
-		g.View.Load(e.Records, e.AsOf)
+		g.View.Replace(e.Records, e.AsOf)
 	case berylfollower.Read:
 		g.View.Apply(e.Records, e.AsOf)
 	}
--- a/berylgateway/record.go
+++ b/berylgateway/record.go
@@ -92,7 +92,8 @@
 	var leaderErr error
 	if g.cfg.Clock().UnixMilli() >= g.leaderRetryAt.Load() {
 		leaderErr = g.appendViaLeader(ctx, r)
-		if leaderErr == nil || berylerror.Of(leaderErr).Final() {
+		kind := berylerror.Of(leaderErr)
+		if leaderErr == nil || kind.Final() || kind == berylerror.Exhausted {
 			return leaderErr
 		}
 		if berylerror.Of(leaderErr) != berylerror.NotRun {
--- a/berylintake/admit.go
+++ b/berylintake/admit.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"berylglade/berylload"
 	"berylglade/beryloutlook"
 )
 
@@ -14,6 +15,41 @@
 	unknown map[string]time.Time
 	// returnsAt is when the room is free for the next client that is told to return.
 	returnsAt time.Time
+	// submitted has the jobs that this entry has sent to the store and may not have read
+	// yet.
+	submitted map[string]submission
+}
+
+// submission is what counts of a job that was sent to the store.
+type submission struct {
+	account string
+	load    int
+	at      time.Time
+}
+
+// reserve notes that a job is sent to the store, unless the load doesn't allow it. The load
+// is that of the jobs that were read; known reports whether a job is among them.
+func (a *admission) reserve(now time.Time, id string, s submission, read berylload.Load, known func(id string) bool) bool {
+	for other, t := range a.submitted {
+		switch {
+		case known(other) || now.Sub(t.at) > _unknownTTL:
+			delete(a.submitted, other)
+		case other == id:
+		case t.account == s.account:
+			read.Account += t.load
+		default:
+			read.Others += t.load
+		}
+	}
+	if !read.Allows(s.load) {
+		return false
+	}
+	if a.submitted == nil {
+		a.submitted = map[string]submission{}
+	}
+	s.at = now
+	a.submitted[id] = s
+	return true
 }
 
 // noteUnknown notes that the submission of a job may have been recorded.
@@ -81,6 +117,30 @@
 	return rejection
 }
 
+// exhausted reports whether the load doesn't allow the submitted job, and no submission of
+// it has been or may have been recorded. Otherwise it notes that the job is sent to the store.
+func (i *Intake) exhausted(ctx context.Context, now time.Time, r Request) bool {
+	s := submission{account: r.Account, load: r.Work.Load()}
+	i.mu.Lock()
+	ok := i.admission.reserve(now, r.ID, s, i.View.Load(r.Account), func(id string) bool { return i.View.Job(id).Known })
+	i.mu.Unlock()
+	if ok || !i.rejectable(now, r.ID) || !i.confirm(ctx, now) || i.View.Job(r.ID).Known {
+		return false
+	}
+	i.Log.Info("reject", "job", r.ID, "queue", r.Queue.Name, "account", r.Account, "why", "load", "load", s.load)
+	if i.CountDecision != nil {
+		i.CountDecision("reject")
+	}
+	return true
+}
+
+// forget notes that a job was not recorded.
+func (i *Intake) forget(id string) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	delete(i.admission.submitted, id)
+}
+
 func (i *Intake) rejectable(now time.Time, job string) bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
--- a/berylintake/admit_test.go
+++ b/berylintake/admit_test.go
@@ -48,7 +48,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			view := &berylview.View{}
-			view.Load(nil, now)
+			view.Replace(nil, now)
 			view.RecordRead(now, true)
 			view.SetPolicy(&berylpolicy.Policy{Version: 1}, now)
 			s := beryloutlook.Service{Name: "s", Accelerators: 8}
--- a/berylintake/intake.go
+++ b/berylintake/intake.go
@@ -355,19 +355,30 @@
 		Service: r.Queue.Service, Priority: r.Queue.Priority, Attempts: r.Queue.Attempts,
 		Stretch: r.Queue.Stretch, Target: r.Queue.Target.Milliseconds(),
 	}
+	if i.exhausted(ctx, now, r) {
+		return Reply{Kind: berylerror.Exhausted, Reason: "too many tasks of accepted jobs", RetryAfter: _maxRetryAfter}
+	}
 	s := berylbook.Submission{Work: *r.Work}
 	rec, err := s.Record()
 	if err != nil {
 		return i.appendReply(err)
 	}
-	return i.appendReply(i.Append(ctx, rec))
+	err = i.Append(ctx, rec)
+	if err != nil && berylerror.Of(err) != berylerror.Unknown {
+		i.forget(r.ID)
+	}
+	return i.appendReply(err)
 }
 
 func (i *Intake) appendReply(err error) Reply {
 	if err == nil {
 		return Reply{}
 	}
-	return Reply{Kind: berylerror.Of(err), Reason: err.Error(), RetryAfter: retryAfter(i.Producer.FailingFor(i.Clock()))}
+	reply := Reply{Kind: berylerror.Of(err), Reason: err.Error(), RetryAfter: retryAfter(i.Producer.FailingFor(i.Clock()))}
+	if reply.Kind == berylerror.Exhausted {
+		reply.RetryAfter = _maxRetryAfter
+	}
+	return reply
 }
 
 const (
--- a/berylkeeper/keeper.go
+++ b/berylkeeper/keeper.go
@@ -290,6 +290,10 @@
 	r.phase = p
 	r.changedAt = now
 	r.retryAt = now
+	if p != starting {
+		// It is not started again.
+		r.start = berylreport.Start{Key: r.start.Key}
+	}
 	k.changed = true
 }
 
--- a/berylroom/room.go
+++ b/berylroom/room.go
@@ -13,6 +13,9 @@
 	Megabytes int `cbor:"m,omitempty"`
 	// Accelerators is the number of whole accelerators.
 	Accelerators int `cbor:"a,omitempty"`
+	// Tasks is the number of tasks. Each takes some processor time and memory of the agent
+	// and of its backend server, even if it asks for nothing.
+	Tasks int `cbor:"t,omitempty"`
 }
 
 // Add returns r plus o.
@@ -20,6 +23,7 @@
 	r.Millicores += o.Millicores
 	r.Megabytes += o.Megabytes
 	r.Accelerators += o.Accelerators
+	r.Tasks += o.Tasks
 	return r
 }
 
@@ -28,6 +32,7 @@
 	r.Millicores -= o.Millicores
 	r.Megabytes -= o.Megabytes
 	r.Accelerators -= o.Accelerators
+	r.Tasks -= o.Tasks
 	return r
 }
 
@@ -36,24 +41,27 @@
 	r.Millicores *= n
 	r.Megabytes *= n
 	r.Accelerators *= n
+	r.Tasks *= n
 	return r
 }
 
 // Fits reports whether r fits into o.
 func (r Resources) Fits(o Resources) bool {
-	return r.Millicores <= o.Millicores && r.Megabytes <= o.Megabytes && r.Accelerators <= o.Accelerators
+	return r.Millicores <= o.Millicores && r.Megabytes <= o.Megabytes && r.Accelerators <= o.Accelerators &&
+		r.Tasks <= o.Tasks
 }
 
 // MaxShare returns how much of total r is, by the resource of which it is most.
 func (r Resources) MaxShare(total Resources) float64 {
-	return max(share(r.Millicores, total.Millicores), share(r.Megabytes, total.Megabytes), share(r.Accelerators, total.Accelerators))
+	return max(share(r.Millicores, total.Millicores), share(r.Megabytes, total.Megabytes), share(r.Accelerators, total.Accelerators),
+		share(r.Tasks, total.Tasks))
 }
 
 // MinShare returns how much of total r is, by the resource of which it is least; zero if an
 // amount of r is negative. Resources that total has none of don't count.
 func (r Resources) MinShare(total Resources) float64 {
 	least := 1.0
-	for _, s := range [][2]int{{r.Millicores, total.Millicores}, {r.Megabytes, total.Megabytes}, {r.Accelerators, total.Accelerators}} {
+	for _, s := range [][2]int{{r.Millicores, total.Millicores}, {r.Megabytes, total.Megabytes}, {r.Accelerators, total.Accelerators}, {r.Tasks, total.Tasks}} {
 		if s[1] > 0 {
 			least = min(least, share(s[0], s[1]))
 		}
@@ -74,6 +82,7 @@
 	n = limitBy(n, r.Millicores, o.Millicores)
 	n = limitBy(n, r.Megabytes, o.Megabytes)
 	n = limitBy(n, r.Accelerators, o.Accelerators)
+	n = limitBy(n, r.Tasks, o.Tasks)
 	return max(n, 0)
 }
 
--- a/berylview/view.go
+++ b/berylview/view.go
@@ -9,13 +9,15 @@
 	"time"
 
 	"berylglade/berylbook"
+	"berylglade/berylload"
 	"berylglade/berylpolicy"
 	"berylglade/berylstore"
 )
 
 // View is safe for concurrent use. The zero value is empty.
 type View struct {
-	mu       sync.Mutex
+	mu sync.Mutex
+	// book has no tasks, as clients don't ask for them.
 	book     berylbook.Book
 	bookAt   time.Time
 	policy   *berylpolicy.Policy
@@ -38,10 +40,10 @@
 	At time.Time
 }
 
-// Load replaces all jobs with those of the given records. asOf is the time at
+// Replace replaces all jobs with those of the given records. asOf is the time at
 // which the records were confirmed to be current.
-func (v *View) Load(records []berylstore.Record, asOf time.Time) {
-	var book berylbook.Book
+func (v *View) Replace(records []berylstore.Record, asOf time.Time) {
+	book := berylbook.Book{Summary: true}
 	for _, r := range records {
 		book.Apply(r)
 	}
@@ -51,11 +53,12 @@
 	v.confirm(asOf)
 }
 
-// Apply applies records that were appended since the last Load or Apply. asOf is
+// Apply applies records that were appended since the last Replace or Apply. asOf is
 // the time at which no newer record was known to exist.
 func (v *View) Apply(records []berylstore.Record, asOf time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.book.Summary = true
 	for _, r := range records {
 		v.book.Apply(r)
 	}
@@ -176,6 +179,13 @@
 	return v.book.Waiting(queue), v.bookAt
 }
 
+// Load returns the load of the jobs that have not ended, as seen by one client account.
+func (v *View) Load(account string) berylload.Load {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.book.Load(account)
+}
+
 // Claim returns the newest claim to leadership.
 func (v *View) Claim() berylbook.Claim {
 	v.mu.Lock()
--- a/berylwork/validate.go
+++ b/berylwork/validate.go
@@ -10,7 +10,7 @@
 	// 512.
 	_maxStepTasks = 20_000
 	// _maxTasks is the maximum number of tasks of all steps and occurrences. Each entry
-	// keeps about 150 bytes for a task, and the smallest VM has 184 MB.
+	// keeps about 150 bytes for a task with progress, and the smallest VM has 144 MB.
 	_maxTasks = 100_000
 )
 
--- a/berylwork/work.go
+++ b/berylwork/work.go
@@ -103,6 +103,26 @@
 // Occurrences returns how often the steps run, at least once.
 func (w *Work) Occurrences() int { return max(w.Times, 1) }
 
+// Load returns what the job takes of the memory of an entry, in tasks: those of all
+// occurrences, the steps, and the text that the client sent.
+func (w *Work) Load() int {
+	tasks, text := 0, len(w.Spec)
+	for i := range w.Steps {
+		s := &w.Steps[i]
+		tasks += s.Count
+		text += len(s.Label) + len(s.Rack) + len(s.Image) + _indexSize*len(s.After)
+	}
+	return tasks*w.Occurrences() + _stepLoad*len(w.Steps) + text/_taskSize
+}
+
+const (
+	// _taskSize is about the memory of a task with progress, in bytes, and _stepLoad that
+	// of a step, in tasks. _indexSize is that of an index in Step.After, in bytes.
+	_taskSize  = 128
+	_stepLoad  = 2
+	_indexSize = 8
+)
+
 // Due returns when occurrence k may start. It is the zero time for a job that
 // may start immediately.
 func (w *Work) Due(k int) time.Time {
