--- a/berylbook/record.go
+++ b/berylbook/record.go
@@ -72,10 +72,13 @@
 // into one append, after those of the tasks.
 func (j *Job) Tombstones() []berylstore.Record {
 	id := j.Work.ID
-	records := []berylstore.Record{{Key: _submissionPrefix + id}, {Key: _cancelPrefix + id}, {Key: _progressPrefix + id}}
+	records := make([]berylstore.Record, 0, 3+j.parts)
 	for i := range j.parts {
 		records = append(records, berylstore.Record{Key: partKey(id, i)})
 	}
+	for _, prefix := range []string{_submissionPrefix, _cancelPrefix, _progressPrefix} {
+		records = append(records, berylstore.Record{Key: prefix + id})
+	}
 	return records
 }
 
--- a/berylproducer/limits_test.go
+++ b/berylproducer/limits_test.go
@@ -86,7 +86,9 @@
 					size = 960
 				}
 				go func() { outcomes[key] <- p.Append(ctx, sized(key, size)) }()
-				for p.outstanding() < i {
+				// The first request is in flight before the others wait behind it.
+				for i == 0 && p.StalledFor(time.Now()) == 0 || p.outstanding() < i {
+					is.NoErr(ctx.Err())
 					time.Sleep(time.Millisecond)
 				}
 			}
--- a/berylproducer/producer.go
+++ b/berylproducer/producer.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -158,7 +159,7 @@
 	limits := p.store.Limits()
 	n := 0
 	for _, r := range p.waiting {
-		joined := append(records[:len(records):len(records)], r.records...)
+		joined := slices.Concat(records, r.records)
 		if n > 0 && (len(joined) > _maxRecords || !limits.AcceptsCall(joined)) {
 			break
 		}
