--- a/berylbook/part.go
+++ b/berylbook/part.go
@@ -105,7 +105,7 @@
 		}
 		value = append(value, p.Data...)
 	}
-	return value, xxhash.Sum64(value) == sum
+	return value, len(value) > 0 && xxhash.Sum64(value) == sum
 }
 
 const (
--- a/berylkeeper/keeper.go
+++ b/berylkeeper/keeper.go
@@ -291,12 +291,14 @@
 	r.changedAt = now
 	r.retryAt = now
 	if p != starting {
-		// It is not started again.
-		r.start = berylreport.Start{Key: r.start.Key}
+		r.forgetStart()
 	}
 	k.changed = true
 }
 
+// forgetStart deletes what only a start call needs. The run is not started again.
+func (r *run) forgetStart() { r.start = berylreport.Start{Key: r.start.Key} }
+
 // Answer handles the reply to a report on the given incarnation. Sent is the
 // estimated clock of the backend server at the time at which the report was sent.
 func (k *Keeper) Answer(a berylreport.Answer, incarnation berylbook.Incarnation, sent int64) {
--- a/berylkeeper/orders.go
+++ b/berylkeeper/orders.go
@@ -62,6 +62,7 @@
 	case k.exists(s.Key):
 		// An earlier process of this agent has started it.
 		r.phase = accepted
+		r.forgetStart()
 	case k.heartbeat.Draining && !r.unconfirmed:
 		// The leader ordered this start before it learned that the backend server is
 		// draining.
--- a/berylkeeper/outcome.go
+++ b/berylkeeper/outcome.go
@@ -291,6 +291,7 @@
 			r.listed = true
 			if r.phase == starting && !r.inFlight {
 				r.phase = accepted
+				r.forgetStart()
 			}
 		}
 		if r.phase != stopped || o.Seq <= r.stopSeq {
