--- a/beryldirector/end.go
+++ b/beryldirector/end.go
@@ -243,13 +243,6 @@
 		d.orderedAt[k] = now
 		return
 	}
-	if !j.Work.Steps[ref.Step].Gang {
-		// The members of a gang can't wait for an agent that is silent.
-		if a == nil || now.Sub(a.reportedAt) > _maxReportAge {
-			return
-		}
-		since = later(since, a.heardSince)
-	}
 	if a != nil && a.report.Truncated && a.handled[berylreport.Key{Task: ref.String(), Run: t.Run}] {
 		// The run was started, and its end may follow those that are listed.
 		return
--- a/beryldirector/report.go
+++ b/beryldirector/report.go
@@ -24,8 +24,6 @@
 	// leases of the earlier one were not extended since.
 	replacedAt time.Time
 	reportedAt time.Time
-	// heardSince is when the first report arrived after a silence of _maxReportAge or more.
-	heardSince time.Time
 	rack       string
 	// leavesAt is the earliest time at which the backend server leaves, if it is
 	// draining.
@@ -96,9 +94,6 @@
 	if r.Boot < a.report.Boot || (r.Boot == a.report.Boot && r.Seq <= a.report.Seq) {
 		return answer
 	}
-	if now.Sub(a.reportedAt) > _maxReportAge {
-		a.heardSince = now
-	}
 	a.reportedAt = now
 	d.now = now
 	d.applyReport(now, a, r)
