--- a/berylintake/intake.go
+++ b/berylintake/intake.go
@@ -7,9 +7,7 @@
 
 import (
 	"context"
-	"fmt"
 	"log/slog"
-	"strings"
 	"sync"
 	"time"
 
@@ -304,41 +302,6 @@
 		"age", now.Sub(f.Job.At).Milliseconds(), "ms", i.Clock().Sub(now).Milliseconds())
 }
 
-// shape returns a short description of a job for the log.
-func shape(w *berylwork.Work) string {
-	if w == nil {
-		return ""
-	}
-	var b strings.Builder
-	if w.Times > 0 {
-		fmt.Fprintf(&b, "%d times ", w.Times)
-	}
-	for _, s := range w.Steps {
-		fmt.Fprintf(&b, "%dx%d", s.Count, s.Need.Accelerators)
-		flags := []struct {
-			set  bool
-			mark string
-		}{
-			{s.Gang, " gang"},
-			{s.OneRack, " rack"},
-			{s.LongRunning, " lasting"},
-			{s.BestEffortCPU, " fills"},
-			{s.MayOverlap, " copies"},
-			{s.Checkpoints, " saves"},
-			{s.MaxPerHost > 0, " apart"},
-			{s.Label != "", " label"},
-			{s.MaxUnavailable > 0, " away"},
-		}
-		for _, f := range flags {
-			if f.set {
-				b.WriteString(f.mark)
-			}
-		}
-		b.WriteString("; ")
-	}
-	return b.String()
-}
-
 func (i *Intake) record(ctx context.Context, now time.Time, r Request) Reply {
 	if r.Verb == Cancel {
 		c := berylbook.Cancel{At: now.UnixMilli()}
--- a/berylproducer/limits_test.go
+++ b/berylproducer/limits_test.go
@@ -38,21 +38,6 @@
 	return 0, nil
 }
 
-func startLimited(t *testing.T, s *limitedStore) *Producer {
-	ctx, cancel := context.WithCancel(t.Context())
-	p := New(s, time.Now, "topic", "p")
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		p.Run(ctx)
-	}()
-	t.Cleanup(func() {
-		cancel()
-		<-done
-	})
-	return p
-}
-
 func sized(key string, size int) berylstore.Record {
 	return berylstore.Record{Key: key, Value: []byte(strings.Repeat("x", size))}
 }
@@ -75,8 +60,8 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			s := &limitedStore{settings: limits, real: tt.real, gate: make(chan struct{})}
-			p := startLimited(t, s)
-			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			p, ctx := startProducer(t, s)
+			ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
 			defer cancel()
 			outcomes := map[string]chan error{}
 			for i, key := range []string{"a", "b", "c", "d", "e", "f"} {
--- a/berylproducer/producer_test.go
+++ b/berylproducer/producer_test.go
@@ -57,7 +57,7 @@
 	return berylstore.Page{}, nil
 }
 
-func startProducer(t *testing.T, s *scriptedStore) (*Producer, context.Context) {
+func startProducer(t *testing.T, s berylstore.Store) (*Producer, context.Context) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	p := New(s, berylclock.System(), "topic", "p")
