berylbreaker, beryldirector: a server that fails all it starts gets probes only

Cause: a backend server that fails each run at once always has free capacity. The fault score only orders the servers that have room, and on a full cluster no other has. A task moved on after each failure, to the next faulty server, and its two or three attempts were gone.

Change: a circuit breaker for each backend server. It opens with the first run that fails without progress; after a pause one task at a time that can afford it is a probe, and progress of a run started since closes it. A unit that failed already is no probe. A step that works nowhere opens a few breakers only.

--- a/beryldirector/director.go
+++ b/beryldirector/director.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"berylglade/berylbook"
+	"berylglade/berylbreaker"
 	"berylglade/berylcooldown"
 	"berylglade/berylestimator"
 	"berylglade/berylfit"
@@ -192,6 +193,8 @@
 	reservations map[string]reservation
 	// failedOn has, by unit, the nodes on which its runs failed.
 	failedOn map[string]map[string]bool
+	// breakers are those of the backend servers.
+	breakers berylbreaker.Table
 	// preemptedFor is when runs were last preempted for each unit.
 	preemptedFor map[string]time.Time
 	// headrooms has the learned demand of urgent work, by service. Spare is how many hosts
@@ -323,6 +326,7 @@
 	clear(d.nextSteps)
 	clear(d.largePaths)
 	d.cooldown = berylcooldown.Cooldown{}
+	d.breakers = berylbreaker.Table{}
 	clear(d.agents)
 	d.effects = append(d.effects, Reload{})
 }
@@ -365,6 +369,7 @@
 		d.slowCheckedAt = now
 		d.forgetLargeJobs(now)
 		d.learnSpeeds(now)
+		d.closeBreakers()
 		d.markSlowServers(now)
 		d.restartSlowUnits(now)
 	}
--- a/beryldirector/end.go
+++ b/beryldirector/end.go
@@ -120,6 +120,7 @@
 	run := t.Run
 	t.Phase = berylbook.Idle
 	d.recordFailure(now, a, unitName(j, ref.Occurrence, ref.Step, ref.Index))
+	d.openBreaker(now, a, j, ref, t)
 	d.stopGang(j, ref, run)
 	if step.LongRunning {
 		return
@@ -133,7 +134,8 @@
 		t.Failures++
 	}
 	if t.Failures >= d.maxAttempts(j) {
-		d.note("job failed", "job", j.Work.ID, "task", ref.String(), "failures", t.Failures)
+		d.note("job failed", "job", j.Work.ID, "task", ref.String(), "failures", t.Failures,
+			"nodes", slices.Sorted(maps.Keys(d.failedOn[unitName(j, ref.Occurrence, ref.Step, ref.Index)])))
 		j.State = berylbook.Failed
 		j.EndedAt = now.UnixMilli()
 		d.clearFailures(j)
@@ -160,6 +162,7 @@
 // clearFailures deletes the hosts on which runs of a job failed, and its preemptions.
 func (d *Director) clearFailures(j *berylbook.Job) {
 	d.cooldown.Forget(j.Work.ID + ".")
+	d.breakers.ForgetJob(j.Work.ID + ".")
 	maps.DeleteFunc(d.failedOn, func(unit string, _ map[string]bool) bool {
 		return strings.HasPrefix(unit, j.Work.ID+".")
 	})
--- a/beryldirector/faulty_test.go
+++ b/beryldirector/faulty_test.go
@@ -19,8 +19,8 @@
 	*harness
 	nodes  []string
 	faulty map[string]bool
-	// took is for how long each run has been at work.
-	took map[berylreport.Key]time.Duration
+	// began is when each run was started.
+	began map[berylreport.Key]time.Time
 	// lastEnd is the number of the last end of each server, and failed how many runs have
 	// failed there.
 	lastEnd map[string]int64
@@ -29,7 +29,7 @@
 
 func newCluster(t *testing.T, sound, faulty int) *cluster {
 	c := &cluster{
-		harness: newHarness(t), faulty: map[string]bool{}, took: map[berylreport.Key]time.Duration{},
+		harness: newHarness(t), faulty: map[string]bool{}, began: map[berylreport.Key]time.Time{},
 		lastEnd: map[string]int64{}, failed: map[string]int{},
 	}
 	for i := range sound {
@@ -46,30 +46,32 @@
 // play lets all servers work for a time.
 func (c *cluster) play(total time.Duration) {
 	const tick = 100 * time.Millisecond
-	for range int(total / tick) {
+	for end := c.now.Add(total); c.now.Before(end); c.advance(tick) {
 		for _, node := range c.nodes {
-			c.report(node, func(r *berylreport.Report) { c.work(r, tick) })
+			c.report(node, c.work)
 		}
-		c.advance(tick)
 	}
 }
 
-// work fills the report of a server that has worked for tick.
-func (c *cluster) work(r *berylreport.Report, tick time.Duration) {
+// work fills the report of a server with the state of its runs.
+func (c *cluster) work(r *berylreport.Report) {
 	c.d.eachActiveOn(r.Node, func(s activeTask) {
 		k := berylreport.Key{Task: s.name, Run: s.task.Run}
 		declared := time.Duration(s.job.Work.Steps[s.ref.Step].Estimate) * time.Millisecond
-		c.took[k] += tick
+		if c.began[k].IsZero() {
+			c.began[k] = c.now
+		}
+		took := c.now.Sub(c.began[k])
 		switch {
 		case s.task.Phase == berylbook.Stopping:
 			c.end(r, k, berylreport.Stopped)
 		case c.faulty[r.Node]:
 			c.failed[r.Node]++
 			c.end(r, k, berylreport.Failed)
-		case c.took[k] >= declared:
+		case took >= declared:
 			c.end(r, k, berylreport.Done)
 		default:
-			r.Runs = append(r.Runs, berylreport.Run{Key: k, Progress: 100 * c.took[k].Seconds() / declared.Seconds()})
+			r.Runs = append(r.Runs, berylreport.Run{Key: k, Progress: 100 * took.Seconds() / declared.Seconds()})
 		}
 	})
 }
--- a/beryldirector/place.go
+++ b/beryldirector/place.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"berylglade/berylbook"
+	"berylglade/berylbreaker"
 	"berylglade/berylfit"
 	"berylglade/berylreport"
 	"berylglade/berylroom"
@@ -80,6 +81,7 @@
 			Releasing:  releasing[node],
 			FaultScore: d.faultScore(now, a),
 			Speed:      d.speeds.Speed(now, node),
+			Breaker:    d.breakers.State(now, node),
 		})
 	}
 	slices.SortFunc(hosts, func(a, b berylfit.Host) int { return cmp.Compare(a.Node, b.Node) })
@@ -109,7 +111,11 @@
 		if r.Service != service || r.Draining || d.Policy.OutOfService[r.Zone] || now.Sub(a.reportedAt) > _maxRackWait {
 			continue
 		}
-		hosts = append(hosts, berylfit.Host{Node: node, Rack: a.rack, Labels: r.Labels, Total: hostCapacity(r)})
+		h := berylfit.Host{Node: node, Rack: a.rack, Labels: r.Labels, Total: hostCapacity(r)}
+		if d.breakers.State(now, node) != berylbreaker.Closed {
+			h.Breaker = berylbreaker.Open
+		}
+		hosts = append(hosts, h)
 	}
 	return hosts
 }
@@ -134,6 +140,8 @@
 	}
 	demand := demandOf(u.job, u.occurrence, u.step, len(u.tasks))
 	demand.Prefer = preferredSpeed(now, u, hosts)
+	demand.MayProbe = d.mayProbe(u)
+	demand.NoChoice = !d.breakers.AllClosed() && !demand.FitsOneRack(known)
 	demand.Avoid = d.failedOn[u.name()]
 	demand.Exclude = len(demand.Avoid) > 0 && u.waited < _maxAvoidWait
 	if demand.Exclude && !demand.FitsOneRack(known) {
@@ -157,11 +165,12 @@
 		return true
 	}
 	// The other tasks of the step may run on the hosts that are excluded for this one.
+	others := demand.Exclude || !demand.MayProbe && !d.breakers.AllClosed()
 	if u.queue.Priority != 0 {
 		d.reserve(now, u, hosts, &demand)
-		return demand.Exclude
+		return others
 	}
-	return d.reserveOrPreempt(now, u, hosts, &demand) || demand.Exclude
+	return d.reserveOrPreempt(now, u, hosts, &demand) || others
 }
 
 // mayPostpone reports whether the unit can still be on time if it starts as much later as
@@ -204,6 +213,11 @@
 		t.Incarnation = d.agents[h.Node].report.Incarnation
 		t.OrderedAt = now.UnixMilli()
 		h.Free = h.Free.Sub(resources)
+		if h.Breaker == berylbreaker.HalfOpen {
+			h.Free = berylroom.Resources{}
+			d.breakers.Probe(now, h.Node)
+			d.note("probe", "task", berylwork.Ref{Job: u.job.Work.ID, Occurrence: u.occurrence, Step: u.step, Index: i}.String(), "run", run, "node", h.Node)
+		}
 		ref := berylwork.Ref{Job: u.job.Work.ID, Occurrence: u.occurrence, Step: u.step, Index: i}
 		d.orderedAt[runKey{ref, run}] = now
 		d.currentIndex().add(u.job, ref, t)
--- a/beryldirector/progress.go
+++ b/beryldirector/progress.go
@@ -50,6 +50,9 @@
 	t.rateBase = progress
 }
 
+// advanced reports whether the run has made progress since it was first listed.
+func (t *runProgress) advanced() bool { return t.progress > t.firstProgress }
+
 // stalledFor returns for how long the run has made no progress; zero before it
 // makes any and when its work is complete.
 func (t *runProgress) stalledFor(now time.Time) time.Duration {
--- a/beryldirector/report.go
+++ b/beryldirector/report.go
@@ -112,6 +112,7 @@
 		d.note("member", "node", r.Node, "instance", r.Incarnation.Instance, "born", r.Incarnation.StartedAt,
 			"service", r.Service, "zone", r.Zone, "labels", strings.Join(r.Labels, ","), "accelerators", r.Capacity.Accelerators)
 		a.incarnationState = incarnationState{}
+		d.breakers.ForgetServer(r.Node)
 		a.replacedAt = now
 	}
 	drainingChanged := a.report.Draining != r.Draining
--- a/berylfit/fit.go
+++ b/berylfit/fit.go
@@ -13,6 +13,7 @@
 	"slices"
 	"sort"
 
+	"berylglade/berylbreaker"
 	"berylglade/berylroom"
 )
 
@@ -34,6 +35,8 @@
 	FaultScore float64
 	// Speed is the speed of the host relative to the usual one; zero if it is unknown.
 	Speed float64
+	// Breaker is the state of its circuit breaker.
+	Breaker berylbreaker.State
 }
 
 // Victim is the part on one host of a unit that can be preempted: a task, or
@@ -69,6 +72,9 @@
 	Avoid map[string]bool
 	// Exclude means that the hosts to avoid are not tried at all.
 	Exclude bool
+	// MayProbe permits a task on a host whose breaker is half open, and NoChoice any number
+	// on each host whatever its breaker.
+	MayProbe, NoChoice bool
 	// Prefer chooses among hosts of different speeds.
 	Prefer SpeedPreference
 	// Together means that the tasks end with the slowest of them.
@@ -77,18 +83,26 @@
 
 // Eligible reports whether the host has the required label and is not excluded.
 func (d *Demand) Eligible(h *Host) bool {
-	if d.Exclude && d.Avoid[h.Node] {
+	if d.Exclude && d.Avoid[h.Node] || !d.admitted(h) {
 		return false
 	}
 	return d.Label == "" || slices.Contains(h.Labels, d.Label)
 }
 
+// admitted reports whether the breaker of the host permits a task.
+func (d *Demand) admitted(h *Host) bool {
+	return h.Breaker == berylbreaker.Closed || d.NoChoice || d.MayProbe && h.Breaker == berylbreaker.HalfOpen
+}
+
 // count returns how many of the tasks fit on h, given its available capacity.
 func (d *Demand) count(h *Host, capacity berylroom.Resources) int {
 	if !d.Eligible(h) {
 		return 0
 	}
 	limit := d.Count
+	if h.Breaker == berylbreaker.HalfOpen && !d.NoChoice {
+		limit = 1
+	}
 	if d.MaxPerHost > 0 {
 		limit = min(limit, d.MaxPerHost-d.Present[h.Node])
 	}
