beryldirector, berylsite: tell what each job loses by preemptions

Change: `preempt` has the work that is done again, `job ended` the number of preemptions and the work that the job lost, and the histogram berylglade_job_preempted_core_seconds{queue} has each ended job. A job that has failed is told about once, not once for each further failed task.

Conclusion: for operators only; no decision changes.

--- a/beryldirector/director.go
+++ b/beryldirector/director.go
@@ -193,6 +193,8 @@
 	reservations map[string]reservation
 	// failedOn has, by unit, the nodes on which its runs failed.
 	failedOn map[string]map[string]bool
+	// preempted has what each job has lost by preemptions that this leader ordered.
+	preempted map[string]preempted
 	// breakers are those of the backend servers.
 	breakers berylbreaker.Table
 	// preemptedFor is when runs were last preempted for each unit.
@@ -268,6 +270,7 @@
 		reservations:   map[string]reservation{},
 		preemptedFor:   map[string]time.Time{},
 		failedOn:       map[string]map[string]bool{},
+		preempted:      map[string]preempted{},
 		nextSteps:      map[*berylbook.Job]int{},
 		largePaths:     map[*berylwork.Work]knownPaths{},
 		headrooms:      map[string]*berylheadroom.Headroom{},
@@ -323,6 +326,7 @@
 	clear(d.bestRunTime)
 	clear(d.restarts)
 	clear(d.failedOn)
+	clear(d.preempted)
 	clear(d.nextSteps)
 	clear(d.largePaths)
 	d.cooldown = berylcooldown.Cooldown{}
--- a/beryldirector/driver_test.go
+++ b/beryldirector/driver_test.go
@@ -59,6 +59,8 @@
 	onPersist func(p Persist)
 	// seen are the finished runs that the director has told about.
 	seen []RunTimeSeen
+	// ended are the ended jobs that the director has told about.
+	ended []JobEnded
 }
 
 func newHarness(t *testing.T) *harness {
@@ -101,6 +103,8 @@
 				done = false
 			case RunTimeSeen:
 				h.seen = append(h.seen, e)
+			case JobEnded:
+				h.ended = append(h.ended, e)
 			case Persist:
 				if h.holdAppends {
 					continue
--- a/beryldirector/end.go
+++ b/beryldirector/end.go
@@ -133,12 +133,12 @@
 		t.LastFailedRun = run
 		t.Failures++
 	}
-	if t.Failures >= d.maxAttempts(j) {
+	if t.Failures >= d.maxAttempts(j) && !j.State.Final() {
 		d.note("job failed", "job", j.Work.ID, "task", ref.String(), "failures", t.Failures,
 			"nodes", slices.Sorted(maps.Keys(d.failedOn[unitName(j, ref.Occurrence, ref.Step, ref.Index)])))
 		j.State = berylbook.Failed
 		j.EndedAt = now.UnixMilli()
-		d.clearFailures(j)
+		d.forgetJob(now, j)
 		d.stopJob(j, "failed")
 	}
 }
@@ -159,8 +159,14 @@
 	d.failedOn[unit][a.report.Node] = true
 }
 
-// clearFailures deletes the hosts on which runs of a job failed, and its preemptions.
-func (d *Director) clearFailures(j *berylbook.Job) {
+// forgetJob deletes the hosts on which runs of a job that has ended failed, and its
+// preemptions, which it tells the entry about.
+func (d *Director) forgetJob(now time.Time, j *berylbook.Job) {
+	p := d.preempted[j.Work.ID]
+	d.note("job ended", "job", j.Work.ID, "state", j.State.String(), "ms", now.UnixMilli()-j.Work.Accepted,
+		"preemptions", p.units, "discarded", round(p.discarded))
+	d.effects = append(d.effects, JobEnded{Queue: j.Work.Queue, Discarded: p.discarded})
+	delete(d.preempted, j.Work.ID)
 	d.cooldown.Forget(j.Work.ID + ".")
 	d.breakers.ForgetJob(j.Work.ID + ".")
 	maps.DeleteFunc(d.failedOn, func(unit string, _ map[string]bool) bool {
@@ -212,8 +218,7 @@
 		return
 	}
 	j.EndedAt = now.UnixMilli()
-	d.clearFailures(j)
-	d.note("job ended", "job", j.Work.ID, "state", j.State.String(), "ms", now.UnixMilli()-j.Work.Accepted)
+	d.forgetJob(now, j)
 }
 
 // stopJob stops all runs of a job.
--- a/beryldirector/preempt.go
+++ b/beryldirector/preempt.go
@@ -31,12 +31,22 @@
 }
 
 func (d *Director) victimOf(now time.Time, j *berylbook.Job, ref berylwork.Ref, t *berylbook.Task) berylfit.Victim {
+	v := d.costOf(now, j, ref, t)
+	return berylfit.Victim{
+		Unit:      unitName(j, ref.Occurrence, ref.Step, ref.Index),
+		Resources: taskResources(&j.Work.Steps[ref.Step]),
+		Loss:      v.Loss(),
+	}
+}
+
+// costOf returns what is known of the cost of preempting the unit of a task.
+func (d *Director) costOf(now time.Time, j *berylbook.Job, ref berylwork.Ref, t *berylbook.Task) berylvictim.Victim {
 	step := &j.Work.Steps[ref.Step]
 	cores := float64(step.Need.Millicores)/1000 + _coresPerAccelerator*float64(step.Need.Accelerators)
 	if step.Gang {
 		cores *= float64(step.Count)
 	}
-	v := berylvictim.Victim{
+	return berylvictim.Victim{
 		Cores:     cores,
 		Ran:       time.Duration(now.UnixMilli()-t.OrderedAt) * time.Millisecond,
 		Remaining: d.remainingTime(now, j, ref, t),
@@ -46,11 +56,6 @@
 		Vacant:      d.Limits.preemptionTime(),
 		Slack:       d.slackOf(now, j, ref),
 	}
-	return berylfit.Victim{
-		Unit:      unitName(j, ref.Occurrence, ref.Step, ref.Index),
-		Resources: taskResources(step),
-		Loss:      v.Loss(),
-	}
 }
 
 // slackOf returns how much later than now a task may end and its job still be on time.
@@ -321,7 +326,8 @@
 // preempt stops the units and adds their resources to those being released.
 func (d *Director) preempt(u *unit, hosts []berylfit.Host, units []string) {
 	for _, name := range units {
-		d.note("preempt", "unit", name, "for", u.name(), "waited", u.waited.Milliseconds())
+		discarded := d.notePreempted(name)
+		d.note("preempt", "unit", name, "for", u.name(), "waited", u.waited.Milliseconds(), "discarded", round(discarded))
 		d.cooldown.Add(d.now, name)
 		d.stopUnit(name)
 		for i := range hosts {
--- a/berylgateway/gateway.go
+++ b/berylgateway/gateway.go
@@ -60,6 +60,9 @@
 	// ObserveRunTime, if set, is called for each finished run of the leader with the ratio
 	// of its run time to the expected one.
 	ObserveRunTime func(queue string, ratio float64)
+	// ObserveDiscarded, if set, is called for each job that has ended under this leader with
+	// the core-seconds of work that it lost by preemptions.
+	ObserveDiscarded func(queue string, coreSeconds float64)
 	// ProducerName identifies this process to the store. It must be unique.
 	ProducerName string
 }
@@ -282,6 +285,10 @@
 			go g.announce(e)
 		case beryldirector.RunTimeSeen:
 			g.observeRunTime(e)
+		case beryldirector.JobEnded:
+			if g.cfg.ObserveDiscarded != nil {
+				g.cfg.ObserveDiscarded(e.Queue, e.Discarded)
+			}
 		case beryldirector.Note:
 			g.cfg.CountDecision(e.Text)
 			g.cfg.Log.Info(e.Text, e.Args...)
--- a/berylsite/entry.go
+++ b/berylsite/entry.go
@@ -37,6 +37,16 @@
 	requests     *prometheus.HistogramVec
 }
 
+// discardedWork returns the observer of the histogram of work that jobs lose by preemptions.
+func (p *process) discardedWork() func(queue string, coreSeconds float64) {
+	work := prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "berylglade_job_preempted_core_seconds", Help: "Work that a job lost by preemptions until its end, in core-seconds.",
+		Buckets: prometheus.ExponentialBuckets(1, 4, 8),
+	}, []string{"queue"})
+	p.registry.MustRegister(work)
+	return func(queue string, coreSeconds float64) { work.WithLabelValues(queue).Observe(coreSeconds) }
+}
+
 func (e *entry) run() error {
 	clock := berylclock.System()
 	s := e.settings
@@ -52,9 +62,9 @@
 		Clock:          clock,
 		Log:            e.log,
 		CountDecision:  func(decision string) { decisions.WithLabelValues(decision).Inc() },
-		ObserveRunTime: e.runTimeRatios(),
-		Policy:         &platform.Policy{},
-		TopicJobs:      platform.TopicJobs, TopicOperator: platform.TopicOperator,
+		ObserveRunTime: e.runTimeRatios(), ObserveDiscarded: e.discardedWork(),
+		Policy:    &platform.Policy{},
+		TopicJobs: platform.TopicJobs, TopicOperator: platform.TopicOperator,
 		Seeds:   s.EntryAddrs(),
 		Entries: e.addressRegistry(store, platform.TopicEntries), Agents: e.addressRegistry(store, platform.TopicAgents),
 		ProducerName: e.producerName(),
--- a/berylvictim/victim.go
+++ b/berylvictim/victim.go
@@ -37,6 +37,9 @@
 	return loss
 }
 
+// Discarded returns the work that a new run repeats, in core-seconds.
+func (v Victim) Discarded() float64 { return v.Cores * v.repeated().Seconds() }
+
 // repeated returns the time for which a new run repeats work.
 func (v Victim) repeated() time.Duration {
 	if !v.Checkpoints || v.Remaining <= v.Vacant {
