beryloutlook: a new leader rejects no job for its time

What callers saw: jobs are refused with 503 and Retry-After 30 s, because "the work ahead takes 6h37m39s", a few seconds after all VMs lost power.

Cause: the leader makes the summary from 0.5 s after its election on. A run on a backend server that has not reported to it has no known end and counted with 24 hours, and the room was that of the servers that had reported.

Change: the summary says for 15 s after the election that it is partial; as long as it does, no job is rejected for its time. Leaders of before don't say so.

TestNewLeaderRejectsNothingForItsTime fails without the check.

--- a/beryldirector/outlook.go
+++ b/beryldirector/outlook.go
@@ -32,7 +32,7 @@
 		}
 		s := services[a.report.Service]
 		if s == nil {
-			s = &beryloutlook.Service{Name: a.report.Service, Complete: d.knowsAll(now)}
+			s = &beryloutlook.Service{Name: a.report.Service, Complete: d.knowsAll(now), Partial: !d.allReported(now)}
 			services[s.Name] = s
 		}
 		if !d.settled(now, a) {
@@ -68,9 +68,12 @@
 			return false
 		}
 	}
-	return now.Sub(d.electedAt) >= _completeAfter && len(d.Policy.OutOfService) == 0
+	return d.allReported(now) && len(d.Policy.OutOfService) == 0
 }
 
+// allReported reports whether all backend servers have had the time to report to this leader.
+func (d *Director) allReported(now time.Time) bool { return now.Sub(d.electedAt) >= _completeAfter }
+
 // settled reports whether a backend server is up and stays.
 func (d *Director) settled(now time.Time, a *agentState) bool {
 	r := a.report
--- a/beryldirector/outlook_test.go
+++ b/beryldirector/outlook_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"berylglade/beryloutlook"
 	"berylglade/berylreport"
 )
 
@@ -51,3 +52,34 @@
 	o, _ = h.d.Outlook(h.now)
 	h.is.True(o == nil) // its backend servers have not reported yet
 }
+
+// All VMs lose power, and the first backend server has reported to the new leader, while
+// others still have recorded runs. Guards against jobs that are rejected because of a load
+// that the leader does not know: runs whose remaining time is unknown, on a part of the
+// servers.
+func TestNewLeaderRejectsNothingForItsTime(t *testing.T) {
+	h := newHarness(t)
+	nodes := []string{"n1", "n2", "n3", "n4"}
+	for _, node := range nodes {
+		h.report(node, nil)
+	}
+	h.submit("j1", "routine", step(32, 1))
+	for _, node := range nodes {
+		h.report(node, func(r *berylreport.Report) {
+			h.d.eachActiveOn(node, func(s activeTask) {
+				r.Runs = append(r.Runs, berylreport.Run{Key: berylreport.Key{Task: s.name, Run: s.task.Run}})
+			})
+		})
+	}
+	h.d.Deposed()
+	h.d.Restore(h.now, h.d.Book, h.topicEnd)
+	for !h.d.Leading() {
+		h.advance(50 * time.Millisecond)
+	}
+	h.report("n1", nil)
+	h.advance(_reportWindow)
+	o, _ := h.d.Outlook(h.now)
+	q := h.d.Policy.Queues[1]
+	rejection := o.Check(0, beryloutlook.Request{Work: h.declaredAs("a", 100_000), Queue: q})
+	h.is.True(rejection == nil)
+}
--- a/beryloutlook/outlook.go
+++ b/beryloutlook/outlook.go
@@ -35,6 +35,9 @@
 	// Complete means that all backend servers are known: each VM that has registered has
 	// reported, and none is missing, leaving or starting.
 	Complete bool `cbor:"c,omitempty"`
+	// Partial means that backend servers may not have reported to this leader yet. Then
+	// Accelerators is too low and Work too high to reject a job for its time.
+	Partial bool `cbor:"p,omitempty"`
 	// Hosts are the backend servers by shape.
 	Hosts []Hosts `cbor:"h,omitempty"`
 	// Accelerators is the number that is not held by long-running tasks.
@@ -138,7 +141,7 @@
 // _certainShare of the expected time.
 func (s *Service) checkTime(age time.Duration, r Request) *Rejection {
 	path := criticalPath(r.Work)
-	if path <= 0 || s.Accelerators <= 0 {
+	if path <= 0 || s.Accelerators <= 0 || s.Partial {
 		return nil
 	}
 	objective := time.Duration(float64(path)*r.Queue.Stretch) + r.Queue.Target
