beryldirector: no headroom on servers that fail what they start

Cause: the room that is kept free for urgent work was counted on all candidates.

Change: capacity counts for the headroom on servers with closed breakers only.

The new case of TestHeadroomForUrgentWork failed before.

--- a/beryldirector/headroom.go
+++ b/beryldirector/headroom.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"berylglade/berylbook"
+	"berylglade/berylbreaker"
 	"berylglade/berylfit"
 	"berylglade/berylheadroom"
 	"berylglade/berylroom"
@@ -64,17 +65,28 @@
 // findSpare returns how many hosts of a service are free beyond what urgent work is about
 // to need.
 func (d *Director) findSpare(now time.Time, service string, size berylroom.Resources, hosts []berylfit.Host) float64 {
-	free, inUse := 0.0, d.pendingUrgent[service]
-	for i := range hosts {
-		free += hosts[i].Free.MinShare(hosts[i].Total)
-	}
+	inUse := d.pendingUrgent[service]
+	free, total := freeShare(hosts)
 	d.eachActive(func(s activeTask) {
 		q, ok := d.queueOf(s.job.Work)
 		if ok && q.Priority == 0 && q.Service == service && s.task.Phase != berylbook.Stopping {
 			inUse += s.job.Work.Steps[s.ref.Step].Resources().MaxShare(size)
 		}
 	})
-	return free - d.headrooms[service].Keep(now, inUse, float64(len(hosts)))
+	return free - d.headrooms[service].Keep(now, inUse, total)
+}
+
+// freeShare returns how many hosts' worth of capacity is free, and on how many hosts. Urgent
+// work can't count on those whose breaker is not closed.
+func freeShare(hosts []berylfit.Host) (free, total float64) {
+	for i := range hosts {
+		if hosts[i].Breaker != berylbreaker.Closed {
+			continue
+		}
+		free += hosts[i].Free.MinShare(hosts[i].Total)
+		total++
+	}
+	return free, total
 }
 
 // notePostponed logs that a unit is postponed, once.
--- a/beryldirector/place_test.go
+++ b/beryldirector/place_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"berylglade/berylbook"
+	"berylglade/berylbreaker"
 	"berylglade/berylpolicy"
 	"berylglade/berylreport"
 	"berylglade/berylroom"
@@ -422,16 +423,19 @@
 
 // Urgent jobs have arrived one after the other when routine work finds four free hosts.
 // Guards against routine work that takes all capacity and is preempted for the next urgent
-// job, against capacity that stays idle when no urgent work comes any more, and against
-// routine work that waits until it is late.
+// job, against capacity that stays idle when no urgent work comes any more, against
+// routine work that waits until it is late, and against headroom on a host that fails all
+// that it starts.
 func TestHeadroomForUrgentWork(t *testing.T) {
 	tests := []struct {
 		name     string
 		quiet    time.Duration
 		estimate int64
+		faulty   bool // n4 fails all that it starts.
 		want     int
 	}{
 		{name: "urgent work is about to come", estimate: 8000, want: 3},
+		{name: "urgent work is about to come, and a host is faulty", estimate: 8000, faulty: true, want: 2},
 		{name: "urgent work has ceased", quiet: 20 * time.Second, estimate: 8000, want: 4},
 		{name: "routine work can't wait", estimate: 0, want: 4},
 	}
@@ -453,6 +457,9 @@
 			routine := step(4, 8)
 			routine.Estimate = tt.estimate
 			h.submit("j1", "routine", routine)
+			if tt.faulty {
+				h.d.breakers.Fail(h.now, berylbreaker.Failure{Server: "n4", Servers: 4, Step: "j0.0.0.0", Works: true})
+			}
 			for _, node := range nodes {
 				h.report(node, nil)
 			}
