berylpreemption: late urgent work keeps no capacity idle

Change: a late unit gets a preemption if more than half of the capacity is free and would stay so for longer than a preemption takes.

TestLateJobKeepsNoServerIdle failed before.

--- a/beryldirector/preempt.go
+++ b/beryldirector/preempt.go
@@ -180,6 +180,7 @@
 	}
 	freeIn, places, ok := demand.Earliest(hosts)
 	c.FreeIn, c.Known = time.Duration(freeIn*float64(time.Second)), ok
+	c.MostlyIdle = mostlyIdle(hosts)
 	r := reservation{at: now}
 	if due {
 		preempt, reason := c.Decide()
@@ -197,6 +198,12 @@
 	return true
 }
 
+// mostlyIdle reports whether more than half of the hosts' capacity is free.
+func mostlyIdle(hosts []berylfit.Host) bool {
+	free, total := freeShare(hosts)
+	return 2*free > total
+}
+
 // preemptionCase returns what is known of an urgent unit for the decision whether to
 // preempt runs for it, except for the time at which capacity comes free.
 func (d *Director) preemptionCase(u *unit) berylpreemption.Case {
--- a/beryldirector/preempt_test.go
+++ b/beryldirector/preempt_test.go
@@ -64,3 +64,28 @@
 	h.is.Equal(h.phase("j2", 0), berylbook.Ordered)
 	h.is.Equal(h.phase("j2", 1), berylbook.Ordered)
 }
+
+// An urgent job that is late anyway needs all of the only server, and a routine run that
+// takes far longer than declared uses a quarter of it. Guards against a reservation that
+// keeps the rest idle until that run ends, while other jobs wait.
+func TestLateJobKeepsNoServerIdle(t *testing.T) {
+	h := newHarness(t)
+	h.report("n1", nil)
+	slow := step(1, 2)
+	slow.Estimate = 4000
+	h.submit("slow", "routine", slow)
+	list := func(progress float64) {
+		h.report("n1", func(r *berylreport.Report) {
+			r.Runs = []berylreport.Run{{Key: berylreport.Key{Task: "slow.0.0.0", Run: 1}, Progress: progress}}
+		})
+	}
+	list(90)
+	urgent := gang(1, 8)
+	urgent.Estimate = 1000
+	h.submit("late", "urgent", urgent)
+	for i := range 30 {
+		list(90 + float64(i)/10)
+		h.advance(100 * time.Millisecond)
+	}
+	h.is.Equal(h.phase("slow", 0), berylbook.Stopping)
+}
--- a/berylpreemption/preemption.go
+++ b/berylpreemption/preemption.go
@@ -27,6 +27,9 @@
 	// Known is false if there is no such time.
 	FreeIn time.Duration
 	Known  bool
+	// MostlyIdle means that most of the capacity is free, and kept so for the unit. A unit
+	// that is late anyway does not keep it for long.
+	MostlyIdle bool
 	// PreemptionTime is the time from a preemption until the unit starts.
 	PreemptionTime time.Duration
 }
@@ -38,6 +41,8 @@
 		return true, "guarantee"
 	case c.Waited < c.Patience:
 		return false, "not due"
+	case c.Slack+c.Uncertainty < c.PreemptionTime && c.MostlyIdle && c.FreeIn > c.PreemptionTime:
+		return true, "capacity idle"
 	case c.Slack+c.Uncertainty < c.PreemptionTime:
 		return false, "late anyway"
 	case c.Known && c.freeInTime():
--- a/berylpreemption/preemption_test.go
+++ b/berylpreemption/preemption_test.go
@@ -27,6 +27,10 @@
 		{name: "capacity just too late", give: func(c *Case) { c.FreeIn = 700 * time.Millisecond }, preempt: true, reason: "late without"},
 		{name: "capacity at no time", give: func(c *Case) { c.FreeIn, c.Known = 0, false }, preempt: true, reason: "late without"},
 		{name: "late anyway", give: func(c *Case) { c.Slack = 400 * time.Millisecond }, reason: "late anyway"},
+		{name: "late anyway, and capacity idle", give: func(c *Case) { c.Slack, c.MostlyIdle = 400*time.Millisecond, true }, preempt: true, reason: "capacity idle"},
+		{name: "late anyway, and capacity idle for a moment", give: func(c *Case) {
+			c.Slack, c.MostlyIdle, c.FreeIn = 400*time.Millisecond, true, 500*time.Millisecond
+		}, reason: "late anyway"},
 		{name: "perhaps on time", give: func(c *Case) { c.Slack, c.Uncertainty = 400*time.Millisecond, 200*time.Millisecond }, preempt: true, reason: "late without"},
 		{name: "late anyway within the guarantee", give: func(c *Case) {
 			c.Slack, c.Guaranteed, c.Waited = -time.Second, true, 1500*time.Millisecond
