berylbreaker, beryldirector: bound the work of a placement pass

Cause: while a breaker is open, each waiting unit searched all servers for the question whether it has a choice, and each asked all breakers whether one is open.

Change: the number of open breakers is kept, and the question is asked once for each step and pass, whose units are alike.

Conclusion: decisions are the same; tests of berylbreaker and beryldirector pass.

--- a/berylbreaker/breaker.go
+++ b/berylbreaker/breaker.go
@@ -31,6 +31,8 @@
 	servers map[string]*breaker
 	// failed has, by step, the servers on which its runs have failed at once.
 	failed map[string]map[string]bool
+	// opened is the number of breakers that are not closed.
+	opened int
 }
 
 // breaker is that of one backend server.
@@ -69,6 +71,7 @@
 	}
 	b := t.servers[f.Server]
 	if b == nil || now.Sub(b.failedAt) > _memory {
+		t.ForgetServer(f.Server)
 		b = &breaker{closed: true, steps: map[string]bool{}}
 		t.servers[f.Server] = b
 	}
@@ -86,6 +89,9 @@
 		// The run was started before the breaker opened.
 		return false
 	}
+	if b.closed {
+		t.opened++
+	}
 	b.open(now)
 	return true
 }
@@ -126,20 +132,14 @@
 		return false
 	}
 	b.closed = true
+	t.opened--
 	clear(b.steps)
 	b.works = false
 	return true
 }
 
 // AllClosed reports whether no breaker waits for progress.
-func (t *Table) AllClosed() bool {
-	for _, b := range t.servers {
-		if !b.closed {
-			return false
-		}
-	}
-	return true
-}
+func (t *Table) AllClosed() bool { return t.opened == 0 }
 
 // State returns the state of a server's breaker. One that has seen no failure for some time
 // counts as closed, as there may be no work for a probe.
@@ -163,7 +163,12 @@
 }
 
 // ForgetServer closes the breaker of a server that has restarted.
-func (t *Table) ForgetServer(server string) { delete(t.servers, server) }
+func (t *Table) ForgetServer(server string) {
+	if b := t.servers[server]; b != nil && !b.closed {
+		t.opened--
+	}
+	delete(t.servers, server)
+}
 
 // ForgetJob drops what is kept of the steps whose names have the prefix.
 func (t *Table) ForgetJob(prefix string) {
--- a/berylbreaker/breaker_test.go
+++ b/berylbreaker/breaker_test.go
@@ -48,6 +48,11 @@
 	table.Probe(now, "s")
 	is.Equal(table.State(now.Add(_probeTimeout), "s"), HalfOpen)
 	is.Equal(table.State(now.Add(_memory), "s"), Closed)
+	now = now.Add(_memory)
+	is.True(table.Fail(now, failure("s", "a", true)))
+	is.Equal(table.State(now.Add(_firstPause), "s"), HalfOpen) // It begins anew.
+	table.ForgetServer("s")
+	is.True(table.AllClosed())
 }
 
 // A step fails at once wherever it runs. Guards against one such job that takes all servers
--- a/beryldirector/breaker.go
+++ b/beryldirector/breaker.go
@@ -5,6 +5,7 @@
 
 	"berylglade/berylbook"
 	"berylglade/berylbreaker"
+	"berylglade/berylfit"
 	"berylglade/berylreport"
 	"berylglade/berylwork"
 )
@@ -78,6 +79,21 @@
 	})
 }
 
+// hasNoChoice reports whether the unit would not fit on the servers whose breakers are closed
+// although nothing else ran there. The units of a step are alike.
+func (d *Director) hasNoChoice(u *unit, demand *berylfit.Demand, known []berylfit.Host) bool {
+	if d.breakers.AllClosed() {
+		return false
+	}
+	step := stepKey{u.job, u.occurrence, u.step}
+	none, ok := d.noChoice[step]
+	if !ok {
+		none = !demand.FitsOneRack(known)
+		d.noChoice[step] = none
+	}
+	return none
+}
+
 // mayProbe reports whether a unit may be started on a backend server whose breaker is half
 // open: a task that can fail and be tried again, or a unit that has waited for long. One
 // that has failed already is not risked.
--- a/beryldirector/director.go
+++ b/beryldirector/director.go
@@ -197,6 +197,9 @@
 	preempted map[string]preempted
 	// breakers are those of the backend servers.
 	breakers berylbreaker.Table
+	// noChoice has the steps that don't fit on servers with closed breakers, as of the
+	// current placement pass.
+	noChoice map[stepKey]bool
 	// preemptedFor is when runs were last preempted for each unit.
 	preemptedFor map[string]time.Time
 	// headrooms has the learned demand of urgent work, by service. Spare is how many hosts
@@ -271,6 +274,7 @@
 		preemptedFor:   map[string]time.Time{},
 		failedOn:       map[string]map[string]bool{},
 		preempted:      map[string]preempted{},
+		noChoice:       map[stepKey]bool{},
 		nextSteps:      map[*berylbook.Job]int{},
 		largePaths:     map[*berylwork.Work]knownPaths{},
 		headrooms:      map[string]*berylheadroom.Headroom{},
--- a/beryldirector/place.go
+++ b/beryldirector/place.go
@@ -30,6 +30,7 @@
 	d.reservedUnits = 0
 	d.victims, d.endingRuns = nil, nil
 	clear(d.spare)
+	clear(d.noChoice)
 	clear(d.pendingUrgent)
 	open := d.openJobs()
 	for _, units := range groups {
@@ -141,7 +142,7 @@
 	demand := demandOf(u.job, u.occurrence, u.step, len(u.tasks))
 	demand.Prefer = preferredSpeed(now, u, hosts)
 	demand.MayProbe = d.mayProbe(u)
-	demand.NoChoice = !d.breakers.AllClosed() && !demand.FitsOneRack(known)
+	demand.NoChoice = d.hasNoChoice(u, &demand, known)
 	demand.Avoid = d.failedOn[u.name()]
 	demand.Exclude = len(demand.Avoid) > 0 && u.waited < _maxAvoidWait
 	if demand.Exclude && !demand.FitsOneRack(known) {
