beryldirector: name the started task once

Clean-up of the read-through: one reference for the log line and the index, and the progress of a failed run by name. No change of behaviour; the package's tests pass.

--- a/beryldirector/breaker.go
+++ b/beryldirector/breaker.go
@@ -13,8 +13,8 @@
 // openBreaker opens the breaker of the agent's backend server if a run has failed there
 // at once.
 func (d *Director) openBreaker(now time.Time, a *agentState, j *berylbook.Job, ref berylwork.Ref, t *berylbook.Task) {
-	run := t.Run
-	if !d.failedAtOnce(now, a.progressOf(berylreport.Key{Task: ref.String(), Run: run}), t) {
+	p := a.progressOf(berylreport.Key{Task: ref.String(), Run: t.Run})
+	if !d.failedAtOnce(now, p, t) {
 		return
 	}
 	f := berylbreaker.Failure{
@@ -22,7 +22,7 @@
 		Step: stepName(ref), Works: d.works(j, ref),
 	}
 	if d.breakers.Fail(now, f) {
-		d.note("breaker opened", "node", f.Server, "task", ref.String(), "run", run, "works", f.Works)
+		d.note("breaker opened", "node", f.Server, "task", ref.String(), "run", t.Run, "works", f.Works)
 	}
 }
 
--- a/beryldirector/place.go
+++ b/beryldirector/place.go
@@ -208,6 +208,7 @@
 	resources := taskResources(u.stepSpec())
 	for n, i := range u.tasks {
 		h := &hosts[places[n]]
+		ref := berylwork.Ref{Job: u.job.Work.ID, Occurrence: u.occurrence, Step: u.step, Index: i}
 		t := tasks.At(i)
 		t.Run = run
 		t.Phase = berylbook.Ordered
@@ -217,9 +218,8 @@
 		if h.Breaker == berylbreaker.HalfOpen {
 			h.Free = berylroom.Resources{}
 			d.breakers.Probe(now, h.Node)
-			d.note("probe", "task", berylwork.Ref{Job: u.job.Work.ID, Occurrence: u.occurrence, Step: u.step, Index: i}.String(), "run", run, "node", h.Node)
+			d.note("probe", "task", ref.String(), "run", run, "node", h.Node)
 		}
-		ref := berylwork.Ref{Job: u.job.Work.ID, Occurrence: u.occurrence, Step: u.step, Index: i}
 		d.orderedAt[runKey{ref, run}] = now
 		d.currentIndex().add(u.job, ref, t)
 		nodes = append(nodes, h.Node)
