--- a/beryldirector/outlook.go
+++ b/beryldirector/outlook.go
@@ -47,7 +47,7 @@
 			continue
 		}
 		if q.Priority == 0 {
-			o.Urgent[j.Work.Account] += peakAccelerators(j.Work)
+			o.Urgent[j.Work.Account] += j.Work.PeakAccelerators()
 		}
 		if s := services[q.Service]; s != nil {
 			d.addWork(now, s, j, q.Priority)
--- a/beryldirector/preempt.go
+++ b/beryldirector/preempt.go
@@ -316,20 +316,11 @@
 		if !ok || q.Priority != 0 || j.State.Final() || j.CancelledAt != 0 {
 			continue
 		}
-		need[j.Work.Account] += peakAccelerators(j.Work)
+		need[j.Work.Account] += j.Work.PeakAccelerators()
 	}
 	return need
 }
 
-// peakAccelerators returns the accelerators of the job's largest step.
-func peakAccelerators(w *berylwork.Work) int {
-	n := 0
-	for _, s := range w.Steps {
-		n = max(n, s.Count*s.Need.Accelerators)
-	}
-	return n
-}
-
 // preempt stops the units and adds their resources to those being released.
 func (d *Director) preempt(u *unit, hosts []berylfit.Host, units []string) {
 	for _, name := range units {
--- a/beryloutlook/outlook.go
+++ b/beryloutlook/outlook.go
@@ -103,11 +103,7 @@
 
 // guaranteed reports whether the job is urgent and within the client account's guarantee.
 func (o *Outlook) guaranteed(r Request) bool {
-	need := 0
-	for _, s := range r.Work.Steps {
-		need = max(need, s.Count*s.Need.Accelerators)
-	}
-	return r.Queue.Priority == 0 && o.Urgent[r.Account]+need <= r.Guaranteed
+	return r.Queue.Priority == 0 && o.Urgent[r.Account]+r.Work.PeakAccelerators() <= r.Guaranteed
 }
 
 func longRunning(w *berylwork.Work) bool {
--- a/berylwork/work.go
+++ b/berylwork/work.go
@@ -41,6 +41,15 @@
 // Owner returns the job's client account and queue.
 func (w *Work) Owner() Owner { return Owner{Account: w.Account, Queue: w.Queue} }
 
+// PeakAccelerators returns the accelerators of the job's largest step.
+func (w *Work) PeakAccelerators() int {
+	n := 0
+	for i := range w.Steps {
+		n = max(n, w.Steps[i].Count*w.Steps[i].Need.Accelerators)
+	}
+	return n
+}
+
 // Terms are the rules of a queue by which the tasks of a job are run. They hold when the
 // operators remove the queue while the job is not done; until then the policy holds.
 type Terms struct {
