--- a/review/_stand3/runner.go
+++ b/review/_stand3/runner.go
@@ -61,8 +61,10 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &runner{id: id, addr: addr, agent: agent, zone: zone, rack: rack, born: time.Now(), rec: rec, stop: make(chan struct{}),
-		runs: map[string]*taskRun{}, stopped: map[string]int{}}
+	s := &runner{
+		id: id, addr: addr, agent: agent, zone: zone, rack: rack, born: time.Now(), rec: rec, stop: make(chan struct{}),
+		runs: map[string]*taskRun{}, stopped: map[string]int{},
+	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /run-start", s.handleStart)
 	mux.HandleFunc("POST /run-stop", s.handleStop)
