--- a/beryldirector/director.go
+++ b/beryldirector/director.go
@@ -186,9 +186,9 @@
 	// ordersAt and ordersDeferred are the same for the computation of orders.
 	ordersAt       time.Time
 	ordersDeferred bool
-	// reservedUnits counts the units with a reservation in the current placement
-	// pass.
-	reservedUnits int
+	// reservedUnits counts the units that are not urgent and have a reservation in the
+	// current placement pass, and searches the searches for such units.
+	reservedUnits, searches int
 	// reservations has the capacity that is reserved for each unit.
 	reservations map[string]reservation
 	// failedOn has, by unit, the nodes on which its runs failed.
--- a/beryldirector/place.go
+++ b/beryldirector/place.go
@@ -27,7 +27,7 @@
 	hosts := map[string][]berylfit.Host{}
 	known := map[string][]berylfit.Host{}
 	full := map[stepKey]bool{}
-	d.reservedUnits = 0
+	d.reservedUnits, d.searches = 0, 0
 	d.victims, d.endingRuns = nil, nil
 	clear(d.spare)
 	clear(d.noChoice)
@@ -242,16 +242,6 @@
 	// _reportWindow is how long the agents take to report to a new leader after
 	// its announcement.
 	_reportWindow = 500 * time.Millisecond
-	// _reserveAfter is how long a unit waits before capacity is reserved for it,
-	// and _reserveMinAccelerators is the demand from which it is: fewer accelerators
-	// are often enough released at the same time.
-	_reserveAfter           = time.Second
-	_reserveMinAccelerators = 2
-	// _maxReservations bounds the units that have a reservation at a time, because
-	// reserved capacity is idle.
-	_maxReservations = 3
-	// _searchInterval is how long a reservation is reused before the next search.
-	_searchInterval = 300 * time.Millisecond
 	// _maxAvoidWait is how long a unit waits for a host on which it has not failed. A
 	// host that fails all its runs at once always has capacity, and would use up all
 	// attempts of a job within a second.
--- a/beryldirector/progress.go
+++ b/beryldirector/progress.go
@@ -196,7 +196,8 @@
 	return longest
 }
 
-// remainingWork returns the expected time until a task's own work is done.
+// remainingWork returns the expected time until a task's own work is done, at least _never if
+// no end is expected.
 func (d *Director) remainingWork(now time.Time, j *berylbook.Job, ref berylwork.Ref, t *berylbook.Task) time.Duration {
 	a := d.agents[t.Incarnation.Node]
 	if a == nil || j.Work.Steps[ref.Step].LongRunning {
@@ -366,6 +367,7 @@
 	// _maxRestarts bounds how often a unit is restarted: that the task is slow
 	// itself is more likely than a third faulty host in a row.
 	_maxRestarts = 2
-	// _never is the remaining time of a run that ends only when it is stopped.
+	// _never is the remaining time of a run that ends only when it is stopped, or of which
+	// nothing is known.
 	_never = 24 * time.Hour
 )
