--- a/beryldirector/days_test.go
+++ b/beryldirector/days_test.go
@@ -16,6 +16,7 @@
 // days plays jobs on backend servers of eight accelerators in virtual time.
 type days struct {
 	*harness
+	t     *testing.T
 	nodes []string
 	// took is how long the tasks of a job run, by job. Those of a job that is missing run
 	// until they are stopped.
@@ -48,7 +49,7 @@
 
 func newDays(t *testing.T, nodes int) *days {
 	d := &days{
-		harness: newHarness(t), took: map[string]time.Duration{}, unstoppable: map[string]bool{}, runs: map[berylreport.Key]*playedRun{},
+		t: t, harness: newHarness(t), took: map[string]time.Duration{}, unstoppable: map[string]bool{}, runs: map[berylreport.Key]*playedRun{},
 		ends: map[string]int64{}, started: map[string]time.Time{}, ended: map[string]time.Time{}, stopped: map[string]int{},
 	}
 	d.d.Policy.Queues = append(d.d.Policy.Queues, berylpolicy.Queue{Name: "gangs", Service: "s", Priority: 1, Attempts: 2, Stretch: 3})
@@ -90,7 +91,7 @@
 
 // reportRuns starts the ordered runs of a node, ends those that are over, and reports all.
 func (d *days) reportRuns(node string) {
-	d.startRuns(node)
+	absent := d.startRuns(node)
 	var ends []berylreport.End
 	var runs []berylreport.Run
 	for _, k := range d.keys(node) {
@@ -108,7 +109,7 @@
 		}
 		runs = append(runs, listed)
 	}
-	d.report(node, func(r *berylreport.Report) { r.Runs, r.Ends = runs, ends })
+	d.report(node, func(r *berylreport.Report) { r.Runs, r.Ends, r.Absent = runs, ends, absent })
 	for id, j := range d.d.Book.Jobs {
 		if j.State.Final() && d.ended[id].IsZero() {
 			d.ended[id] = d.now
@@ -116,7 +117,8 @@
 	}
 }
 
-func (d *days) startRuns(node string) {
+// startRuns starts the ordered runs of a node, and returns those that are stopped before.
+func (d *days) startRuns(node string) (absent []berylreport.Key) {
 	for _, j := range d.d.Book.Sorted() {
 		j.Each(func(ref berylwork.Ref, t *berylbook.Task) {
 			k := berylreport.Key{Task: ref.String(), Run: t.Run}
@@ -131,11 +133,16 @@
 					d.started[ref.Job] = d.now
 				}
 			}
-			if run != nil && t.Phase == berylbook.Stopping && run.stopAt.IsZero() && !d.unstoppable[run.job] {
+			switch {
+			case t.Phase != berylbook.Stopping || d.unstoppable[ref.Job]:
+			case run == nil:
+				absent = append(absent, k)
+			case run.stopAt.IsZero():
 				run.stopAt = d.now.Add(_dayStop)
 			}
 		})
 	}
+	return absent
 }
 
 func (d *days) keys(node string) []berylreport.Key {
--- a/beryldirector/director.go
+++ b/beryldirector/director.go
@@ -191,6 +191,22 @@
 	reservedUnits, searches int
 	// reservations has the capacity that is reserved for each unit.
 	reservations map[string]reservation
+	// holds is what is reserved on each node, and holding has the services with such
+	// nodes, both as of the current placement pass.
+	holds   map[string][]hold
+	holding map[string]bool
+	// blockedUnits has, by service, the units that can't start because of work of which no
+	// end is expected, as of the current placement pass.
+	blockedUnits map[string][]string
+	// idleSince is since when most of a service's capacity has been free in each placement
+	// pass and some of it reserved.
+	idleSince map[string]time.Time
+	// longRunning is the number of long-running tasks that are not being stopped, as of the
+	// last placement pass, and longRunningEndedAt when there was last one less.
+	longRunning        int
+	longRunningEndedAt time.Time
+	// borrowed has, by unit, the runs on capacity that others wait for.
+	borrowed map[string]borrowedRun
 	// failedOn has, by unit, the nodes on which its runs failed.
 	failedOn map[string]map[string]bool
 	// preempted has what each job has lost by preemptions that this leader ordered.
@@ -271,6 +287,11 @@
 		bestRunTime:    map[berylwork.Ref]time.Duration{},
 		restarts:       map[berylwork.Ref]int{},
 		reservations:   map[string]reservation{},
+		holds:          map[string][]hold{},
+		holding:        map[string]bool{},
+		blockedUnits:   map[string][]string{},
+		idleSince:      map[string]time.Time{},
+		borrowed:       map[string]borrowedRun{},
 		preemptedFor:   map[string]time.Time{},
 		failedOn:       map[string]map[string]bool{},
 		preempted:      map[string]preempted{},
@@ -333,6 +354,9 @@
 	clear(d.preempted)
 	clear(d.nextSteps)
 	clear(d.largePaths)
+	clear(d.reservations)
+	clear(d.idleSince)
+	clear(d.borrowed)
 	d.cooldown = berylcooldown.Cooldown{}
 	d.breakers = berylbreaker.Table{}
 	clear(d.agents)
--- a/beryldirector/driver_test.go
+++ b/beryldirector/driver_test.go
@@ -61,6 +61,8 @@
 	seen []RunTimeSeen
 	// ended are the ended jobs that the director has told about.
 	ended []JobEnded
+	// onNote, if set, is called for each log line of the director.
+	onNote func(n Note)
 }
 
 func newHarness(t *testing.T) *harness {
@@ -105,6 +107,10 @@
 				h.seen = append(h.seen, e)
 			case JobEnded:
 				h.ended = append(h.ended, e)
+			case Note:
+				if h.onNote != nil {
+					h.onNote(e)
+				}
 			case Persist:
 				if h.holdAppends {
 					continue
--- a/beryldirector/end.go
+++ b/beryldirector/end.go
@@ -232,7 +232,17 @@
 // backend servers whose lease must have expired.
 func (d *Director) expireRuns(now time.Time) {
 	d.currentIndex().compact()
-	d.eachActive(func(s activeTask) { d.expireRun(now, s.job, s.ref, s.task) })
+	longRunning := 0
+	d.eachActive(func(s activeTask) {
+		d.expireRun(now, s.job, s.ref, s.task)
+		if s.job.Work.Steps[s.ref.Step].LongRunning && s.task.Phase != berylbook.Stopping {
+			longRunning++
+		}
+	})
+	if longRunning < d.longRunning {
+		d.longRunningEndedAt = now
+	}
+	d.longRunning = longRunning
 }
 
 func (d *Director) expireRun(now time.Time, j *berylbook.Job, ref berylwork.Ref, t *berylbook.Task) {
--- a/beryldirector/headroom.go
+++ b/beryldirector/headroom.go
@@ -51,7 +51,9 @@
 	}
 	size := d.hostSize(service)
 	if _, ok := d.spare[service]; !ok {
-		d.spare[service] = d.findSpare(now, service, size, hosts)
+		// What is reserved for less urgent units is free for urgent work.
+		free := d.withReserved(hosts, func(_ *berylfit.Host, r hold) bool { return !r.urgent })
+		d.spare[service] = d.findSpare(now, service, size, free)
 	}
 	need := u.share(size)
 	if need > d.spare[service] && d.mayPostpone(u) {
--- a/beryldirector/place.go
+++ b/beryldirector/place.go
@@ -20,12 +20,18 @@
 		return
 	}
 	d.urgentNeed = nil
+	d.forgetReturned()
+	clear(d.holds)
+	clear(d.holding)
+	clear(d.blockedUnits)
 	groups := d.pendingUnits(now)
 	if len(groups) == 0 {
+		clear(d.idleSince)
 		return
 	}
 	hosts := map[string][]berylfit.Host{}
 	known := map[string][]berylfit.Host{}
+	idle := map[string]bool{}
 	full := map[stepKey]bool{}
 	d.reservedUnits, d.searches = 0, 0
 	d.victims, d.endingRuns = nil, nil
@@ -44,11 +50,13 @@
 			if _, ok := hosts[service]; !ok {
 				hosts[service] = d.hosts(now, service)
 				known[service] = d.knownHosts(now, service)
+				idle[service] = mostlyIdle(hosts[service])
 			}
 			full[step] = !d.placeUnit(now, u, hosts[service], known[service])
 			open.note(u.job)
 		}
 	}
+	d.noteIdle(now, idle)
 }
 
 // stepKey identifies a step. When one of its tasks does not fit, neither do the
@@ -156,6 +164,7 @@
 			return false
 		}
 		d.start(now, u, hosts, places)
+		d.noteBorrowed(u, nil)
 		return true
 	}
 	if u.queue.Priority == 0 {
@@ -165,6 +174,16 @@
 		deductResources(hosts, places, &demand)
 		return true
 	}
+	if d.reclaim(now, u, hosts, &demand) {
+		return true
+	}
+	if places, lenders, ok := d.borrow(now, u, hosts, &demand); ok {
+		if d.postponesBorrowing(now, u, hosts) {
+			return false
+		}
+		d.startBorrowing(now, u, hosts, places, lenders)
+		return true
+	}
 	// The other tasks of the step may run on the hosts that are excluded for this one.
 	others := demand.Exclude || !demand.MayProbe && !d.breakers.AllClosed()
 	if u.queue.Priority != 0 {
--- a/beryldirector/preempt.go
+++ b/beryldirector/preempt.go
@@ -77,15 +77,15 @@
 		return true
 	}
 	if d.searchedInVain(now, u) {
+		d.lendAll(u)
 		return false
 	}
-	for i := range hosts {
-		hosts[i].Victims = d.currentEndingRuns(now)[hosts[i].Node]
-	}
-	freeIn, places, ok := demand.Earliest(hosts)
-	c.FreeIn, c.Known = time.Duration(freeIn*float64(time.Second)), ok
+	r := d.reservations[u.name()]
+	r.at, r.reason = now, ""
+	freeIn, places, ok := d.earliest(now, u, hosts, demand, &r)
+	c.FreeIn, c.Known = freeIn, ok
 	c.MostlyIdle = mostlyIdle(hosts)
-	r := reservation{at: now}
+	r.expect(now, freeIn)
 	if due {
 		preempt, reason := c.Decide()
 		if preempt && d.tryPreempt(now, u, hosts, demand, c, reason) {
@@ -96,6 +96,7 @@
 	}
 	if !ok {
 		d.reservations[u.name()] = r
+		d.lendAll(u)
 		return false
 	}
 	d.addReservation(r, u, hosts, places, demand)
@@ -192,8 +193,11 @@
 
 // guaranteed reports whether all urgent jobs of the unit's client account together
 // fit into its guarantee.
-func (d *Director) guaranteed(u *unit) bool {
-	account := u.job.Work.Account
+func (d *Director) guaranteed(u *unit) bool { return d.withinGuarantee(u.job.Work.Account) }
+
+// withinGuarantee reports whether all urgent jobs of a client account together fit into its
+// guarantee.
+func (d *Director) withinGuarantee(account string) bool {
 	limit := d.Policy.Guaranteed(account)
 	if limit == 0 {
 		return false
@@ -231,6 +235,9 @@
 				}
 			}
 			node := hosts[i].Node
+			if d.victims[node] == nil {
+				continue
+			}
 			d.victims[node] = slices.DeleteFunc(slices.Clone(d.victims[node]), func(v berylfit.Victim) bool { return v.Unit == name })
 		}
 	}
--- a/beryldirector/reserve.go
+++ b/beryldirector/reserve.go
@@ -7,6 +7,7 @@
 
 	"berylglade/berylbook"
 	"berylglade/berylfit"
+	"berylglade/berylreservation"
 )
 
 // reserve reserves the capacity that is expected to be free soonest for a gang, or
@@ -22,82 +23,150 @@
 		return
 	}
 	if d.searchedInVain(now, u) || d.searches >= _maxSearches {
+		d.lendAll(u)
 		return
 	}
 	d.searches++
-	later := slices.Clone(hosts)
-	for i := range later {
-		later[i].Victims = d.currentEndingRuns(now)[later[i].Node]
-	}
-	_, places, ok := demand.Earliest(later)
+	r := d.reservations[u.name()]
+	r.at = now
+	freeIn, places, ok := d.earliest(now, u, hosts, demand, &r)
 	if !ok {
-		d.reservations[u.name()] = reservation{at: now, inVain: d.reservations[u.name()].inVain + 1}
+		r.inVain++
+		d.reservations[u.name()] = r
+		d.lendAll(u)
 		return
 	}
 	d.reservedUnits++
-	d.addReservation(reservation{at: now}, u, hosts, places, demand)
+	r.inVain = 0
+	r.expect(now, freeIn)
+	d.addReservation(r, u, hosts, places, demand)
+}
+
+// earliest searches for the places that are expected to be free soonest for a unit, and
+// notes the outcome in r. It returns false if there are none, or if work is in their way of
+// which no end is expected.
+func (d *Director) earliest(now time.Time, u *unit, hosts []berylfit.Host, demand *berylfit.Demand, r *reservation) (time.Duration, []int, bool) {
+	after, places, ok := demand.Earliest(d.withEndingRuns(now, u, hosts))
+	r.nodes = nil
+	r.blocked = ok && after >= _never.Seconds()
+	return seconds(after), places, ok && !r.blocked
+}
+
+// withEndingRuns returns the hosts with the runs that are expected to end as victims. Those
+// that have borrowed capacity of the unit end as soon as it needs the capacity.
+func (d *Director) withEndingRuns(now time.Time, u *unit, hosts []berylfit.Host) []berylfit.Host {
+	later := slices.Clone(hosts)
+	ending, borrowers := d.currentEndingRuns(now), d.borrowersOf(now, u)
+	for i := range later {
+		node := later[i].Node
+		later[i].Victims = ending[node]
+		if len(borrowers) == 0 {
+			continue
+		}
+		later[i].Victims = slices.DeleteFunc(slices.Clone(ending[node]), func(v berylfit.Victim) bool { return d.borrows(v.Unit, u) })
+		for _, v := range borrowers[node] {
+			v.Loss = d.Limits.preemptionTime().Seconds()
+			later[i].Victims = append(later[i].Victims, v)
+		}
+	}
+	return later
 }
 
-// reservation is the capacity that is reserved for a unit.
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// reservation is the capacity that is reserved for a unit that waits.
 type reservation struct {
+	// at is the time of the last search; zero if the next one is due.
 	at time.Time
+	// since is when capacity was first reserved for the unit, and freeAt when all of it is
+	// expected to be free.
+	since, freeAt time.Time
+	// nearSince is since when freeAt has been near; zero if it is not.
+	nearSince time.Time
 	// reason is why nothing was preempted for an urgent unit; empty if that was not due.
 	reason string
 	// nodes is empty if no capacity was found.
 	nodes []string
+	// blocked is true if the unit would have capacity but for work of which no end is
+	// expected.
+	blocked bool
+	// reclaimAt is the time of the last attempt to stop borrowers.
+	reclaimAt time.Time
 	// inVain is the number of searches one after the other that found no capacity for a
 	// unit that is not urgent.
 	inVain int
 }
 
+// expect notes that the capacity is expected to be free in freeIn. Once it was near, it is
+// near again only after it has been far off.
+func (r *reservation) expect(now time.Time, freeIn time.Duration) {
+	r.freeAt = now.Add(freeIn)
+	switch {
+	case freeIn >= _farOff:
+		r.nearSince = time.Time{}
+	case r.nearSince.IsZero() && berylreservation.Near(now, r.freeAt):
+		r.nearSince = now
+	}
+}
+
 // searchedInVain reports whether a recent search found no capacity for the unit. The time
-// between such searches grows, so that units for which no capacity comes free leave the
-// searches of a placement pass to others.
+// between such searches grows until a long-running task ends, so that units for which no
+// capacity comes free leave the searches of a placement pass to others.
 func (d *Director) searchedInVain(now time.Time, u *unit) bool {
 	r, ok := d.reservations[u.name()]
-	return ok && len(r.nodes) == 0 && now.Sub(r.at) <= _searchInterval<<min(max(r.inVain-1, 0), _maxSearchDoublings)
+	return ok && len(r.nodes) == 0 && !r.at.Before(d.longRunningEndedAt) && now.Sub(r.at) <= _searchInterval<<min(max(r.inVain-1, 0), _maxSearchDoublings)
 }
 
 // addReservation reserves capacity at places for a unit until the next search.
 func (d *Director) addReservation(r reservation, u *unit, hosts []berylfit.Host, places []int, demand *berylfit.Demand) {
+	r.nodes = make([]string, 0, len(places))
 	for _, i := range places {
 		r.nodes = append(r.nodes, hosts[i].Node)
 	}
+	if r.since.IsZero() {
+		r.since = d.now
+	}
 	d.reservations[u.name()] = r
-	deductResources(hosts, places, demand)
+	d.hold(r, u, hosts, places, demand)
 }
 
-// reuseReservation deducts the capacity of the unit's recent reservation. It
+// reuseReservation reserves the capacity of the unit's recent reservation again. It
 // returns false if there is none that is still valid. A search examines every run
 // and is too expensive for every placement pass: an older reservation is valid too if
 // this pass has no search left.
 func (d *Director) reuseReservation(now time.Time, u *unit, hosts []berylfit.Host, demand *berylfit.Demand) bool {
 	r, ok := d.reservations[u.name()]
-	if ok && len(r.nodes) == 0 {
+	if !ok || len(r.nodes) == 0 {
 		return false
 	}
 	recent := now.Sub(r.at) <= _searchInterval || u.queue.Priority != 0 && d.searches >= _maxSearches
-	if !ok || !recent || len(r.nodes) != demand.Count {
-		delete(d.reservations, u.name())
+	if !recent || len(r.nodes) != demand.Count {
+		d.expireReservation(u)
 		return false
 	}
 	places := make([]int, 0, len(r.nodes))
 	for _, node := range r.nodes {
 		i, found := slices.BinarySearchFunc(hosts, node, func(h berylfit.Host, n string) int { return strings.Compare(h.Node, n) })
 		if !found {
-			delete(d.reservations, u.name())
+			d.expireReservation(u)
 			return false
 		}
 		places = append(places, i)
 	}
-	deductResources(hosts, places, demand)
+	d.hold(r, u, hosts, places, demand)
 	return true
 }
 
-// findEndingRuns returns the running units that are expected to end by themselves, by node.
-// The loss of each is the time until its end in seconds: that of its slowest member for a
-// gang, as all members end together. A unit that runs until it is stopped, or of which
-// nothing is known, is not among them.
+// expireReservation makes the next search for the unit due.
+func (d *Director) expireReservation(u *unit) {
+	r := d.reservations[u.name()]
+	r.at, r.nodes = time.Time{}, nil
+	d.reservations[u.name()] = r
+}
+
+// findEndingRuns returns all running units by node. The loss of each is the time until its
+// end in seconds: that of its slowest member for a gang, as all members end together. It is
+// at least _never if no end is expected.
 func (d *Director) findEndingRuns(now time.Time) map[string][]berylfit.Victim {
 	ending := map[string][]berylfit.Victim{}
 	left := map[string]float64{}
@@ -110,12 +179,10 @@
 		ending[node] = append(ending[node], berylfit.Victim{Unit: unit, Resources: taskResources(&s.job.Work.Steps[s.ref.Step])})
 		left[unit] = max(left[unit], d.remainingTime(now, s.job, s.ref, s.task).Seconds())
 	})
-	for node, units := range ending {
-		units = slices.DeleteFunc(units, func(v berylfit.Victim) bool { return left[v.Unit] >= _never.Seconds() })
+	for _, units := range ending {
 		for i := range units {
 			units[i].Loss = left[units[i].Unit]
 		}
-		ending[node] = units
 	}
 	return ending
 }
@@ -141,6 +208,9 @@
 	// doubles with each search in vain, _maxSearchDoublings times at most.
 	_searchInterval     = 300 * time.Millisecond
 	_maxSearchDoublings = 4
+	// _farOff is the time until an expected end from which it counts as a new one when it
+	// comes near.
+	_farOff = 3 * time.Second
 	// _maxSearches bounds the searches for units that are not urgent in a placement pass.
 	_maxSearches = 3
 )
