--- a/beryldirector/director.go
+++ b/beryldirector/director.go
@@ -201,6 +201,8 @@
 	// idleSince is since when most of a service's capacity has been free in each placement
 	// pass and some of it reserved.
 	idleSince map[string]time.Time
+	// stops has the runs that are being stopped.
+	stops map[*berylbook.Task]stop
 	// longRunning is the number of long-running tasks that are not being stopped, as of the
 	// last placement pass, and longRunningEndedAt when there was last one less.
 	longRunning        int
@@ -289,6 +291,7 @@
 		reservations:   map[string]reservation{},
 		holds:          map[string][]hold{},
 		holding:        map[string]bool{},
+		stops:          map[*berylbook.Task]stop{},
 		blockedUnits:   map[string][]string{},
 		idleSince:      map[string]time.Time{},
 		borrowed:       map[string]borrowedRun{},
@@ -357,6 +360,7 @@
 	clear(d.reservations)
 	clear(d.idleSince)
 	clear(d.borrowed)
+	clear(d.stops)
 	d.cooldown = berylcooldown.Cooldown{}
 	d.breakers = berylbreaker.Table{}
 	clear(d.agents)
@@ -400,6 +404,7 @@
 	if now.Sub(d.slowCheckedAt) >= _slowCheckInterval {
 		d.slowCheckedAt = now
 		d.forgetLargeJobs(now)
+		d.forgetStops()
 		d.learnSpeeds(now)
 		d.closeBreakers()
 		d.markSlowServers(now)
--- a/beryldirector/limits.go
+++ b/beryldirector/limits.go
@@ -47,6 +47,10 @@
 // the unit that needs it: the stop of runs and the report of it.
 func (l Limits) preemptionWindow() time.Duration { return l.Stop + _stopReportTime }
 
+// maxStopTime returns how long a stop may take before its capacity is not expected to come
+// free any more: twice that of a stop and its report, as the order may be lost once.
+func (l Limits) maxStopTime() time.Duration { return 2 * l.preemptionWindow() }
+
 // guaranteeWait returns the longest wait of guaranteed work before preemption. The rest
 // of the time in which such work has to start is enough for two preemptions, as a backend
 // server may be lost after the first.
--- a/beryldirector/orders.go
+++ b/beryldirector/orders.go
@@ -139,14 +139,14 @@
 
 // usedResources returns the resources that active runs use on each node, and the
 // part of them that is being released because the run is being stopped.
-func (d *Director) usedResources() (used, releasing map[string]berylroom.Resources) {
+func (d *Director) usedResources(now time.Time) (used, releasing map[string]berylroom.Resources) {
 	used = map[string]berylroom.Resources{}
 	releasing = map[string]berylroom.Resources{}
 	d.eachActive(func(s activeTask) {
 		resources := taskResources(&s.job.Work.Steps[s.ref.Step])
 		node := s.task.Incarnation.Node
 		used[node] = used[node].Add(resources)
-		if s.task.Phase == berylbook.Stopping {
+		if s.task.Phase == berylbook.Stopping && !d.stopOverdue(now, s) {
 			releasing[node] = releasing[node].Add(resources)
 		}
 	})
--- a/beryldirector/place.go
+++ b/beryldirector/place.go
@@ -69,7 +69,7 @@
 // hosts returns the backend servers of a service on which tasks may be started,
 // ordered by node.
 func (d *Director) hosts(now time.Time, service string) []berylfit.Host {
-	used, releasing := d.usedResources()
+	used, releasing := d.usedResources(now)
 	var hosts []berylfit.Host
 	for node, a := range d.agents {
 		r := a.report
--- a/beryldirector/reservation_test.go
+++ b/beryldirector/reservation_test.go
@@ -363,3 +363,32 @@
 	d.is.Equal(d.stopped["small"], 6)
 	d.is.Equal(d.phase("gang", 0), berylbook.Ordered)
 }
+
+// A backend server goes on with a run that it was told to stop for an urgent gang, which needs
+// this server and another one. Guards against capacity of the other one that is idle until the
+// stop is carried out, and against a gang that does not start then.
+func TestStopWithoutEndKeepsNothingIdle(t *testing.T) {
+	d := newDays(t, 3)
+	d.unstoppable["stuck"] = true
+	stuck := step(1, 2)
+	stuck.Estimate = 60_000
+	d.job("stuck", "routine", 0, stuck)
+	d.play(time.Second)
+	urgent := gang(3, 8)
+	urgent.Estimate = 6000
+	d.job("gang", "urgent", 2*time.Second, urgent)
+	d.play(time.Second)
+	d.is.Equal(d.phase("stuck", 0), berylbook.Stopping)
+	for i := range 20 {
+		id := "small" + strconv.Itoa(i)
+		d.job(id, "routine", 60*time.Second, step(1, 1))
+		d.play(time.Second)
+	}
+	for i := range 20 {
+		d.is.True(d.waited("small"+strconv.Itoa(i)) <= _idleBound)
+	}
+	d.is.True(d.started["gang"].IsZero())
+	d.unstoppable["stuck"] = false
+	d.play(2 * time.Second)
+	d.is.True(!d.started["gang"].IsZero())
+}
