beryldirector, berylsite: show who holds capacity for whom, and until when

Gauges by queue have the reserved accelerators, the age of the oldest reservation, the time to its expected end, blocked units and borrowers. berylsite reservations prints the units. fetchJSON serves this command and run-times.

--- a/beryldirector/reserve.go
+++ b/beryldirector/reserve.go
@@ -49,6 +49,10 @@
 	after, places, ok := demand.Earliest(d.withEndingRuns(now, u, hosts))
 	r.nodes = nil
 	r.blocked = ok && after >= _never.Seconds()
+	if r.blocked && !r.noted {
+		r.noted = true
+		d.noteBlocked(now, u)
+	}
 	return seconds(after), places, ok && !r.blocked
 }
 
@@ -90,6 +94,8 @@
 	// blocked is true if the unit would have capacity but for work of which no end is
 	// expected.
 	blocked bool
+	// noted is true once it was logged that the unit is blocked.
+	noted bool
 	// reclaimAt is the time of the last attempt to stop borrowers.
 	reclaimAt time.Time
 	// inVain is the number of searches one after the other that found no capacity for a
@@ -125,6 +131,7 @@
 	}
 	if r.since.IsZero() {
 		r.since = d.now
+		d.noteReserved(d.now, u, &r, len(places)*demand.Resources.Accelerators)
 	}
 	d.reservations[u.name()] = r
 	d.hold(r, u, hosts, places, demand)
--- a/beryldirector/unit.go
+++ b/beryldirector/unit.go
@@ -154,7 +154,10 @@
 
 // forgetUnit deletes what is kept for a unit that waits.
 func (d *Director) forgetUnit(name string) {
-	delete(d.reservations, name)
+	if r, ok := d.reservations[name]; ok {
+		d.noteReservationOver(name, r)
+		delete(d.reservations, name)
+	}
 	delete(d.preemptedFor, name)
 }
 
--- a/berylgateway/gateway.go
+++ b/berylgateway/gateway.go
@@ -83,6 +83,9 @@
 	// peers holds the addresses of the entries; nextPeer selects them round-robin.
 	peers    atomic.Pointer[[]string]
 	nextPeer atomic.Uint32
+	// held is the capacity that waits for units, and heldAt when it was last stored.
+	held   atomic.Pointer[[]beryldirector.Held]
+	heldAt time.Time
 	// outlook is the newest summary of the load that this entry has made or received.
 	outlook atomic.Pointer[datedOutlook]
 	// leaderRetryAt is the time, in Unix milliseconds, before which no record is
@@ -295,6 +298,7 @@
 		}
 	}
 	g.leading.Store(g.director.Leading())
+	g.storeHeld(now)
 	if o, madeAt := g.director.Outlook(now); o != nil {
 		g.outlook.Store(&datedOutlook{outlook: o, madeAt: madeAt})
 	}
--- a/berylsite/entry.go
+++ b/berylsite/entry.go
@@ -85,7 +85,9 @@
 
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	e.registry.MustRegister(newReservations(clock, e.gateway.Held))
 	e.internal.HandleFunc("GET "+_runTimesPath, e.serveRunTimes)
+	e.internal.HandleFunc("GET "+_reservationsPath, e.serveReservations)
 	var srv berylrpc.Server
 	e.gateway.Register(&srv)
 	if err := e.serveInternal(ctx, &srv); err != nil {
--- a/berylsite/runtimes.go
+++ b/berylsite/runtimes.go
@@ -18,10 +18,11 @@
 )
 
 const (
-	_runTimesPath    = "/run-times"
-	_runTimesTimeout = 3 * time.Second
-	// _maxRunTimes is the largest answer that is read, in bytes.
-	_maxRunTimes = 1 << 20
+	_runTimesPath = "/run-times"
+	// _operatorTimeout bounds the time to answer an operator.
+	_operatorTimeout = 3 * time.Second
+	// _maxAnswer is the largest answer that is read, in bytes.
+	_maxAnswer = 1 << 20
 )
 
 // runTimeRatios returns the observer of the histogram of real to expected run times. Its
@@ -37,7 +38,7 @@
 
 // serveRunTimes answers operators with what is known of the run times of a queue.
 func (e *entry) serveRunTimes(w http.ResponseWriter, r *http.Request) {
-	ctx, cancel := context.WithTimeout(r.Context(), _runTimesTimeout)
+	ctx, cancel := context.WithTimeout(r.Context(), _operatorTimeout)
 	defer cancel()
 	known, err := e.gateway.RunTimes(ctx, r.FormValue("queue"))
 	if err != nil {
@@ -71,27 +72,32 @@
 	return nil
 }
 
-func (c *runTimesCmd) fetch() ([]berylestimator.Known, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), _runTimesTimeout)
+func (c *runTimesCmd) fetch() (known []berylestimator.Known, err error) {
+	err = fetchJSON(c.Addr, _runTimesPath, url.Values{"queue": {c.Queue}}, &known)
+	return known, err
+}
+
+// fetchJSON reads what an entry answers operators.
+func fetchJSON[T any](addr, path string, query url.Values, answer *T) error {
+	ctx, cancel := context.WithTimeout(context.Background(), _operatorTimeout)
 	defer cancel()
-	u := url.URL{Scheme: "http", Host: c.Addr, Path: _runTimesPath, RawQuery: url.Values{"queue": {c.Queue}}.Encode()}
+	u := url.URL{Scheme: "http", Host: addr, Path: path, RawQuery: query.Encode()}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), http.NoBody)
 	if err != nil {
-		return nil, berylerror.Invalid.Wrap(err, "address "+c.Addr)
+		return berylerror.Invalid.Wrap(err, "address "+addr)
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return nil, berylerror.Unavailable.Wrap(err, "read run times")
+		return berylerror.Unavailable.Wrap(err, "read "+path)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return nil, berylerror.Unavailable.Errorf("read run times from %s: status %d", c.Addr, resp.StatusCode)
+		return berylerror.Unavailable.Errorf("read %s from %s: status %d", path, addr, resp.StatusCode)
 	}
-	var known []berylestimator.Known
-	if err := json.NewDecoder(io.LimitReader(resp.Body, _maxRunTimes)).Decode(&known); err != nil {
-		return nil, berylerror.Unavailable.Wrap(err, "read run times from "+c.Addr)
+	if err := json.NewDecoder(io.LimitReader(resp.Body, _maxAnswer)).Decode(answer); err != nil {
+		return berylerror.Unavailable.Wrap(err, "read "+path+" from "+addr)
 	}
-	return known, nil
+	return nil
 }
 
 // printRunTimes prints one line for each key. Keys without enough ends have no times.
--- a/berylsite/site.go
+++ b/berylsite/site.go
@@ -38,7 +38,8 @@
 	Agent agentCmd `cmd:"" help:"Run an agent beside a backend server."`
 	Check checkCmd `cmd:"" help:"Check the settings file, or a desired state, and print what was read."`
 
-	RunTimes runTimesCmd `cmd:"" help:"Print what the leader has learned about run times."`
+	RunTimes     runTimesCmd     `cmd:"" help:"Print what the leader has learned about run times."`
+	Reservations reservationsCmd `cmd:"" help:"Print the capacity that waits for units, and for how long."`
 }
 
 const _description = `Scheduler for multi-accelerator jobs on the users' platform.
