berylscheduler: short work that can't be preempted may use reserved workers

Such work may use the workers now if by learned run times it ends before the holder can start; declared ones are no ground. TestReservationLendsToShortWork failed before in the case 'ends before'; two cases guard the holder.

--- a/berylscheduler/decide.go
+++ b/berylscheduler/decide.go
@@ -193,7 +193,11 @@
 			s.capacityVersion++
 		}
 	}
-	if !s.failedSearches.covers(s, j) {
+	resume := s.lendReservation(j)
+	if resume != nil {
+		defer resume()
+	}
+	if resume != nil || !s.failedSearches.covers(s, j) {
 		if s.tryGuaranteed(j) || s.tryFree(j) {
 			return s.assign(j, nil), _resolved
 		}
--- a/berylscheduler/reservation.go
+++ b/berylscheduler/reservation.go
@@ -25,9 +25,10 @@
 const _takeoverSlack = 10 * time.Minute
 
 // reservation reserves the workers that become free first for one waiting gang.
-// Non-preemptible work can't use the reserved capacity. Borrowed work may use it as
-// backfill and is preempted when the rest is free. So the gang starts when the gangs
-// that ran before it have ended, whatever run times were declared for later ones.
+// Borrowed work may use the reserved capacity as backfill and is preempted when the rest
+// is free. Non-preemptible work may use it if by learned run times it ends before. So the
+// gang starts when the gangs that ran before it have ended, whatever run times were
+// declared for later ones.
 type reservation struct {
 	job   *job
 	parts []berylplacement.Part
@@ -39,6 +40,9 @@
 	// for a set of guaranteed units that never moves.
 	tentative bool
 	since     time.Time
+	// freeIn is the expected time until the workers have room for the job, as of freeInAt.
+	freeIn   time.Duration
+	freeInAt time.Time
 	// unitRooms is capacity reserved on other workers for the guaranteed units that
 	// have to leave the reserved ones. Without it small non-preemptible work takes
 	// all capacity to which the units could move, and the gang never starts.
@@ -65,6 +69,38 @@
 // suspendReservation frees the reserved capacity while its holder is tried.
 func (s *Scheduler) suspendReservation() { s.commitReservation(-1) }
 
+// lendReservation frees the reserved capacity for a try of a job that is expected to end
+// before the holder can start, and returns the function that commits it again; nil if the
+// job may not use it. Declared run times are no ground: jobs that declare too little would
+// keep the holder from starting.
+func (s *Scheduler) lendReservation(j *job) (resume func()) {
+	res := s.reservation
+	if res == nil || res.job == j || !s.estimator.Learned(j.Class, j.Account) || s.expectedRun(j) > s.reservationFreeIn() {
+		return nil
+	}
+	s.suspendReservation()
+	return func() {
+		if s.reservation == res {
+			s.commitReservation(1)
+		}
+	}
+}
+
+// reservationFreeIn returns the expected time until the reserved workers have room for the
+// holder. That of a gang that runs longer than expected grows with its run time, so that
+// work of any length fits at some time.
+func (s *Scheduler) reservationFreeIn() time.Duration {
+	res := s.reservation
+	if res.freeInAt.Equal(s.now) {
+		return res.freeIn
+	}
+	res.freeIn, res.freeInAt = 0, s.now
+	for _, p := range res.parts {
+		res.freeIn = max(res.freeIn, s.timeUntilFree(p.Worker, res.job))
+	}
+	return res.freeIn
+}
+
 // resumeReservation commits the reserved capacity again if the holder still waits.
 func (s *Scheduler) resumeReservation(j *job) {
 	switch {
--- a/berylscheduler/scheduler_test.go
+++ b/berylscheduler/scheduler_test.go
@@ -194,6 +194,51 @@
 	is.True(!m.jobs["fill"].placed())
 }
 
+// TestReservationLendsToShortWork guards against small non-preemptible jobs that wait beside
+// idle workers until a far end because a gang holds the reservation, and against such a job
+// that is only declared to be short.
+func TestReservationLendsToShortWork(t *testing.T) {
+	tests := []struct {
+		name  string
+		learn time.Duration // The run time of earlier jobs of the class; zero if there are none.
+		want  bool
+	}{
+		{name: "ends before", learn: time.Minute, want: true},
+		{name: "ends after", learn: 2 * time.Hour},
+		{name: "declared only"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			m := newRacks(t, 1, berylscheduler.Options{})
+			for i := range 12 {
+				if tt.learn == 0 {
+					break
+				}
+				id := "earlier" + strconv.Itoa(i)
+				m.submit(id, "x", "routine", 1, gpus(1), _anywhere)
+				m.runSteps(1)
+				m.advance(tt.learn)
+				m.endGang(id, true, "")
+			}
+			m.restoreRunning("busy", "y", "mapping", gpus(1), "w0-00", "w0-01", "w0-02")
+			m.submit("large", "y", "routine", 3, gpus(8), _anywhere)
+			m.runSteps(2)
+			is.Equal(m.s.State().ReservedFor, "large")
+			m.submit("small", "x", "routine", 1, gpus(1), _anywhere)
+			m.jobs["small"].Declared = berylduration.Duration(time.Second)
+			m.runSteps(2)
+			is.Equal(m.jobs["small"].placed(), tt.want)
+			if tt.want {
+				m.endGang("small", true, "")
+			}
+			m.endGang("busy", true, "")
+			m.runSteps(2)
+			is.True(m.jobs["large"].placed())
+		})
+	}
+}
+
 // TestReservedGangsDoNotPreemptEachOther guards against a gang that counts as backfill
 // of the next reservation because it had to wait for others to stop. Two such gangs
 // then preempt each other without end.
