beryldirector: state of reservations in one struct, and cheaper lending

A unit's run time was looked up for each host and reservation, and an attempt to reclaim that needed no stop was logged.

--- a/beryldirector/borrow.go
+++ b/beryldirector/borrow.go
@@ -72,9 +72,10 @@
 	if !d.holding[u.queue.Service] {
 		return nil, nil, false
 	}
+	run := d.highRunTime(u)
 	lent := map[string][]string{}
 	trial := d.withReserved(hosts, func(h *berylfit.Host, r hold) bool {
-		if !d.lends(now, r, u, h) {
+		if !r.lends(now, run, h) {
 			return false
 		}
 		lent[h.Node] = append(lent[h.Node], r.unit)
@@ -94,9 +95,13 @@
 	return places, lenders, ok
 }
 
-// lends reports whether a unit may use what is reserved on a host for another one.
-func (d *Director) lends(now time.Time, r hold, u *unit, h *berylfit.Host) bool {
-	return r.Lends(now, d.highRunTime(u, h))
+// lends reports whether a unit may use what is reserved on a host. Run is its run time at the
+// usual speed; zero if nothing is known.
+func (r *hold) lends(now time.Time, run time.Duration, h *berylfit.Host) bool {
+	if h.Speed > 0 {
+		run = atSpeed(run, h.Speed)
+	}
+	return r.Lends(now, run)
 }
 
 // withReserved returns the hosts with those reservations of the current placement pass as
@@ -113,17 +118,13 @@
 	return trial
 }
 
-// highRunTime returns a time that few runs of the unit exceed on a host; zero if nothing is
-// known, or if it runs until it is stopped.
-func (d *Director) highRunTime(u *unit, h *berylfit.Host) time.Duration {
+// highRunTime returns a time that few runs of the unit exceed at the usual speed; zero if
+// nothing is known, or if it runs until it is stopped.
+func (d *Director) highRunTime(u *unit) time.Duration {
 	if u.stepSpec().LongRunning {
 		return 0
 	}
-	high := d.expect(u.job.Work, u.step).High
-	if h.Speed <= 0 {
-		return high
-	}
-	return atSpeed(high, h.Speed)
+	return d.expect(u.job.Work, u.step).High
 }
 
 // postponesBorrowing is like postpones, for a unit that fits only into capacity that is lent
@@ -133,8 +134,8 @@
 	if u.queue.Priority == 0 || d.headrooms[service] == nil || !d.mayPostpone(u) {
 		return false
 	}
-	size := d.hostSize(service)
-	free := d.withReserved(hosts, func(h *berylfit.Host, r hold) bool { return !r.urgent || d.lends(now, r, u, h) })
+	size, run := d.hostSize(service), d.highRunTime(u)
+	free := d.withReserved(hosts, func(h *berylfit.Host, r hold) bool { return !r.urgent || r.lends(now, run, h) })
 	return u.share(size) > d.findSpare(now, service, size, free)
 }
 
@@ -156,11 +157,6 @@
 	d.borrowed[u.name()] = borrowedRun{job: u.job, ref: u.ref(), task: task, run: task.Run, lenders: lenders}
 }
 
-// forgetReturned drops the borrowed runs that have ended.
-func (d *Director) forgetReturned() {
-	maps.DeleteFunc(d.borrowed, func(_ string, b borrowedRun) bool { return b.over() })
-}
-
 // borrows reports whether a run of the named unit has borrowed capacity of the unit u.
 func (d *Director) borrows(name string, u *unit) bool {
 	return slices.Contains(d.borrowed[name].lenders, u.name())
@@ -240,7 +236,7 @@
 	if early {
 		units, places, ok = demand.Evict(d.afterNearEnds(now, hosts))
 	}
-	if !ok {
+	if !ok || len(units) == 0 {
 		return false
 	}
 	d.note("reclaim", "unit", u.name(), "borrowers", len(units), "waited", u.waited.Milliseconds(), "early", early)
--- a/beryldirector/director.go
+++ b/beryldirector/director.go
@@ -186,29 +186,7 @@
 	// ordersAt and ordersDeferred are the same for the computation of orders.
 	ordersAt       time.Time
 	ordersDeferred bool
-	// reservedUnits counts the units that are not urgent and have a reservation in the
-	// current placement pass, and searches the searches for such units.
-	reservedUnits, searches int
-	// reservations has the capacity that is reserved for each unit.
-	reservations map[string]reservation
-	// holds is what is reserved on each node, and holding has the services with such
-	// nodes, both as of the current placement pass.
-	holds   map[string][]hold
-	holding map[string]bool
-	// blockedUnits has, by service, the units that can't start because of work of which no
-	// end is expected, as of the current placement pass.
-	blockedUnits map[string][]string
-	// idleSince is since when most of a service's capacity has been free in each placement
-	// pass and some of it reserved.
-	idleSince map[string]time.Time
-	// stops has the runs that are being stopped.
-	stops map[*berylbook.Task]stop
-	// longRunning is the number of long-running tasks that are not being stopped, as of the
-	// last placement pass, and longRunningEndedAt when there was last one less.
-	longRunning        int
-	longRunningEndedAt time.Time
-	// borrowed has, by unit, the runs on capacity that others wait for.
-	borrowed map[string]borrowedRun
+	reserved
 	// failedOn has, by unit, the nodes on which its runs failed.
 	failedOn map[string]map[string]bool
 	// preempted has what each job has lost by preemptions that this leader ordered.
@@ -227,10 +205,8 @@
 	spare, pendingUrgent map[string]float64
 	// cooldown has the preemptions of each unit.
 	cooldown berylcooldown.Cooldown
-	// victims and endingRuns are by node. They are computed at most once in a
-	// placement pass, on first use.
-	victims    map[string][]berylfit.Victim
-	endingRuns map[string][]berylfit.Victim
+	// victims are by node. They are computed at most once in a placement pass, on first use.
+	victims map[string][]berylfit.Victim
 	// urgentNeed is how many accelerators the urgent jobs of each client account need, as
 	// of the current placement pass. It is computed on first use.
 	urgentNeed map[string]int
@@ -288,14 +264,8 @@
 		waiting:        map[berylwork.Ref]waiting{},
 		bestRunTime:    map[berylwork.Ref]time.Duration{},
 		restarts:       map[berylwork.Ref]int{},
-		reservations:   map[string]reservation{},
-		holds:          map[string][]hold{},
-		holding:        map[string]bool{},
-		stops:          map[*berylbook.Task]stop{},
-		blockedUnits:   map[string][]string{},
-		idleSince:      map[string]time.Time{},
-		borrowed:       map[string]borrowedRun{},
 		preemptedFor:   map[string]time.Time{},
+		reserved:       newReserved(),
 		failedOn:       map[string]map[string]bool{},
 		preempted:      map[string]preempted{},
 		noChoice:       map[stepKey]bool{},
@@ -357,10 +327,7 @@
 	clear(d.preempted)
 	clear(d.nextSteps)
 	clear(d.largePaths)
-	clear(d.reservations)
-	clear(d.idleSince)
-	clear(d.borrowed)
-	clear(d.stops)
+	d.reserved = newReserved()
 	d.cooldown = berylcooldown.Cooldown{}
 	d.breakers = berylbreaker.Table{}
 	clear(d.agents)
--- a/beryldirector/held.go
+++ b/beryldirector/held.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"berylglade/berylfit"
 	"berylglade/berylwork"
 )
 
@@ -100,10 +101,10 @@
 
 // noteBlocked logs that no capacity is expected for a unit, once, with some of the units that
 // are in its way.
-func (d *Director) noteBlocked(now time.Time, u *unit) {
+func (d *Director) noteBlocked(now time.Time, u *unit, hosts []berylfit.Host) {
 	var units []string
-	for _, victims := range d.currentEndingRuns(now) {
-		for _, v := range victims {
+	for i := range hosts {
+		for _, v := range d.currentEndingRuns(now)[hosts[i].Node] {
 			if v.Loss >= _never.Seconds() && !slices.Contains(units, v.Unit) {
 				units = append(units, v.Unit)
 			}
--- a/beryldirector/place.go
+++ b/beryldirector/place.go
@@ -20,10 +20,7 @@
 		return
 	}
 	d.urgentNeed = nil
-	d.forgetReturned()
-	clear(d.holds)
-	clear(d.holding)
-	clear(d.blockedUnits)
+	d.beginPass()
 	groups := d.pendingUnits(now)
 	if len(groups) == 0 {
 		clear(d.idleSince)
@@ -33,8 +30,7 @@
 	known := map[string][]berylfit.Host{}
 	idle := map[string]bool{}
 	full := map[stepKey]bool{}
-	d.reservedUnits, d.searches = 0, 0
-	d.victims, d.endingRuns = nil, nil
+	d.victims = nil
 	clear(d.spare)
 	clear(d.noChoice)
 	clear(d.pendingUrgent)
--- a/beryldirector/reserve.go
+++ b/beryldirector/reserve.go
@@ -1,6 +1,7 @@
 package beryldirector
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -10,6 +11,58 @@
 	"berylglade/berylreservation"
 )
 
+// reserved is what a leader knows of capacity that is reserved and lent.
+type reserved struct {
+	// reservations has the capacity that is reserved for each unit.
+	reservations map[string]reservation
+	// reservedUnits counts the units that are not urgent and have a reservation in the
+	// current placement pass, and searches the searches for such units.
+	reservedUnits, searches int
+	// holds is what is reserved on each node, and holding has the services with such
+	// nodes, both as of the current placement pass.
+	holds   map[string][]hold
+	holding map[string]bool
+	// blockedUnits has, by service, the units that can't start because of work of which no
+	// end is expected, as of the current placement pass.
+	blockedUnits map[string][]string
+	// idleSince is since when most of a service's capacity has been free in each placement
+	// pass and some of it reserved.
+	idleSince map[string]time.Time
+	// endingRuns has all running units by node. They are found at most once in a placement
+	// pass, on first use.
+	endingRuns map[string][]berylfit.Victim
+	// borrowed has, by unit, the runs on capacity that others wait for.
+	borrowed map[string]borrowedRun
+	// stops has the runs that are being stopped.
+	stops map[*berylbook.Task]stop
+	// longRunning is the number of long-running tasks that are not being stopped, as of the
+	// last placement pass, and longRunningEndedAt when there was last one less.
+	longRunning        int
+	longRunningEndedAt time.Time
+}
+
+func newReserved() reserved {
+	return reserved{
+		reservations: map[string]reservation{},
+		holds:        map[string][]hold{},
+		holding:      map[string]bool{},
+		blockedUnits: map[string][]string{},
+		idleSince:    map[string]time.Time{},
+		borrowed:     map[string]borrowedRun{},
+		stops:        map[*berylbook.Task]stop{},
+	}
+}
+
+// beginPass forgets what was reserved in the last placement pass.
+func (r *reserved) beginPass() {
+	r.reservedUnits, r.searches = 0, 0
+	r.endingRuns = nil
+	clear(r.holds)
+	clear(r.holding)
+	clear(r.blockedUnits)
+	maps.DeleteFunc(r.borrowed, func(_ string, b borrowedRun) bool { return b.over() })
+}
+
 // reserve reserves the capacity that is expected to be free soonest for a gang, or
 // for a task that needs much of a host. Otherwise small tasks that are placed after
 // it would take each accelerator as it is released, and the gang would never find
@@ -51,7 +104,7 @@
 	r.blocked = ok && after >= _never.Seconds()
 	if r.blocked && !r.noted {
 		r.noted = true
-		d.noteBlocked(now, u)
+		d.noteBlocked(now, u, hosts)
 	}
 	return seconds(after), places, ok && !r.blocked
 }
