--- a/berylbook/book.go
+++ b/berylbook/book.go
@@ -136,7 +136,7 @@
 		return ""
 	}
 	j := NewJob(&s.Work)
-	j.Load = s.Work.Load()
+	j.Load, j.EndedLoad = s.Work.Load(), s.Work.EndedLoad()
 	if b.Summary {
 		j.summarize()
 	}
@@ -287,16 +287,20 @@
 	return b.sorted
 }
 
-// Load returns the load of the jobs that have not ended, as seen by one client account.
+// Load returns the load of all jobs, as seen by one client account. A job that has ended is
+// kept until it is removed, and a reader of the topic decodes its steps before it knows that
+// the job has ended.
 func (b *Book) Load(account string) berylload.Load {
 	var l berylload.Load
 	for _, j := range b.Jobs {
-		switch {
-		case j.State.Final():
-		case j.Work.Account == account:
-			l.Account += j.Load
-		default:
-			l.Others += j.Load
+		n := j.Load
+		if j.State.Final() {
+			n = j.EndedLoad
+		}
+		if j.Work.Account == account {
+			l.Account += n
+		} else {
+			l.Others += n
 		}
 	}
 	return l
--- a/berylbook/job.go
+++ b/berylbook/job.go
@@ -100,8 +100,9 @@
 type Job struct {
 	// Work is the job as it was submitted. In a Book without tasks it has no steps.
 	Work *berylwork.Work
-	// Load is what the job takes of the memory of an entry, as berylwork.Work.Load gives it.
-	Load int
+	// Load is what the job takes of the memory of an entry, and EndedLoad what it takes
+	// after its end, as the methods of berylwork.Work with these names give them.
+	Load, EndedLoad int
 	// State is never final while a task may still get another run.
 	State State
 	// CancelledAt is when the cancel was accepted, in Unix milliseconds; zero if
--- a/berylbook/tasklist_test.go
+++ b/berylbook/tasklist_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"berylglade/berylload"
 	"berylglade/berylstore"
 	"berylglade/berylwork"
 )
@@ -141,6 +142,63 @@
 	})
 }
 
+// A client submits jobs with as many steps as a body of the largest legal size has, one after
+// the other, and cancels each. Guards against ended jobs whose steps take memory without
+// bound in an entry that reads the topic anew, which has all submissions before their ends.
+func TestMemoryOfEndedJobs(t *testing.T) {
+	const (
+		body       = 256 << 10
+		jobs       = 100
+		maxBytes   = 96 << 20
+		keptLoad   = 2 * body / len(`,{"count":1}`)
+		ownAccount = "a"
+	)
+	is := is.New(t)
+	var b Book
+	var submissions, ends []berylstore.Record
+	refused := 0
+	for i := range jobs {
+		w := berylwork.Work{ID: fmt.Sprintf("%016x", i), Account: ownAccount, Steps: make([]berylwork.Step, body/len(`,{"count":1}`)), Times: 1}
+		for s := range w.Steps {
+			w.Steps[s].Count = 1
+		}
+		if !b.Load(ownAccount).Allows(w.Load()) {
+			refused++
+			continue
+		}
+		r, err := (&Submission{Work: w}).Record()
+		is.NoErr(err)
+		submissions = append(submissions, r)
+		b.Apply(r)
+		r, err = record(_progressPrefix+w.ID, &Progress{State: Cancelled, EndedAt: 1})
+		is.NoErr(err)
+		ends = append(ends, r)
+		b.Apply(r)
+	}
+	is.True(refused > 0)
+	is.True(len(submissions) > 1)
+	is.True(b.Load("b").Others <= len(submissions)*(keptLoad+1))
+	is.True(b.Load("b").Allows(1000))
+	b = Book{}
+	used := memoryOf(func() {
+		for _, r := range submissions {
+			b.Apply(r)
+		}
+	})
+	is.True(used < maxBytes)
+	for _, r := range ends {
+		b.Apply(r)
+	}
+	is.Equal(len(b.Jobs), len(submissions))
+	// Jobs that are removed no longer count.
+	for _, j := range b.Sorted() {
+		for _, r := range j.Tombstones() {
+			b.Apply(r)
+		}
+	}
+	is.Equal(b.Load(ownAccount), berylload.Load{})
+}
+
 // memoryOf returns how many bytes more are in use after f.
 func memoryOf(f func()) int {
 	var before, after runtime.MemStats
--- a/beryldirector/open_test.go
+++ b/beryldirector/open_test.go
@@ -107,6 +107,50 @@
 	}
 }
 
+// A client submits jobs with very many steps, due in an hour, and cancels each. Guards
+// against ended jobs that the bound does not count although each entry keeps their steps,
+// against ordinary jobs of others that it refuses meanwhile, and against an account that is
+// refused after they are removed.
+func TestLeaderBoundsEndedJobs(t *testing.T) {
+	h := newHarness(t)
+	submit := func(w berylwork.Work) error {
+		r, err := (&berylbook.Submission{Work: w}).Record()
+		h.is.NoErr(err)
+		return h.d.EnqueueRecord(h.now, r)
+	}
+	manySteps := func(id string) berylwork.Work {
+		w := berylwork.Work{ID: id, Queue: "routine", Account: "a", Times: 1, Accepted: h.now.UnixMilli()}
+		w.FirstDue = h.now.Add(time.Hour).UnixMilli()
+		for range 20_000 {
+			w.Steps = append(w.Steps, berylwork.Step{Count: 1})
+		}
+		return w
+	}
+	accepted := 0
+	for i := range 40 {
+		w := manySteps(fmt.Sprintf("a%d", i))
+		if err := submit(w); err != nil {
+			h.is.Equal(berylerror.Of(err), berylerror.Exhausted)
+			continue
+		}
+		accepted++
+		r, err := (&berylbook.Cancel{At: h.now.UnixMilli()}).Record(w.ID)
+		h.is.NoErr(err)
+		h.is.NoErr(h.d.EnqueueRecord(h.now, r))
+		h.advance(100 * time.Millisecond)
+		h.is.True(h.d.Book.Jobs[w.ID].State.Final())
+	}
+	h.is.True(accepted > 1)
+	h.is.True(accepted*20_000*2 <= berylload.Max)
+	for i := range 50 {
+		h.is.NoErr(submit(berylwork.Work{ID: fmt.Sprintf("b%d", i), Queue: "routine", Account: "b", Steps: []berylwork.Step{step(40, 1)}}))
+	}
+	for range 10 {
+		h.advance(testLimits().Retention / 5)
+	}
+	h.is.NoErr(submit(manySteps("later")))
+}
+
 // Tasks that ask for nothing fit on any backend server. Guards against all of them on one,
 // whose agent exceeds its memory, and against tasks beyond those of one placement pass that
 // never start.
--- a/berylload/load.go
+++ b/berylload/load.go
@@ -1,13 +1,14 @@
 // Package berylload bounds the tasks of all accepted jobs together, because each entry
 // keeps all jobs in memory, and the smallest VM has to do so too.
 //
-// Every entry applies the same rule to the jobs that have not ended, before it queues a
-// submission, and the leader again before it records one. The leader also applies it to the
-// jobs that it starts, so that jobs beyond the bound, which an earlier build has accepted
-// or several entries at the same moment, wait without memory for their tasks.
+// Every entry applies the same rule to all jobs that it keeps, before it queues a submission,
+// and the leader again before it records one. A job that has ended counts without its tasks.
+// The leader also applies the rule to the jobs that it starts, so that jobs beyond the bound,
+// which an earlier build has accepted or several entries at the same moment, wait without
+// memory for their tasks.
 package berylload
 
-// Load is the load of jobs that have not ended, as berylwork.Work.Load counts it.
+// Load is the load of jobs, as berylwork.Work.Load and berylwork.Work.EndedLoad count it.
 type Load struct {
 	// Account is that of the jobs of one client account, and Others that of all others.
 	Account, Others int
--- a/berylwork/work.go
+++ b/berylwork/work.go
@@ -115,13 +115,22 @@
 // Load returns what the job takes of the memory of an entry, in tasks: those of all
 // occurrences, the steps, and the text that the client sent.
 func (w *Work) Load() int {
-	tasks, text := 0, len(w.Spec)
+	tasks := 0
+	for i := range w.Steps {
+		tasks += w.Steps[i].Count
+	}
+	return tasks*w.Occurrences() + w.EndedLoad()
+}
+
+// EndedLoad returns what the job takes of the memory of an entry between its end and its
+// removal, when its tasks take none, in the unit of Load.
+func (w *Work) EndedLoad() int {
+	text := len(w.Spec)
 	for i := range w.Steps {
 		s := &w.Steps[i]
-		tasks += s.Count
 		text += len(s.Label) + len(s.Rack) + len(s.Image) + _indexSize*len(s.After)
 	}
-	return tasks*w.Occurrences() + _stepLoad*len(w.Steps) + text/_taskSize
+	return _stepLoad*len(w.Steps) + text/_taskSize
 }
 
 const (
