--- a/berylkeeper/calls.go
+++ b/berylkeeper/calls.go
@@ -38,18 +38,39 @@
 	}
 	var calls []IssuedCall
 	for _, key := range k.keys() {
-		r := k.runs[key]
+		r := k.open[key]
 		if k.expired(now, r) {
-			delete(k.runs, key)
+			k.forget(key)
 			continue
 		}
 		if t, ok := k.runCall(now, r); ok {
 			calls = append(calls, t)
 		}
+		if r.isSettled() {
+			delete(k.open, key)
+			k.settled = append(k.settled, settledRun{key: key, at: now})
+		}
 	}
+	k.forgetSettled(now)
 	return append(calls, k.renewCalls(now)...)
 }
 
+// forgetSettled forgets the settled runs that have been remembered long enough.
+func (k *Keeper) forgetSettled(now time.Time) {
+	for len(k.settled) > 0 && now.Sub(k.settled[0].at) > _runRetention {
+		key := k.settled[0].key
+		k.settled = k.settled[1:]
+		if r := k.runs[key]; r != nil && k.open[key] == nil && k.expired(now, r) {
+			k.forget(key)
+		}
+	}
+}
+
+func (k *Keeper) forget(key berylreport.Key) {
+	delete(k.runs, key)
+	delete(k.open, key)
+}
+
 // fenceCalls returns a listing call to whatever incarnation answers at the address of the
 // backend server. Its fence makes that refuse late starts of an earlier process of this
 // agent, which does not know of them.
@@ -62,9 +83,9 @@
 	return []IssuedCall{t}
 }
 
-// keys returns the known runs in a fixed order.
+// keys returns the open runs in a fixed order.
 func (k *Keeper) keys() []berylreport.Key {
-	return slices.SortedFunc(maps.Keys(k.runs), func(a, b berylreport.Key) int {
+	return slices.SortedFunc(maps.Keys(k.open), func(a, b berylreport.Key) int {
 		return cmp.Or(strings.Compare(a.Task, b.Task), cmp.Compare(a.Run, b.Run))
 	})
 }
@@ -118,7 +139,7 @@
 func (k *Keeper) dropStarts(now time.Time) {
 	k.minBasis = max(k.minBasis, k.BackendClock(now))
 	for _, key := range k.keys() {
-		if r := k.runs[key]; r.phase == starting {
+		if r := k.open[key]; r.phase == starting {
 			k.dropStart(now, r)
 		}
 	}
--- a/berylkeeper/keeper.go
+++ b/berylkeeper/keeper.go
@@ -87,6 +87,16 @@
 	startUntil int64
 }
 
+// isSettled reports whether the run has been started and listed, so that nothing more is to
+// be done about it but to recognize a late order for it.
+func (r *run) isSettled() bool { return r.phase == accepted && r.listed && !r.inFlight }
+
+// settledRun is a run with the time at which it was settled.
+type settledRun struct {
+	key berylreport.Key
+	at  time.Time
+}
+
 // Outcome is the result of a call.
 type Outcome struct {
 	Call    berylexecutor.Call
@@ -125,9 +135,17 @@
 	// heartbeat arrived; zero if none has.
 	otherStartedAt int64
 	epoch          int64
-	runs           map[berylreport.Key]*run
-	listing        berylexecutor.Listing
-	listed         bool
+	// runs has all runs that are remembered. open has those of them that a call, a listing
+	// or a report may still concern: all but the settled ones, which the backend server has
+	// listed and no call is about.
+	runs, open map[berylreport.Key]*run
+	// settled are the settled runs in the order in which they were settled. A run that was
+	// opened again is in it until its time has come.
+	settled []settledRun
+	listing berylexecutor.Listing
+	// listedRuns are the runs of the listing.
+	listedRuns map[berylreport.Key]bool
+	listed     bool
 	// pastEnds has the unacknowledged ends of the previous incarnation, as the
 	// leader may not have received them.
 	pastEnds berylreport.PastEnds
@@ -189,7 +207,7 @@
 func New(node, addr string, boot int64, limits Limits) *Keeper {
 	return &Keeper{
 		Limits: limits, Node: node, Addr: addr, Boot: boot, fence: boot,
-		runs: map[berylreport.Key]*run{}, listings: map[int64]bool{},
+		runs: map[berylreport.Key]*run{}, open: map[berylreport.Key]*run{}, listings: map[int64]bool{},
 	}
 }
 
@@ -259,8 +277,10 @@
 	k.otherStartedAt = 0
 	k.unverified = false
 	clear(k.runs)
+	clear(k.open)
+	k.settled = nil
 	clear(k.listings)
-	k.listing = berylexecutor.Listing{}
+	k.listing, k.listedRuns = berylexecutor.Listing{}, nil
 	k.listed = false
 	k.incarnationFrom = k.lastSeq
 	k.listingSeq, k.listingFrom = k.lastSeq, k.lastSeq
@@ -290,6 +310,7 @@
 	r.phase = p
 	r.changedAt = now
 	r.retryAt = now
+	k.open[r.start.Key] = r
 	if p != starting {
 		r.forgetStart()
 	}
--- a/berylkeeper/orders.go
+++ b/berylkeeper/orders.go
@@ -1,7 +1,6 @@
 package berylkeeper
 
 import (
-	"slices"
 	"time"
 
 	"berylglade/berylreport"
@@ -57,9 +56,9 @@
 		return
 	}
 	r := &run{start: s, phase: starting, unconfirmed: k.inherited, changedAt: now, startUntil: until}
-	k.runs[s.Key] = r
+	k.runs[s.Key], k.open[s.Key] = r, r
 	switch {
-	case k.exists(s.Key):
+	case k.listedRuns[s.Key]:
 		// An earlier process of this agent has started it.
 		r.phase = accepted
 		r.forgetStart()
@@ -71,16 +70,11 @@
 	}
 }
 
-// exists reports whether the last listing has the run.
-func (k *Keeper) exists(key berylreport.Key) bool {
-	return slices.ContainsFunc(k.listing.Runs, func(r berylreport.Run) bool { return r.Key == key })
-}
-
 func (k *Keeper) applyStop(now time.Time, key berylreport.Key) {
 	r := k.runs[key]
 	if r == nil {
 		r = &run{start: berylreport.Start{Key: key}, unconfirmed: true}
-		k.runs[key] = r
+		k.runs[key], k.open[key] = r, r
 	}
 	if r.phase == starting && !r.unconfirmed && !r.inFlight {
 		k.setPhase(now, r, absent)
--- a/berylkeeper/outcome.go
+++ b/berylkeeper/outcome.go
@@ -210,6 +210,10 @@
 	}
 	k.listed = true
 	k.listing = o.Listing
+	k.listedRuns = make(map[berylreport.Key]bool, len(o.Listing.Runs))
+	for _, r := range o.Listing.Runs {
+		k.listedRuns[r.Key] = true
+	}
 	if o.Seq > k.unverifiedSeq {
 		k.unverified = false
 	}
@@ -277,16 +281,13 @@
 
 // settleRuns updates the runs according to a listing.
 func (k *Keeper) settleRuns(now time.Time, o Outcome) {
-	listed := map[berylreport.Key]bool{}
-	for _, r := range o.Listing.Runs {
-		listed[r.Key] = true
-	}
+	listed := k.listedRuns
 	ended := map[berylreport.Key]bool{}
 	for _, e := range o.Listing.Ends {
 		ended[e.Key] = true
 	}
 	for _, key := range k.keys() {
-		r := k.runs[key]
+		r := k.open[key]
 		if listed[key] || ended[key] {
 			r.listed = true
 			if r.phase == starting && !r.inFlight {
--- a/berylkeeper/report.go
+++ b/berylkeeper/report.go
@@ -60,7 +60,7 @@
 		Runs: k.listing.Runs, Ends: k.unackedEnds(), Truncated: k.listing.Truncated, PastEnds: k.pastEnds,
 	}
 	for _, key := range k.keys() {
-		run := k.runs[key]
+		run := k.open[key]
 		switch {
 		case run.phase == absent:
 			r.Absent = append(r.Absent, key)
