--- a/berylkeeper/calls.go
+++ b/berylkeeper/calls.go
@@ -162,8 +162,9 @@
 
 func (k *Keeper) renewCalls(now time.Time) []IssuedCall {
 	var calls []IssuedCall
-	if k.relist {
+	if k.relist && !now.Before(k.nextRelist) {
 		k.relist = false
+		k.nextRelist = now.Add(k.ListingPause())
 		calls = append(calls, k.renew(now, 0))
 	}
 	if k.pollSeq == 0 && !now.Before(k.nextPoll) {
@@ -178,6 +179,30 @@
 	return calls
 }
 
+// ListingPause returns the pause between two listings and between two reports, which have the
+// same rows. It bounds the share of the time that long ones take: thousands of starts and ends
+// in a second would each ask for one.
+func (k *Keeper) ListingPause() time.Duration {
+	rows := len(k.listing.Runs) + len(k.listing.Ends)
+	return time.Duration(max(rows-_freeRows, 0)) * _rowPause
+}
+
+// Paused returns how long the next listing call still has to be delayed because of the size
+// of the last listing; zero if none is delayed.
+func (k *Keeper) Paused(now time.Time) time.Duration {
+	if k.heartbeat.Incarnation.Instance == "" || k.ListingPause() == 0 {
+		return 0
+	}
+	var d time.Duration
+	if k.relist {
+		d = k.nextRelist.Sub(now)
+	}
+	if k.pollSeq == 0 && (d <= 0 || k.nextPoll.Before(k.nextRelist)) {
+		d = k.nextPoll.Sub(now)
+	}
+	return max(d, 0)
+}
+
 func (k *Keeper) renew(now time.Time, wait time.Duration) IssuedCall {
 	deadline := k.lease(now)
 	k.deadline = max(k.deadline, deadline)
--- a/berylkeeper/keeper.go
+++ b/berylkeeper/keeper.go
@@ -170,8 +170,10 @@
 	// listings has the numbers of the listing calls in flight.
 	listings map[int64]bool
 	// relist requests a listing that does not wait.
-	relist   bool
-	nextPoll time.Time
+	relist bool
+	// nextPoll and nextRelist are the earliest times of the next listing call that waits and
+	// of one that doesn't.
+	nextPoll, nextRelist time.Time
 
 	// clock, deadline and leaderContact are on the clock of the backend server in
 	// milliseconds; clock was read at clockReadAt.
@@ -288,7 +290,7 @@
 	k.clock, k.deadline, k.leaderContact, k.minBasis = 0, 0, 0, 0
 	k.failedCalls, k.down = 0, false
 	k.acked = 0
-	k.nextPoll = time.Time{}
+	k.nextPoll, k.nextRelist = time.Time{}, time.Time{}
 	k.lastReply = time.Time{}
 }
 
@@ -356,6 +358,10 @@
 	_lateReplyWindow = 100 * time.Millisecond
 	// _stopPollPause is the pause between listings while a run is being stopped.
 	_stopPollPause = 100 * time.Millisecond
+	// _rowPause is the pause between listings for each row of the last one above _freeRows.
+	// A row takes some microseconds to encode and to decode.
+	_rowPause = 20 * time.Microsecond
+	_freeRows = 100
 	// _runRetention is how long a settled run is remembered, so that a late order
 	// for it is not mistaken for a new one.
 	_runRetention = 30 * time.Second
--- a/berylkeeper/outcome.go
+++ b/berylkeeper/outcome.go
@@ -217,6 +217,8 @@
 	if o.Seq > k.unverifiedSeq {
 		k.unverified = false
 	}
+	k.nextRelist = now.Add(k.ListingPause())
+	k.nextPoll = k.nextRelist
 	k.stopStrays(now)
 	k.settleRuns(now, o)
 }
--- a/berylsidecar/leader.go
+++ b/berylsidecar/leader.go
@@ -13,7 +13,7 @@
 	if s.reporting || !s.keeper.Reportable(now) {
 		return
 	}
-	if now.Sub(s.lastReport) < _minReportInterval {
+	if now.Sub(s.lastReport) < max(_minReportInterval, s.keeper.ListingPause()) {
 		return
 	}
 	if now.Sub(s.lastReport) < _reportInterval && !s.keeper.Changed() {
--- a/berylsidecar/sidecar.go
+++ b/berylsidecar/sidecar.go
@@ -80,6 +80,8 @@
 	incarnation berylbook.Incarnation
 	// down is true if no process listened at the last listing call.
 	down bool
+	// wakes is true if a timer will wake the actor for a delayed listing call.
+	wakes bool
 }
 
 type message interface{ message() }
@@ -111,6 +113,8 @@
 		reply func(berylreport.Receipt)
 	}
 	tick struct{}
+	// listingDue ends the delay of a listing call.
+	listingDue struct{}
 )
 
 func (heartbeatReceived) message() {}
@@ -129,6 +133,8 @@
 
 func (tick) message() {}
 
+func (listingDue) message() {}
+
 // New returns an agent. Start and Run start it.
 func New(cfg Config) *Sidecar {
 	k := berylkeeper.New(cfg.Node, cfg.Addr, cfg.Boot, cfg.Limits)
@@ -217,11 +223,17 @@
 	case leaderAnnounced:
 		s.followLeader(now, m.lead)
 		m.reply(berylreport.Receipt{Epoch: k.Epoch()})
+	case listingDue:
+		s.wakes = false
 	case tick:
 	}
 	for _, t := range k.Calls(now) {
 		go s.call(t)
 	}
+	if d := k.Paused(now); d > 0 && !s.wakes {
+		s.wakes = true
+		time.AfterFunc(d, func() { s.loop.Tell(listingDue{}) })
+	}
 	s.report(now)
 }
 
--- a/berylsidecar/sidecar_test.go
+++ b/berylsidecar/sidecar_test.go
@@ -83,14 +83,17 @@
 
 // startAgent starts an agent whose backend server has sent a heartbeat, and returns
 // the agent's address.
-func startAgent(t *testing.T, seeds ...string) string {
+func startAgent(t *testing.T, seeds ...string) string { return startAgentOf(t, &server{}, seeds...) }
+
+// startAgentOf starts an agent with the given connection to its backend server.
+func startAgentOf(t *testing.T, e berylexecutor.Executor, seeds ...string) string {
 	registry := &berylregistry.Registry{
 		Store: &topic{}, Clock: berylclock.System(), Topic: "t", Log: slog.New(slog.DiscardHandler),
 	}
 	s := New(Config{
 		Node: "a", Addr: "127.0.0.1:1", Boot: 1,
 		Limits:   berylkeeper.Limits{LeaderTimeout: 3 * time.Second, Lease: 5 * time.Second, Poll: 100 * time.Millisecond},
-		Executor: &server{}, Clock: berylclock.System(), Log: slog.New(slog.DiscardHandler),
+		Executor: e, Clock: berylclock.System(), Log: slog.New(slog.DiscardHandler),
 		Observe: func(string, error, time.Duration) {},
 		Seeds:   seeds, Entries: registry, Agents: registry, ProducerName: "a/1",
 	})
