--- a/beryldirector/reserve.go
+++ b/beryldirector/reserve.go
@@ -224,9 +224,9 @@
 	d.reservations[u.name()] = r
 }
 
-// findEndingRuns returns all running units by node, those among them whose stop is overdue. The loss of each is the time until its
-// end in seconds: that of its slowest member for a gang, as all members end together. It is
-// at least _never if no end is expected.
+// findEndingRuns returns all running units by node, and those whose stop is overdue. The loss
+// of each is the time until its end in seconds: that of its slowest member for a gang, as all
+// members end together. It is at least _never if no end is expected.
 func (d *Director) findEndingRuns(now time.Time) map[string][]berylfit.Victim {
 	ending := map[string][]berylfit.Victim{}
 	left := map[string]float64{}
