--- a/beryldirector/reservation_test.go
+++ b/beryldirector/reservation_test.go
@@ -67,25 +67,34 @@
 		d.job("never"+strconv.Itoa(i), "gangs", 8*time.Second, gang(3, 8))
 	}
 	d.play(500 * time.Millisecond)
-	next := d.stream(0, 15*time.Second, 1500*time.Millisecond)
+	next := d.stream(0, 15*time.Second, 1500*time.Millisecond, step(1, 1))
 	d.job("gang", "gangs", 2*time.Second, gang(3, 7))
-	d.stream(next, 15*time.Second, 1500*time.Millisecond)
+	d.stream(next, 15*time.Second, 1500*time.Millisecond, step(1, 1))
 	d.is.True(!d.started["gang"].IsZero())
 }
 
-// stream submits a small job twice in each step of the day, for a time, each of which takes took, and returns
-// the number of the next one.
-func (d *days) stream(first int, total, took time.Duration) (next int) {
+// stream submits a small job twice in each step of the day, for a time, each of which takes
+// took, and returns the number of the next one.
+func (d *days) stream(first int, total, took time.Duration, small berylwork.Step) (next int) {
 	next = first
 	for end := d.now.Add(total); d.now.Before(end); d.play(_dayStep) {
 		for range 2 {
-			d.job("small"+strconv.Itoa(next), "routine", took, step(1, 1))
+			d.job("small"+strconv.Itoa(next), "routine", took, small)
 			next++
 		}
 	}
 	return next
 }
 
+// longJob submits an urgent job of tasks that hold one accelerator each, on backend servers
+// of their own, and run as long as they declare, and lets it start.
+func (d *days) longJob(count int, took time.Duration) {
+	s := step(count, 1)
+	s.MaxPerHost, s.Estimate = 1, took.Milliseconds()
+	d.job("long", "urgent", took, s)
+	d.play(time.Second)
+}
+
 // A job that holds one accelerator of each backend server is cancelled, and a gang waits for
 // all of them, beside a stream of small jobs that need more than is left. Guards against a
 // gang that never starts because each accelerator that comes free goes to a small job, or that
@@ -98,10 +107,10 @@
 			d.play(time.Second)
 			d.job("gang", "gangs", 2*time.Second, gang(3, 8))
 			d.play(2 * time.Second)
-			next := d.stream(0, 10*time.Second, took)
+			next := d.stream(0, 10*time.Second, took, step(1, 1))
 			d.is.True(d.started["gang"].IsZero())
 			d.cancel("lasting")
-			d.stream(next, 2*time.Second, took)
+			d.stream(next, 2*time.Second, took, step(1, 1))
 			d.is.True(!d.started["gang"].IsZero())
 		})
 	}
@@ -138,10 +147,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			d := newDays(t, 3)
-			long := step(3, 1)
-			long.MaxPerHost, long.Estimate = 1, 80_000
-			d.job("long", "urgent", 80*time.Second, long)
-			d.play(time.Second)
+			d.longJob(3, 80*time.Second)
 			d.job("gang", tt.queue, 8*time.Second, gang(3, 8))
 			d.play(3 * time.Second)
 			for i := range 20 {
@@ -219,18 +225,9 @@
 			d := newDays(t, tt.servers)
 			small := step(1, 1)
 			small.Estimate = tt.declared.Milliseconds()
-			n := 0
-			stream := func(total time.Duration) {
-				for end := d.now.Add(total); d.now.Before(end); d.play(_dayStep) {
-					for range 2 {
-						d.job("small"+strconv.Itoa(n), "routine", tt.took, small)
-						n++
-					}
-				}
-			}
-			stream(4 * time.Second)
+			next := d.stream(0, 4*time.Second, tt.took, small)
 			d.job("gang", tt.queue, 4*time.Second, gang(tt.tasks, 8))
-			stream(30 * time.Second)
+			d.stream(next, 30*time.Second, tt.took, small)
 			d.is.True(!d.started["gang"].IsZero())
 			d.is.True(d.waited("gang") <= tt.took+5*time.Second)
 		})
@@ -258,10 +255,7 @@
 					r.Progress = _fullWork
 				}
 			}
-			long := step(3, 1)
-			long.MaxPerHost, long.Estimate = 1, 20_000
-			d.job("long", "urgent", 20*time.Second, long)
-			d.play(time.Second)
+			d.longJob(3, 20*time.Second)
 			d.job("gang", "gangs", 2*time.Second, gang(2, 8))
 			d.play(2 * time.Second)
 			s := lastingApart(3, 2)
@@ -292,10 +286,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			d := newDays(t, 2)
 			d.d.Policy.Accounts = []berylpolicy.Account{{Name: "a", Guaranteed: tt.guaranteed}}
-			long := step(2, 1)
-			long.MaxPerHost, long.Estimate = 1, 20_000
-			d.job("long", "urgent", 20*time.Second, long)
-			d.play(time.Second)
+			d.longJob(2, 20*time.Second)
 			// The gang goes before the job, also by the time at which the job claims its start.
 			g := gang(2, 8)
 			g.Estimate = 9000
@@ -320,29 +311,25 @@
 	d := newDays(t, 3)
 	var topic berylbook.Book
 	d.copyTo = &topic
-	long := step(3, 1)
-	long.MaxPerHost, long.Estimate = 1, 30_000
-	d.job("long", "urgent", 30*time.Second, long)
-	d.play(time.Second)
+	d.longJob(3, 30*time.Second)
 	d.job("gang", "gangs", 2*time.Second, gang(3, 8))
-	next := d.stream(0, 8*time.Second, 1500*time.Millisecond)
+	next := d.stream(0, 8*time.Second, 1500*time.Millisecond, step(1, 1))
 
+	policy := d.d.Policy
 	d.d = New(Self{Node: "entry-2", Boot: 1, Addr: "10.0.0.8:7000"}, testLimits())
-	policy := testPolicy()
-	policy.Queues = append(policy.Queues, berylpolicy.Queue{Name: "gangs", Service: "s", Priority: 1, Attempts: 2, Stretch: 3})
 	d.d.Policy = policy
 	d.d.Restore(d.now, topic, d.topicEnd)
 	d.copyTo = nil
 	d.play(3 * time.Second)
 	d.is.True(d.d.Leading())
 	first := next
-	next = d.stream(next, 10*time.Second, 1500*time.Millisecond)
+	next = d.stream(next, 10*time.Second, 1500*time.Millisecond, step(1, 1))
 	d.is.True(d.waited("small"+strconv.Itoa(first)) <= _idleBound)
 	d.is.True(d.started["gang"].IsZero())
 	for d.ended["long"].IsZero() {
-		next = d.stream(next, time.Second, 1500*time.Millisecond)
+		next = d.stream(next, time.Second, 1500*time.Millisecond, step(1, 1))
 	}
-	d.stream(next, 5*time.Second, 1500*time.Millisecond)
+	d.stream(next, 5*time.Second, 1500*time.Millisecond, step(1, 1))
 	d.is.True(!d.started["gang"].IsZero())
 }
 
@@ -350,10 +337,7 @@
 // against a gang that waits for the stop of the borrowers although the end was expected.
 func TestBorrowersAreStoppedInTime(t *testing.T) {
 	d := newDays(t, 3)
-	long := step(3, 1)
-	long.MaxPerHost, long.Estimate = 1, 20_000
-	d.job("long", "urgent", 20*time.Second, long)
-	d.play(time.Second)
+	d.longJob(3, 20*time.Second)
 	d.job("gang", "gangs", 8*time.Second, gang(3, 8))
 	d.play(3 * time.Second)
 	small := step(6, 2)
