beryllistener, berylentry: drain the accept queue before a planned stop closes it

Cause: http.Server.Shutdown closes the listener, and the kernel resets the connections that are established and not accepted yet.

An entry of the system's own interface calls it before it closes its listener.

Entries of the platform are unchanged: they fail their readiness check first, and their clients may repeat a job's id.

--- a/berylentry/entry.go
+++ b/berylentry/entry.go
@@ -165,8 +165,11 @@
 }
 
 func (e *Entry) listen() error {
+	// Listener.Drain can't drain a socket of Multipath TCP, which is the default.
+	var cfg net.ListenConfig
+	cfg.SetMultipathTCP(false)
 	var err error
-	e.httpLis, err = net.Listen("tcp", e.settings.HTTP)
+	e.httpLis, err = cfg.Listen(context.Background(), "tcp", e.settings.HTTP)
 	if err != nil {
 		return berylerror.Unavailable.Wrap(err, "listen for callers")
 	}
@@ -214,7 +217,7 @@
 	case <-ctx.Done():
 	case <-e.workCtx.Done():
 	}
-	err := e.shutdown(srv)
+	err := e.shutdown(srv, lis)
 	e.cancel()
 	err = errors.Join(err, g.Wait())
 	e.loop.Stop()
@@ -237,7 +240,7 @@
 
 // guard returns the listener for callers, which limits their connections. They may all
 // come from the address of a load balancer.
-func (e *Entry) guard(srv *http.Server) net.Listener {
+func (e *Entry) guard(srv *http.Server) *beryllistener.Listener {
 	memory := int64(cmp.Or(e.settings.Memory, _defaultMemory))
 	limits := berylquota.NewLimits(memory/_callerMemoryShare, _maxConnections)
 	limits.Address, limits.ConnsPerAddress = limits.Bytes, limits.Conns
@@ -262,8 +265,9 @@
 }
 
 // shutdown serves on until callers have closed the connections that they use, as the
-// server closes idle connections at once, also if a request is on its way there.
-func (e *Entry) shutdown(srv *http.Server) error {
+// server closes idle connections at once, also if a request is on its way there. Then
+// it takes no new connections, and serves those that wait for it.
+func (e *Entry) shutdown(srv *http.Server, lis *beryllistener.Listener) error {
 	klog.InfoS("entry stops", "name", e.settings.Name)
 	close(e.stopping)
 	drain := _defaultDrain
@@ -275,6 +279,11 @@
 	var wg sync.WaitGroup
 	wg.Go(e.handOver)
 	berylclock.Pause(ctx, min(_closeTime, drain/2))
+	acceptCtx, stopAccept := context.WithTimeout(ctx, min(_acceptTime, drain/4))
+	defer stopAccept()
+	if err := lis.Drain(acceptCtx); err != nil {
+		klog.InfoS("connections that wait to be accepted may be reset", "name", e.settings.Name, "err", err)
+	}
 	err := srv.Shutdown(ctx)
 	wg.Wait()
 	if err != nil {
@@ -283,6 +292,10 @@
 	return nil
 }
 
-// _closeTime is how long a stopping entry goes on to serve. Callers in steady use send
-// another request within it, whose reply closes the connection.
-const _closeTime = 500 * time.Millisecond
+const (
+	// _closeTime is how long a stopping entry goes on to serve. Callers in steady use
+	// send another request within it, whose reply closes the connection.
+	_closeTime = 500 * time.Millisecond
+	// _acceptTime bounds the wait for the connections that are not accepted yet.
+	_acceptTime = 2 * time.Second
+)
