--- a/beryldirector/append_test.go
+++ b/beryldirector/append_test.go
@@ -37,12 +37,9 @@
 	h.submit("j0", "routine", step(1, 1))
 	const jobs = 40
 	for i := range jobs {
-		s := berylbook.Submission{Work: berylwork.Work{
+		h.is.NoErr(h.enqueue(berylwork.Work{
 			ID: fmt.Sprintf("j%02d", i), Queue: "urgent", Spec: strings.Repeat("x", 250_000), Steps: []berylwork.Step{step(1, 0)}, Accepted: h.now.UnixMilli(),
-		}}
-		r, err := s.Record()
-		h.is.NoErr(err)
-		h.is.NoErr(h.d.EnqueueRecord(h.now, r))
+		}))
 	}
 	h.holdAppends = false
 	topic := map[string]bool{"j/j0": true}
@@ -73,10 +70,8 @@
 // Guards against a record that is applied although no append can hold it.
 func TestOversizeRecordIsNotEnqueued(t *testing.T) {
 	h := newHarness(t)
-	s := berylbook.Submission{Work: berylwork.Work{ID: "j1", Queue: "urgent", Spec: strings.Repeat("x", 3<<20), Steps: []berylwork.Step{step(1, 0)}}}
-	r, err := s.Record()
-	h.is.NoErr(err)
-	h.is.Equal(berylerror.Of(h.d.EnqueueRecord(h.now, r)), berylerror.Oversize)
+	err := h.enqueue(berylwork.Work{ID: "j1", Queue: "urgent", Spec: strings.Repeat("x", 3<<20), Steps: []berylwork.Step{step(1, 0)}})
+	h.is.Equal(berylerror.Of(err), berylerror.Oversize)
 	h.is.True(h.d.Book.Jobs["j1"] == nil)
 }
 
--- a/beryldirector/driver_test.go
+++ b/beryldirector/driver_test.go
@@ -156,6 +156,13 @@
 	h.settle()
 }
 
+// enqueue hands a job to the leader, which may refuse it.
+func (h *harness) enqueue(w berylwork.Work) error {
+	r, err := (&berylbook.Submission{Work: w}).Record()
+	h.is.NoErr(err)
+	return h.d.EnqueueRecord(h.now, r)
+}
+
 func incarnation(node string) berylbook.Incarnation {
 	return berylbook.Incarnation{Node: node, Instance: "i-" + node, StartedAt: 5}
 }
--- a/beryldirector/open_test.go
+++ b/beryldirector/open_test.go
@@ -93,17 +93,12 @@
 // of a job that is known.
 func TestLeaderBoundsTheLoad(t *testing.T) {
 	h := newHarness(t)
-	enqueue := func(w berylwork.Work) error {
-		r, err := (&berylbook.Submission{Work: w}).Record()
-		h.is.NoErr(err)
-		return h.d.EnqueueRecord(h.now, r)
-	}
-	h.is.NoErr(enqueue(largestJob("a1", "a", h.now)))
-	h.is.Equal(berylerror.Of(enqueue(largestJob("a2", "a", h.now))), berylerror.Exhausted)
+	h.is.NoErr(h.enqueue(largestJob("a1", "a", h.now)))
+	h.is.Equal(berylerror.Of(h.enqueue(largestJob("a2", "a", h.now))), berylerror.Exhausted)
 	h.is.True(h.d.Book.Jobs["a2"] == nil)
-	h.is.NoErr(enqueue(largestJob("a1", "a", h.now)))
+	h.is.NoErr(h.enqueue(largestJob("a1", "a", h.now)))
 	for i := range 50 {
-		h.is.NoErr(enqueue(berylwork.Work{ID: fmt.Sprintf("b%d", i), Queue: "routine", Account: "b", Steps: []berylwork.Step{step(40, 1)}}))
+		h.is.NoErr(h.enqueue(berylwork.Work{ID: fmt.Sprintf("b%d", i), Queue: "routine", Account: "b", Steps: []berylwork.Step{step(40, 1)}}))
 	}
 }
 
@@ -113,11 +108,6 @@
 // refused after they are removed.
 func TestLeaderBoundsEndedJobs(t *testing.T) {
 	h := newHarness(t)
-	submit := func(w berylwork.Work) error {
-		r, err := (&berylbook.Submission{Work: w}).Record()
-		h.is.NoErr(err)
-		return h.d.EnqueueRecord(h.now, r)
-	}
 	manySteps := func(id string) berylwork.Work {
 		w := berylwork.Work{ID: id, Queue: "routine", Account: "a", Times: 1, Accepted: h.now.UnixMilli()}
 		w.FirstDue = h.now.Add(time.Hour).UnixMilli()
@@ -129,7 +119,7 @@
 	accepted := 0
 	for i := range 40 {
 		w := manySteps(fmt.Sprintf("a%d", i))
-		if err := submit(w); err != nil {
+		if err := h.enqueue(w); err != nil {
 			h.is.Equal(berylerror.Of(err), berylerror.Exhausted)
 			continue
 		}
@@ -143,12 +133,12 @@
 	h.is.True(accepted > 1)
 	h.is.True(accepted*20_000*2 <= berylload.Max)
 	for i := range 50 {
-		h.is.NoErr(submit(berylwork.Work{ID: fmt.Sprintf("b%d", i), Queue: "routine", Account: "b", Steps: []berylwork.Step{step(40, 1)}}))
+		h.is.NoErr(h.enqueue(berylwork.Work{ID: fmt.Sprintf("b%d", i), Queue: "routine", Account: "b", Steps: []berylwork.Step{step(40, 1)}}))
 	}
 	for range 10 {
 		h.advance(testLimits().Retention / 5)
 	}
-	h.is.NoErr(submit(manySteps("later")))
+	h.is.NoErr(h.enqueue(manySteps("later")))
 }
 
 // Tasks that ask for nothing fit on any backend server. Guards against all of them on one,
